--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,674 @@
+// Package choice decides which document goes out when, to which target, and which is given up.
+//
+// How to call it: New at the start; then, for all that happens at one moment, Clock, and List, ListFailed, Take,
+// Ended, Withdrawn or Woken in the order of arrival, and Settle once. The interface (Terms, Doc, Host and the rest)
+// is in port.go, the state kept in state.go. The ordinary path follows docs/design.md: a ring over destinations and
+// within it over tenants, a cap of calls for each destination, retries below fresh work.
+//
+// Mechanisms beside the design:
+//  1. recovery: a target that fails is tried at a trickle and paced up to full load after it returns (cool, pace)
+//  2. limits: a learned pace, pauses and told waits for each route (refusal, open)
+//  3. places: calls that a target gets at once, fewer when it is slow or silent (place, silent)
+//  4. time-outs from observed times (timeout)
+//  5. early answers: what cannot arrive, or what crowds the holding room, is answered at once (review, crowd)
+//  6. closing retries: a retry that is about to become impossible goes before fresh work (pick)
+package choice
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	capWell    = 0.75 // of the slots, a destination in good health
+	capIll     = 0.5  // one that failed lately, and all such together
+	restored   = 3    // timely answers that restore the cap
+	turnSize   = 2    // documents a turn, more only where one call carries more
+	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
+	lookAgain  = 0.02 // seconds between looks at lines that wait
+	firstGuess = 0.4  // seconds a call takes before any was measured
+	binBase    = 0.02
+	binStep    = 1.5
+	binsHalved = 100.0
+)
+
+// Forwarder is one instance of the module.
+type Forwarder struct {
+	terms   Terms
+	host    Host
+	dice    chance
+	now     float64
+	began   float64
+	dests   []*Destination
+	ring    []*Destination
+	chains  map[uint64]*chain
+	held    []*Doc // not answered, in the order of taking
+	changed []*Doc // whose wanted state may differ from the present one
+	out     int
+	illOut  int
+	wake    float64 // the wake-up that is set
+	askAt   float64 // when to ask for the list; infinite while it is coming
+}
+
+// New starts a forwarder.
+func New(terms Terms, seed uint64, now float64, host Host) *Forwarder {
+	f := &Forwarder{terms: terms, host: host, dice: newChance(seed), now: now, began: now,
+		chains: map[uint64]*chain{}, wake: math.Inf(1), askAt: math.Inf(1)}
+	if terms.AskList {
+		f.askAt = now
+	}
+	return f
+}
+
+// NewDestination is called by the adapter at the first mention of a destination.
+func (f *Forwarder) NewDestination(door uint64) *Destination {
+	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well"}
+	f.dests = append(f.dests, d)
+	return d
+}
+
+// KnowsType tells if the terms state this document type.
+func (f *Forwarder) KnowsType(n int) bool { return n < len(f.terms.Types) }
+
+// Clock sets the time of the news that follow.
+func (f *Forwarder) Clock(now float64) { f.now = now }
+
+// Woken is a wake-up that was asked for.
+func (f *Forwarder) Woken() { f.wake = math.Inf(1) }
+
+// List takes news of the targets; whole means that all are named.
+func (f *Forwarder) List(whole bool, lines []Listing) {
+	named := map[*Target]bool{}
+	for _, l := range lines {
+		t, d := l.Target, l.Dest
+		named[t] = true
+		if t.dest == nil {
+			t.dest, t.places, t.route, t.standing = d, 2, d.shared, Gone
+			if l.Kind < len(f.terms.KindApart) && f.terms.KindApart[l.Kind] {
+				t.route = &Route{filled: f.now}
+			}
+			d.targets = append(d.targets, t)
+		}
+		if t.standing == Gone && l.Standing == Ready && f.now > f.began {
+			t.next = f.now + f.dice.unit()*0.3 // all forwarders hear of a new target at about the same time
+		}
+		t.zone, t.standing, d.kind = l.Zone, l.Standing, l.Kind
+		if l.Rate > 0 {
+			d.listed = l.Rate
+		}
+	}
+	for _, d := range f.dests {
+		for _, t := range d.targets {
+			if whole && !named[t] {
+				t.standing = Gone
+			}
+		}
+	}
+}
+
+// ListFailed says that a question for the list went wrong or that the list stopped coming.
+func (f *Forwarder) ListFailed() {
+	if f.terms.AskList {
+		f.askAt = f.now + 0.3 + f.dice.unit()
+	}
+}
+
+// Take accepts a document of a type, with so much time left.
+func (f *Forwarder) Take(d *Doc, typ int, left float64) {
+	d.typ, d.taken, d.expiry = &f.terms.Types[typ], f.now, f.now+left
+	f.held = append(f.held, d)
+	d.Dest.held++
+	if d.typ.InOrder && d.Key != 0 {
+		if d.chain = f.chains[d.Key]; d.chain == nil {
+			d.chain = &chain{}
+			f.chains[d.Key] = d.chain
+		}
+		d.chain.docs = append(d.chain.docs, d)
+	}
+	dest := d.Dest
+	for len(dest.byTen) <= len(f.terms.TenantQuota) {
+		dest.byTen = append(dest.byTen, &lane{})
+	}
+	d.lane = dest.byTen[len(f.terms.TenantQuota)]
+	if d.Tenant < len(f.terms.TenantQuota) {
+		d.lane = dest.byTen[d.Tenant]
+	}
+	d.lane.docs = append(d.lane.docs, d)
+	if !d.lane.ringed {
+		d.lane.ringed = true
+		dest.lanes = append(dest.lanes, d.lane)
+	}
+	f.enqueue(d)
+}
+
+func (f *Forwarder) enqueue(d *Doc) {
+	d.queued = true
+	d.Dest.waiting++
+	if !d.Dest.ringed {
+		d.Dest.ringed = true
+		f.ring = append(f.ring, d.Dest)
+	}
+}
+
+// dequeue takes a document out of its lane.
+func (f *Forwarder) dequeue(d *Doc) {
+	if !d.queued {
+		return
+	}
+	d.queued = false
+	d.Dest.waiting--
+	if d.lane == nil {
+		d.Dest.retry = without(d.Dest.retry, d)
+		return
+	}
+	d.lane.docs = without(d.lane.docs, d)
+	d.lane = nil // it can only come back by the retry lane
+}
+
+// Withdrawn says that the client does not want the document any more.
+func (f *Forwarder) Withdrawn(d *Doc) { f.finish(d) }
+
+// finish ends the forwarder's duty for a document; a call that carries it may still be out.
+func (f *Forwarder) finish(d *Doc) {
+	if d.answered {
+		return
+	}
+	d.answered = true
+	d.Dest.held--
+	f.held = without(f.held, d)
+	f.dequeue(d)
+	f.unchain(d)
+}
+
+// unchain lets the next document of the key go, once nothing of this one can still be under way.
+func (f *Forwarder) unchain(d *Doc) {
+	if d.chain == nil || d.call != nil || !d.answered {
+		return
+	}
+	d.chain.docs = without(d.chain.docs, d)
+	if len(d.chain.docs) == 0 && d.chain.rest <= f.now {
+		delete(f.chains, d.Key)
+	}
+}
+
+// Ended takes the end of the transmission that is out for a document.
+func (f *Forwarder) Ended(d *Doc, e Ending) {
+	c := d.call
+	if c == nil {
+		if e.Over {
+			f.finish(d)
+		}
+		return
+	}
+	t := c.target
+	d.call = nil
+	if c.docs--; c.docs == 0 {
+		f.out--
+		t.dest.out--
+		t.calls = without(t.calls, c)
+	}
+	if !c.noted {
+		c.noted = true
+		f.observe(t, c, e)
+	}
+	maybe := e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Cancelled
+	if maybe && d.chain != nil {
+		d.chain.rest = math.Max(d.chain.rest, f.now+f.terms.KeyRest+0.001)
+	}
+	if (maybe || e.Outcome == Errored) && d.ranFrom == 0 {
+		d.ranFrom, d.ranZone = c.began, t.zone
+	}
+	if e.Over {
+		f.finish(d)
+	}
+	f.unchain(d)
+	if !d.answered {
+		d.Dest.retry = append(d.Dest.retry, d)
+		f.enqueue(d)
+	}
+}
+
+// observe draws the conclusions from how a call ended.
+func (f *Forwarder) observe(t *Target, c *call, e Ending) {
+	d, r := t.dest, t.route
+	if e.Most > 0 {
+		r.most = e.Most
+	}
+	switch e.Outcome {
+	case Delivered:
+		usual := d.took.quantile(0.9)
+		d.took.add(e.Took)
+		if c.began >= t.lastGood {
+			t.lastGood = f.now
+		}
+		t.fails, r.refused, r.admitted = 0, 0, f.now
+		if e.Took > 3*usual {
+			d.good = 0
+			t.places = math.Max(1, t.places/2)
+		} else {
+			d.good++
+			t.places = math.Min(t.places+1/t.places, math.Max(1, float64(f.terms.Slots)))
+		}
+		if t.state == sick {
+			t.state, t.since = back, f.now
+			t.next = f.now + f.gap(t)
+		} else if t.state == back && f.now-t.since > f.terms.ColdFor {
+			t.state = well
+		}
+	case Errored, TimedOut, NoConnection, Reset:
+		d.good = 0
+		t.fails++
+		t.places = math.Max(1, t.places/2)
+		if e.Outcome == NoConnection && len(t.calls) > 0 {
+			f.host.CloseIdle(t)
+		}
+		if t.fails >= 2 || t.state != well || f.illSibling(t) {
+			f.cool(t)
+		}
+	case Full:
+		f.refusal(t, e)
+	}
+}
+
+func (f *Forwarder) illSibling(t *Target) bool {
+	return slices.ContainsFunc(t.dest.targets, func(o *Target) bool {
+		return o != t && o.standing == Ready && o.state == sick && o.route == t.route
+	})
+}
+
+// cool begins or prolongs a target's sickness. Guards against pushing over a destination that returns cold, and
+// against feeding documents to one that is down, hung, shut or failing. Hurts when the failures were chance.
+func (f *Forwarder) cool(t *Target) {
+	t.state, t.places = sick, 1
+	t.next = f.now + f.gap(t)
+}
+
+// gap is the random time between two calls to a target that is sick or back.
+func (f *Forwarder) gap(t *Target) float64 {
+	return (0.7 + 0.6*f.dice.unit()) / f.pace(t)
+}
+
+// pace is the calls a second that a target may get while it is sick or back, so that all forwarders together,
+// each judging by its own part, stay within what a cold destination stands.
+func (f *Forwarder) pace(t *Target) float64 {
+	d, peers := t.dest, 0
+	for _, o := range d.targets {
+		if o.route == t.route && o.standing == Ready {
+			peers++
+		}
+	}
+	full := d.sent / (f.now - f.began + 2)
+	if f.terms.RoughRate > 0 {
+		full = math.Max(full, d.listed/f.terms.RoughRate/float64(f.terms.Forwarders))
+	}
+	full = math.Max(full, t.route.most/float64(f.terms.Forwarders))
+	share := f.terms.ColdFrom
+	if t.state == back && f.terms.ColdFor > 0 {
+		share += (1 - share) * (f.now - t.since) / f.terms.ColdFor
+	}
+	return math.Max(0.1, full*share*0.6*f.terms.FallMultiple/float64(max(1, peers)))
+}
+
+// refusal handles a call that was turned away unseen: above the limit, queue full, or shut.
+func (f *Forwarder) refusal(t *Target, e Ending) {
+	r := t.route
+	r.refused++
+	if e.Wait > 0 {
+		r.closed = math.Max(r.closed, f.now+e.Wait+0.002+0.05*f.dice.unit())
+	} else {
+		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
+		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
+	}
+	if r.refused == 1 {
+		cut := r.rate
+		if r.pace > 0 {
+			cut = math.Min(cut, r.pace)
+		}
+		r.pace = math.Max(0.3, 0.85*cut)
+		r.tokens = math.Min(r.tokens, 0)
+	}
+	// Shut rather than above its limit: nothing let in for long, or a wait longer than a limit needs.
+	if r.refused >= 4 && f.now-r.admitted > 1.5 || e.Wait > 2.5 {
+		for _, o := range t.dest.targets {
+			if o.route == r && o.state != sick {
+				f.cool(o)
+			}
+		}
+	}
+}
+
+// open tells if a route takes a call now: no wait, and within the pace that it seems to let through.
+func (f *Forwarder) open(r *Route) bool {
+	dt := f.now - r.filled
+	if dt > 0 {
+		r.filled = f.now
+		r.rate *= math.Exp(-dt / 2)
+		if r.pace > 0 {
+			r.tokens = math.Min(r.tokens+r.pace*dt, math.Max(1, r.pace*0.3))
+			if f.now >= r.closed {
+				r.pace *= 1 + 0.04*dt
+			}
+		}
+	}
+	return f.now >= r.closed && (r.pace == 0 || r.tokens >= 1)
+}
+
+// silent tells that a call has been out for far longer than usual and nothing was answered since it began. Guards
+// against a silent or hung destination keeping its share until the time-out. Hurts when one document is very slow.
+func (f *Forwarder) silent(t *Target) bool {
+	return len(t.calls) > 0 && t.lastGood < t.calls[0].began &&
+		f.now-t.calls[0].began > math.Max(0.4, 3*t.dest.took.quantile(0.9))
+}
+
+// ill tells that the destination's cap is lowered.
+func (f *Forwarder) ill(d *Destination) bool {
+	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
+}
+
+func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
+
+// place finds the target of a destination that has a place free for one more call, nil if there is none.
+func (f *Forwarder) place(d *Destination) *Target {
+	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, capWell) {
+		return nil
+	}
+	if f.ill(d) && (d.out >= share(f.terms.Slots, capIll) || f.illOut >= share(f.terms.Slots, capIll)) {
+		return nil
+	}
+	var best *Target
+	score := math.Inf(1)
+	for _, t := range d.targets {
+		if t.standing != Ready || f.now < t.next || !f.open(t.route) || f.silent(t) {
+			continue
+		}
+		if float64(len(t.calls)) >= math.Floor(t.places) || t.state == sick && len(t.calls) > 0 {
+			continue
+		}
+		if n := len(t.calls); n > 0 && f.batch(d) > 1 && t.calls[n-1].began == f.now {
+			continue // one call a turn: more documents would join the same call
+		}
+		s := float64(len(t.calls)) / t.places
+		if t.zone != f.terms.Zone {
+			s += 0.5
+		}
+		if s < score || s == score && t.lastUsed < best.lastUsed {
+			best, score = t, s
+		}
+	}
+	return best
+}
+
+func (f *Forwarder) batch(d *Destination) int {
+	if d.kind < len(f.terms.KindBatch) {
+		return max(1, f.terms.KindBatch[d.kind])
+	}
+	return 1
+}
+
+// ready tells if a document may be sent to a target now by the rules of order and repetition.
+func (f *Forwarder) ready(d *Doc, t *Target) bool {
+	if d.chain != nil && (d.chain.docs[0] != d || d.chain.rest > f.now && d.sent == 0) {
+		return false
+	}
+	if d.ranFrom > 0 && d.typ.Repeat == Numbered {
+		return f.now < d.ranFrom+d.typ.Memory-0.01 && (!d.typ.ZoneGroup || d.ranZone == t.zone)
+	}
+	return true
+}
+
+// closing tells that a retry has little time left in which it may be sent.
+func closing(d *Doc, now float64) bool {
+	if d.ranFrom > 0 && d.typ.Repeat == Numbered && now > d.ranFrom+d.typ.Memory/3 {
+		return true
+	}
+	return now > d.expiry-d.typ.Life/2
+}
+
+// pick takes up to n documents for a call to a target: fresh ones from the tenants' ring, or retries.
+func (f *Forwarder) pick(d *Destination, t *Target, n int, retries bool) []*Doc {
+	var batch []*Doc
+	// Departure: to a target that is sick or back first go retries, which have least to lose, and elsewhere those
+	// that soon cannot be sent any more. Guards against losing what may have run; hurts fresh work a little.
+	for _, doc := range d.retry {
+		if len(batch) < n && (retries || t.state != well || closing(doc, f.now)) && f.ready(doc, t) {
+			batch = append(batch, doc)
+		}
+	}
+	if !retries {
+		for idle := 0; idle < len(d.lanes) && len(batch) < n; {
+			l := d.lanes[0]
+			d.lanes = d.lanes[1:]
+			idle++
+			for _, doc := range l.docs {
+				if f.ready(doc, t) && !slices.Contains(batch, doc) {
+					batch = append(batch, doc)
+					idle = 0
+					break
+				}
+			}
+			if l.ringed = len(l.docs) > 0; l.ringed {
+				d.lanes = append(d.lanes, l)
+			}
+		}
+	}
+	return batch
+}
+
+// turn releases a small batch of a destination's documents.
+func (f *Forwarder) turn(d *Destination, retries bool) int {
+	released := 0
+	for released < turnSize {
+		t := f.place(d)
+		if t == nil {
+			break
+		}
+		docs := f.pick(d, t, f.batch(d), retries)
+		if len(docs) == 0 {
+			break
+		}
+		f.send(t, docs)
+		released += len(docs)
+	}
+	return released
+}
+
+// send makes a call with some documents wanted at a target.
+func (f *Forwarder) send(t *Target, docs []*Doc) {
+	d := t.dest
+	if f.ill(d) {
+		f.illOut++
+	}
+	c := &call{target: t, began: f.now, docs: len(docs)}
+	t.calls = append(t.calls, c)
+	t.lastUsed = f.now
+	t.route.tokens--
+	t.route.rate += 0.5
+	d.out++
+	d.sent++
+	f.out++
+	if t.state != well {
+		t.next = f.now + f.gap(t)
+	}
+	allow := f.timeout(d)
+	for _, doc := range docs {
+		f.dequeue(doc)
+		doc.call, doc.want, doc.to = c, wantOut, t
+		doc.sent++
+		doc.allow = math.Min(allow*float64(doc.sent), doc.expiry-f.now)
+		f.changed = append(f.changed, doc)
+	}
+}
+
+// timeout is how long a call is waited for: far longer than the slow ones of late.
+func (f *Forwarder) timeout(d *Destination) float64 {
+	return math.Min(5, math.Max(1, 5*d.took.quantile(0.9)))
+}
+
+// release goes round the ring until no destination can send.
+func (f *Forwarder) release(retries bool) {
+	f.illOut = 0
+	for _, d := range f.dests {
+		if f.ill(d) {
+			f.illOut += d.out
+		}
+	}
+	for idle := 0; idle < len(f.ring); {
+		d := f.ring[0]
+		f.ring = f.ring[1:]
+		if f.turn(d, retries) > 0 {
+			idle = -1
+		}
+		idle++
+		if d.ringed = d.waiting > 0; d.ringed {
+			f.ring = append(f.ring, d)
+		}
+	}
+}
+
+// review answers the documents that have no way left to arrive.
+func (f *Forwarder) review() {
+	for _, d := range slices.Clone(f.held) {
+		if d.call != nil {
+			continue
+		}
+		usual := d.Dest.took.quantile(0.5)
+		mayRun := d.ranFrom > 0 && d.typ.Repeat != Replayable
+		spent := f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions
+		late := f.now > d.expiry-math.Max(0.02, usual/2)
+		lost := mayRun && (d.typ.Repeat == Binding || f.now > d.ranFrom+d.typ.Memory-0.05)
+		if spent || late || lost {
+			f.answer(d)
+		}
+	}
+}
+
+// crowd cuts the longest line while the holding room is nearly full. Guards against a sick or flooded destination
+// turning away everybody's documents at the door. Hurts when the flood would have passed in time.
+func (f *Forwarder) crowd() {
+	for float64(len(f.held)) > roomFull*float64(f.terms.Room) {
+		var worst *Destination
+		for _, d := range f.dests {
+			if d.waiting > 0 && (worst == nil || d.waiting > worst.waiting) {
+				worst = d
+			}
+		}
+		if worst == nil {
+			return
+		}
+		var last *Doc
+		for _, d := range f.held {
+			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0) {
+				last = d
+			}
+		}
+		f.answer(last)
+	}
+}
+
+// answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
+func (f *Forwarder) answer(d *Doc) {
+	d.want = wantRejected
+	if d.ranFrom > 0 {
+		switch d.typ.Repeat {
+		case Binding:
+			d.want = wantAbandoned
+		case Numbered:
+			if d.typ.ZoneGroup || f.now > d.ranFrom+d.typ.Memory {
+				d.want = wantAbandoned
+			}
+		}
+	}
+	if f.terms.ComeBack {
+		d.back = math.Min(1, f.terms.ComeBackMost)
+	}
+	f.finish(d)
+	f.changed = append(f.changed, d)
+}
+
+// Settle decides all that follows from the news taken since the last time.
+func (f *Forwarder) Settle() {
+	f.review()
+	f.release(false)
+	f.release(true)
+	f.crowd()
+	f.note()
+	f.emit()
+}
+
+// note logs each destination's change of mode.
+func (f *Forwarder) note() {
+	for _, d := range f.dests {
+		mode := "well"
+		for _, t := range d.targets {
+			if t.state == sick && t.standing == Ready {
+				mode = "sick"
+			} else if t.state == back && mode == "well" && t.standing == Ready {
+				mode = "back"
+			}
+		}
+		if f.ill(d) && mode == "well" {
+			mode = "ill"
+		}
+		if mode != d.mode {
+			f.host.Log(fmt.Sprintf("dest %d %s > %s: out %d held %d good %d p90 %.2f", d.Door, d.mode, mode, d.out,
+				d.held, d.good, d.took.quantile(0.9)))
+			d.mode = mode
+		}
+	}
+}
+
+// emit brings the present state to the wanted one: transmissions, answers, the list, the next wake-up.
+func (f *Forwarder) emit() {
+	for _, d := range f.changed {
+		switch d.want {
+		case wantOut:
+			f.host.Transmit(d, d.to, d.allow)
+		case wantRejected:
+			f.host.Reject(d, d.back)
+		case wantAbandoned:
+			f.host.Abandon(d)
+		}
+		d.want = wantHeld
+	}
+	f.changed = f.changed[:0]
+	if f.now >= f.askAt {
+		f.askAt = math.Inf(1)
+		f.host.Watch()
+	}
+	next := f.askAt
+	for _, d := range f.held {
+		if d.call == nil {
+			next = math.Min(next, f.now+lookAgain)
+			break
+		}
+	}
+	if next < f.wake {
+		f.wake = next
+		f.host.Wake(math.Max(0.001, next-f.now))
+	}
+}
+
+func (h *hist) add(x float64) {
+	n := int(math.Log(math.Max(1, x/binBase)) / math.Log(binStep))
+	h.bins[min(n, len(h.bins)-1)]++
+	if h.total++; h.total > binsHalved {
+		h.total = 0
+		for i := range h.bins {
+			h.bins[i] /= 2
+			h.total += h.bins[i]
+		}
+	}
+}
+
+// quantile is the upper edge of the bin that holds this share of the times.
+func (h *hist) quantile(q float64) float64 {
+	sum, want := 0.0, q*(h.total+4)
+	for i, n := range h.bins {
+		upper := binBase * math.Pow(binStep, float64(i+1))
+		if sum += n; upper >= firstGuess && sum+4 >= want || sum >= want {
+			return upper
+		}
+	}
+	return binBase * math.Pow(binStep, float64(len(h.bins)))
+}
--- /dev/null
+++ b/choice/port.go
@@ -0,0 +1,93 @@
+package choice
+
+// Repeat says what a second transmission of a document would do.
+type Repeat uint8
+
+const (
+	Replayable Repeat = iota // may run again
+	Numbered                 // carries a mark by which a repeat is known
+	Binding                  // must never run twice
+)
+
+// DocType is what the terms say of one document type; times in seconds.
+type DocType struct {
+	Repeat       Repeat
+	ZoneGroup    bool // numbered: only targets of one zone know the mark, not all of the destination
+	InOrder      bool
+	Agreed, Life float64
+	Memory       float64 // numbered: how long a mark is known, from the transmission on
+	Value        float64
+}
+
+// Terms are what a forwarder is told at its start; times in seconds, rates in calls a second.
+type Terms struct {
+	Types         []DocType
+	TenantQuota   []float64 // documents a second, all forwarders together; empty without tenants
+	KindBatch     []int     // per kind of destination: documents in one call at most
+	KindApart     []bool    // per kind: targets are routes of their own
+	Forwarders    int
+	Slots, Room   int
+	Transmissions int
+	Zone          int
+	KeyRest       float64
+	ColdFrom      float64 // share of its capacity that a returning destination has at least
+	ColdFor       float64
+	FallMultiple  float64
+	ComeBack      bool    // a rejection may name a time to come back
+	ComeBackMost  float64 // longer ones are not honoured
+	AskList       bool    // the list comes only after asking
+	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
+	Reports       bool    // answers tell the share left of a limit, and the limit
+}
+
+// Outcome is how a transmission ended.
+type Outcome uint8
+
+const (
+	Delivered    Outcome = iota
+	Errored              // the destination's own error; may have run
+	Full                 // turned away unseen
+	TimedOut             // may have run, may still run
+	NoConnection         // never ran
+	Reset                // may have run, may still run
+	Cancelled            // may have run, may still run
+	Moot                 // not sent
+)
+
+// Ending is the news of one transmission's end.
+type Ending struct {
+	Outcome    Outcome
+	Over       bool    // the document has its final answer
+	Took, Wait float64 // Wait: told to stay away so long; 0 if not told
+	Left, Most float64 // report: share left of the limit, the limit; Most 0 if none
+}
+
+// Standing is what the list says of a target.
+type Standing uint8
+
+const (
+	Ready Standing = iota
+	Draining
+	Gone
+)
+
+// Listing is one line of the list.
+type Listing struct {
+	Target   *Target
+	Dest     *Destination
+	Kind     int
+	Zone     int
+	Rate     float64 // calls a second that the destination takes; 0 unknown
+	Standing Standing
+}
+
+// Host carries out what a forwarder decides. All calls are made from within Settle, but for Log.
+type Host interface {
+	Transmit(d *Doc, t *Target, timeout float64)
+	Reject(d *Doc, comeBack float64)
+	Abandon(d *Doc)
+	CloseIdle(t *Target)
+	Wake(in float64)
+	Watch()
+	Log(line string)
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,150 @@
+package choice
+
+// Doc is one document held by a forwarder. The caller sets the fields in capitals, once.
+type Doc struct {
+	Door   uint64 // the adapter's id
+	Tenant int
+	Key    uint64
+	Dest   *Destination
+
+	typ      *DocType
+	taken    float64
+	expiry   float64
+	chain    *chain
+	lane     *lane
+	call     *call   // the call that carries it now
+	sent     int     // transmissions spent
+	ranFrom  float64 // issue of the first transmission that may have run; 0: surely never ran
+	ranZone  int
+	answered bool
+	queued   bool
+
+	want  answer // what is wanted of it; emit brings it about
+	to    *Target
+	allow float64
+	back  float64
+}
+
+// Over tells that nothing more can be heard of the document.
+func (d *Doc) Over() bool { return d.answered && d.call == nil }
+
+type answer uint8
+
+const (
+	wantHeld answer = iota
+	wantOut
+	wantRejected
+	wantAbandoned
+)
+
+// Target is one endpoint of a destination.
+type Target struct {
+	Door uint64 // the adapter's address
+
+	dest     *Destination
+	route    *Route
+	zone     int
+	standing Standing
+	places   float64 // calls it is given at once
+	calls    []*call
+	lastUsed float64
+	lastGood float64 // when it last answered as it should
+	state    health
+	fails    int     // failures since it last answered
+	since    float64 // when it came back
+	next     float64 // sick or back: not before
+}
+
+type health uint8
+
+const (
+	well health = iota
+	sick
+	back // answering again, still cold
+)
+
+// Route is what a limit and a wait bind: all targets of a destination, or one where they are apart.
+type Route struct {
+	closed   float64 // told to wait, or turned away: nothing before
+	pace     float64 // calls a second that seem to be let through; 0: no limit met
+	tokens   float64
+	filled   float64 // when the tokens were last topped up
+	rate     float64 // calls a second of late
+	refused  int     // refusals since a call was let in
+	admitted float64 // when a call was last let in
+	most     float64 // the limit as reported
+}
+
+// Destination is one receiver with all its targets.
+type Destination struct {
+	Door uint64 // the adapter's number
+
+	targets []*Target
+	shared  *Route
+	kind    int
+	listed  float64 // calls a second as listed
+	lanes   []*lane // the ring of tenants
+	byTen   []*lane
+	retry   []*Doc
+	held    int // documents of it that a forwarder has not answered
+	waiting int // of these, the ones in a lane
+	out     int // calls
+	sent    float64
+	good    int // timely answers in a row
+	took    hist
+	ringed  bool
+	mode    string
+}
+
+// lane is a tenant's waiting documents.
+type lane struct {
+	docs   []*Doc
+	ringed bool
+	quota  float64 // documents a second within the tenant's share, here; 0: no share is stated
+}
+
+// call is one call, with one document or several.
+type call struct {
+	target *Target
+	began  float64
+	docs   int // documents without an ending yet
+	noted  bool
+}
+
+// chain is the documents of one key that are not over, in the order of taking.
+type chain struct {
+	docs []*Doc
+	rest float64 // nothing new before
+}
+
+// hist counts times in coarse bins.
+type hist struct {
+	bins  [16]float64
+	total float64
+}
+
+// chance is a permuted congruential generator (PCG-XSH-RR 64/32).
+type chance struct{ state uint64 }
+
+func newChance(seed uint64) chance {
+	c := chance{seed + 1442695040888963407}
+	c.unit()
+	return c
+}
+
+// unit is a number from 0 to 1.
+func (c *chance) unit() float64 {
+	old := c.state
+	c.state = old*6364136223846793005 + 1442695040888963407
+	word, turn := uint32(((old>>18)^old)>>27), uint32(old>>59)
+	return float64(word>>turn|word<<((-turn)&31)) / (1 << 32)
+}
+
+func without[T comparable](list []T, x T) []T {
+	for i, y := range list {
+		if y == x {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,16 @@
+// Command wirehost hosts forwarders of the decision module on the frames of standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"spanflow/internal/wire"
+)
+
+func main() {
+	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
