--- a/choice/choice.go
+++ b/choice/choice.go
@@ -208,6 +208,9 @@
 		t.dest.out--
 		t.calls = without(t.calls, c)
 	}
+	if e.Outcome == Full && e.Wait > 0 { // each document of a call may be told its own
+		t.route.closed = math.Max(t.route.closed, f.now+e.Wait+0.002+0.05*f.dice.unit())
+	}
 	if !c.noted {
 		c.noted = true
 		f.observe(t, c, e)
@@ -314,9 +317,7 @@
 func (f *Forwarder) refusal(t *Target, e Ending) {
 	r := t.route
 	r.refused++
-	if e.Wait > 0 {
-		r.closed = math.Max(r.closed, f.now+e.Wait+0.002+0.05*f.dice.unit())
-	} else {
+	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
