--- a/choice/choice.go
+++ b/choice/choice.go
@@ -246,7 +246,7 @@
 			t.lastGood = f.now
 		}
 		t.fails, r.refused, r.admitted = 0, 0, f.now
-		if e.Took > 3*usual {
+		if e.Took > 4*usual {
 			d.good = 0
 			t.places = math.Max(1, t.places/2)
 		} else {
@@ -301,11 +301,7 @@
 			peers++
 		}
 	}
-	full := d.sent / (f.now - f.began + 2)
-	if f.terms.RoughRate > 0 {
-		full = math.Max(full, d.listed/f.terms.RoughRate/float64(f.terms.Forwarders))
-	}
-	full = math.Max(full, t.route.most/float64(f.terms.Forwarders))
+	full := math.Max(d.sent/(f.now-f.began+2), f.known(t))
 	share := f.terms.ColdFrom
 	if t.state == back && f.terms.ColdFor > 0 {
 		share += (1 - share) * (f.now - t.since) / f.terms.ColdFor
@@ -313,6 +309,16 @@
 	return math.Max(0.1, full*share*0.6*f.terms.FallMultiple/float64(max(1, peers)))
 }
 
+// known is this forwarder's even part of the rate that a route surely takes, as far as it is told: no less than a
+// call a second for all.
+func (f *Forwarder) known(t *Target) float64 {
+	rate := math.Max(1, t.route.most)
+	if f.terms.RoughRate > 0 {
+		rate = math.Max(rate, t.dest.listed/f.terms.RoughRate)
+	}
+	return rate / float64(f.terms.Forwarders)
+}
+
 // refusal handles a call that was turned away unseen: above the limit, queue full, or shut.
 func (f *Forwarder) refusal(t *Target, e Ending) {
 	r := t.route
@@ -326,7 +332,7 @@
 		if r.pace > 0 {
 			cut = math.Min(cut, r.pace)
 		}
-		r.pace = math.Max(0.3, 0.85*cut)
+		r.pace = math.Max(0.85*cut, f.known(t))
 		r.tokens = math.Min(r.tokens, 0)
 	}
 	// Shut rather than above its limit: nothing let in for long, or a wait longer than a limit needs.
@@ -348,7 +354,7 @@
 		if r.pace > 0 {
 			r.tokens = math.Min(r.tokens+r.pace*dt, math.Max(1, r.pace*0.3))
 			if f.now >= r.closed {
-				r.pace *= 1 + 0.04*dt
+				r.pace *= 1 + 0.15*dt
 			}
 		}
 	}
