--- a/choice/choice.go
+++ b/choice/choice.go
@@ -306,7 +306,7 @@
 	if t.state == back && f.terms.ColdFor > 0 {
 		share += (1 - share) * (f.now - t.since) / f.terms.ColdFor
 	}
-	return math.Max(0.1, full*share*0.6*f.terms.FallMultiple/float64(max(1, peers)))
+	return math.Max(0.1, full*share*0.9*f.terms.FallMultiple/float64(max(1, peers)))
 }
 
 // known is this forwarder's even part of the rate that a route surely takes, as far as it is told: no less than a
