--- a/choice/choice.go
+++ b/choice/choice.go
@@ -28,6 +28,8 @@
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
 	lookAgain  = 0.02 // seconds between looks at lines that wait
 	firstGuess = 0.4  // seconds a call takes before any was measured
+	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
+	mostFail   = 0.6  // share of failures from which on a target is sick
 	binBase    = 0.02
 	binStep    = 1.5
 	binsHalved = 100.0
@@ -245,7 +247,8 @@
 		if c.began >= t.lastGood {
 			t.lastGood = f.now
 		}
-		t.fails, r.refused, r.admitted = 0, 0, f.now
+		t.failing *= 1 - blame
+		r.refused, r.admitted = 0, f.now
 		if e.Took > 4*usual {
 			d.good = 0
 			t.places = math.Max(1, t.places/2)
@@ -254,19 +257,24 @@
 			t.places = math.Min(t.places+1/t.places, math.Max(1, float64(f.terms.Slots)))
 		}
 		if t.state == sick {
-			t.state, t.since = back, f.now
+			t.state, t.since, t.failing = back, f.now, math.Min(t.failing, blame)
 			t.next = f.now + f.gap(t)
 		} else if t.state == back && f.now-t.since > f.terms.ColdFor {
 			t.state = well
 		}
 	case Errored, TimedOut, NoConnection, Reset:
 		d.good = 0
-		t.fails++
+		weight := blame
+		if e.Outcome == TimedOut || e.Outcome == NoConnection {
+			weight *= 2
+		}
+		t.failing += weight * (1 - t.failing)
 		t.places = math.Max(1, t.places/2)
 		if e.Outcome == NoConnection && len(t.calls) > 0 {
 			f.host.CloseIdle(t)
 		}
-		if t.fails >= 2 || t.state != well || f.illSibling(t) {
+		// Resets or errors among successes are a bad line, not an outage: to cool for each would starve all targets.
+		if t.failing > mostFail || t.state == sick || weight > blame && f.illSibling(t) {
 			f.cool(t)
 		}
 	case Full:
--- a/choice/state.go
+++ b/choice/state.go
@@ -50,7 +50,7 @@
 	lastUsed float64
 	lastGood float64 // when it last answered as it should
 	state    health
-	fails    int     // failures since it last answered
+	failing  float64 // share of failures of late
 	since    float64 // when it came back
 	next     float64 // sick or back: not before
 }
