--- a/choice/choice.go
+++ b/choice/choice.go
@@ -244,14 +244,11 @@
 	case Delivered:
 		usual := d.took.quantile(0.9)
 		d.took.add(e.Took)
-		if c.began >= t.lastGood {
-			t.lastGood = f.now
-		}
+		t.lastGood = f.now
 		t.failing *= 1 - blame
 		r.refused, r.admitted = 0, f.now
 		if e.Took > 4*usual {
 			d.good = 0
-			t.places = math.Max(1, t.places/2)
 		} else {
 			d.good++
 			t.places = math.Min(t.places+1/t.places, math.Max(1, float64(f.terms.Slots)))
