--- a/choice/choice.go
+++ b/choice/choice.go
@@ -254,8 +254,12 @@
 			t.places = math.Min(t.places+1/t.places, math.Max(1, float64(f.terms.Slots)))
 		}
 		if t.state == sick {
-			t.state, t.since, t.failing = back, f.now, math.Min(t.failing, blame)
-			t.next = f.now + f.gap(t)
+			for _, o := range t.dest.targets { // an outage mostly takes all of a route's targets, and ends for all
+				if o.route == r && o.state == sick {
+					o.state, o.since, o.failing = back, f.now, math.Min(o.failing, blame)
+					o.next = f.now + f.gap(o)
+				}
+			}
 		} else if t.state == back && f.now-t.since > f.terms.ColdFor {
 			t.state = well
 		}
@@ -302,16 +306,17 @@
 func (f *Forwarder) pace(t *Target) float64 {
 	d, peers := t.dest, 0
 	for _, o := range d.targets {
-		if o.route == t.route && o.standing == Ready {
+		if o.route == t.route && o.standing == Ready && o.state == t.state {
 			peers++
 		}
 	}
 	full := math.Max(d.sent/(f.now-f.began+2), f.known(t))
-	share := f.terms.ColdFrom
-	if t.state == back && f.terms.ColdFor > 0 {
-		share += (1 - share) * (f.now - t.since) / f.terms.ColdFor
+	cold := 0.9 * f.terms.FallMultiple * full
+	if t.state == sick { // all sick targets of a route share its trials
+		return math.Max(cold*f.terms.ColdFrom, 1/float64(f.terms.Forwarders))
 	}
-	return math.Max(0.1, full*share*0.9*f.terms.FallMultiple/float64(max(1, peers)))
+	share := f.terms.ColdFrom + (1-f.terms.ColdFrom)*(f.now-t.since)/math.Max(0.1, f.terms.ColdFor)
+	return cold * math.Max(0.05, share) / float64(max(1, peers))
 }
 
 // known is this forwarder's even part of the rate that a route surely takes, as far as it is told: no less than a
@@ -499,8 +504,10 @@
 	d.out++
 	d.sent++
 	f.out++
-	if t.state != well {
-		t.next = f.now + f.gap(t)
+	for _, o := range d.targets {
+		if o == t && t.state == back || o.route == t.route && o.state == sick && t.state == sick {
+			o.next = math.Max(o.next, f.now+f.gap(t))
+		}
 	}
 	allow := f.timeout(d)
 	for _, doc := range docs {
