--- a/choice/choice.go
+++ b/choice/choice.go
@@ -343,7 +343,7 @@
 			cut = math.Min(cut, r.pace)
 		}
 		r.pace = math.Max(0.85*cut, f.known(t))
-		r.tokens = math.Min(r.tokens, 0)
+		r.tokens = 0 // calls made before any pace was set are no debt
 	}
 	// Shut rather than above its limit: nothing let in for long, or a wait longer than a limit needs.
 	if r.refused >= 4 && f.now-r.admitted > 1.5 || e.Wait > 2.5 {
