--- a/choice/choice.go
+++ b/choice/choice.go
@@ -244,7 +244,7 @@
 	case Delivered:
 		usual := d.took.quantile(0.9)
 		d.took.add(e.Took)
-		t.lastGood = f.now
+		t.lastGood, t.proof = f.now, math.Max(t.proof, c.began)
 		t.failing *= 1 - blame
 		r.refused, r.admitted = 0, f.now
 		if e.Took > 4*usual {
@@ -266,7 +266,9 @@
 	case Errored, TimedOut, NoConnection, Reset:
 		d.good = 0
 		weight := blame
-		if e.Outcome == TimedOut || e.Outcome == NoConnection {
+		if t.proof >= c.began {
+			weight /= 2 // it answered a call that began later: this one was lost alone
+		} else if e.Outcome == TimedOut || e.Outcome == NoConnection {
 			weight *= 2
 		}
 		t.failing += weight * (1 - t.failing)
