--- a/choice/choice.go
+++ b/choice/choice.go
@@ -244,6 +244,7 @@
 	case Delivered:
 		usual := d.took.quantile(0.9)
 		d.took.add(e.Took)
+		t.unheard = 0
 		t.lastGood, t.proof = f.now, math.Max(t.proof, c.began)
 		t.failing *= 1 - blame
 		r.refused, r.admitted = 0, f.now
@@ -265,6 +266,9 @@
 		}
 	case Errored, TimedOut, NoConnection, Reset:
 		d.good = 0
+		if e.Outcome == TimedOut {
+			t.unheard++
+		}
 		weight := blame
 		if t.proof >= c.began {
 			weight /= 2 // it answered a call that began later: this one was lost alone
@@ -273,8 +277,8 @@
 		}
 		t.failing += weight * (1 - t.failing)
 		t.places = math.Max(1, t.places/2)
-		if e.Outcome == NoConnection && len(t.calls) > 0 {
-			f.host.CloseIdle(t)
+		if e.Outcome != Errored {
+			f.host.CloseIdle(t) // the connections may be dead, or too many
 		}
 		// Resets or errors among successes are a bad line, not an outage: to cool for each would starve all targets.
 		if t.failing > mostFail || t.state == sick || weight > blame && f.illSibling(t) {
@@ -511,19 +515,20 @@
 			o.next = math.Max(o.next, f.now+f.gap(t))
 		}
 	}
-	allow := f.timeout(d)
+	allow := f.timeout(t)
 	for _, doc := range docs {
 		f.dequeue(doc)
 		doc.call, doc.want, doc.to = c, wantOut, t
 		doc.sent++
-		doc.allow = math.Min(allow*float64(doc.sent), doc.expiry-f.now)
+		doc.allow = math.Min(allow, doc.expiry-f.now)
 		f.changed = append(f.changed, doc)
 	}
 }
 
-// timeout is how long a call is waited for: far longer than the slow ones of late.
-func (f *Forwarder) timeout(d *Destination) float64 {
-	return math.Min(5, math.Max(1, 5*d.took.quantile(0.9)))
+// timeout is how long a call is waited for: well beyond the slow ones of late, and longer while a target lets calls
+// time out without an answer between. Guards against lost answers holding all slots; hurts where pace drops at once.
+func (f *Forwarder) timeout(t *Target) float64 {
+	return math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
 }
 
 // release goes round the ring until no destination can send.
--- a/choice/state.go
+++ b/choice/state.go
@@ -49,6 +49,7 @@
 	calls    []*call
 	lastUsed float64
 	lastGood float64 // when it last answered as it should
+	unheard  int     // time-outs since it last answered
 	proof    float64 // begin of the latest call that it answered as it should
 	state    health
 	failing  float64 // share of failures of late
