--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,7 @@
 	firstGuess = 0.4  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
+	blip       = 3.0  // seconds of silence that are no outage
 	binBase    = 0.02
 	binStep    = 1.5
 	binsHalved = 100.0
@@ -244,6 +245,10 @@
 	case Delivered:
 		usual := d.took.quantile(0.9)
 		d.took.add(e.Took)
+		// Silence with answers shortly before and now is loss on the way, not an outage: nothing is cold after it.
+		if t.state == sick && t.unheard > 0 && f.now-t.lastGood < blip {
+			t.state, t.next, t.failing = well, f.now, blame
+		}
 		t.unheard = 0
 		t.lastGood, t.proof = f.now, math.Max(t.proof, c.began)
 		t.failing *= 1 - blame
