--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,7 @@
 	firstGuess = 0.4  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
+	shutWait   = 2.5  // seconds; a limit has room again sooner
 	blip       = 3.0  // seconds of silence that are no outage
 	binBase    = 0.02
 	binStep    = 1.5
@@ -252,7 +253,7 @@
 		t.unheard = 0
 		t.lastGood, t.proof = f.now, math.Max(t.proof, c.began)
 		t.failing *= 1 - blame
-		r.refused, r.admitted = 0, f.now
+		r.refused = 0
 		if e.Took > 4*usual {
 			d.good = 0
 		} else {
@@ -343,7 +344,9 @@
 // refusal handles a call that was turned away unseen: above the limit, queue full, or shut.
 func (f *Forwarder) refusal(t *Target, e Ending) {
 	r := t.route
-	r.refused++
+	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
+		r.turned = f.now
+	}
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
@@ -356,8 +359,9 @@
 		r.pace = math.Max(0.85*cut, f.known(t))
 		r.tokens = 0 // calls made before any pace was set are no debt
 	}
-	// Shut rather than above its limit: nothing let in for long, or a wait longer than a limit needs.
-	if r.refused >= 4 && f.now-r.admitted > 1.5 || e.Wait > 2.5 {
+	// Shut rather than above its limit: nothing let in for long and no short wait told, or a longer wait than a
+	// limit needs.
+	if r.refused >= 5 && f.now-r.turned > shutWait || e.Wait > shutWait {
 		for _, o := range t.dest.targets {
 			if o.route == r && o.state != sick {
 				f.cool(o)
