--- a/choice/choice.go
+++ b/choice/choice.go
@@ -356,7 +356,7 @@
 		if r.pace > 0 {
 			cut = math.Min(cut, r.pace)
 		}
-		r.pace = math.Max(0.85*cut, f.known(t))
+		r.pace = math.Max(0.7*cut, f.known(t))
 		r.tokens = 0 // calls made before any pace was set are no debt
 	}
 	// Shut rather than above its limit: nothing let in for long and no short wait told, or a longer wait than a
@@ -379,7 +379,7 @@
 		if r.pace > 0 {
 			r.tokens = math.Min(r.tokens+r.pace*dt, math.Max(1, r.pace*0.3))
 			if f.now >= r.closed {
-				r.pace *= 1 + 0.15*dt
+				r.pace *= 1 + 0.08*dt
 			}
 		}
 	}
