--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	turnSize   = 2    // documents a turn, more only where one call carries more
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
 	lookAgain  = 0.02 // seconds between looks at lines that wait
+	lastCall   = 0.04 // seconds before expiry: nothing is sent after, so that the answer comes in time
 	firstGuess = 0.4  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
@@ -567,10 +568,9 @@
 		if d.call != nil {
 			continue
 		}
-		usual := d.Dest.took.quantile(0.5)
 		mayRun := d.ranFrom > 0 && d.typ.Repeat != Replayable
 		spent := f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions
-		late := f.now > d.expiry-math.Max(0.02, usual/2)
+		late := f.now > d.expiry-lastCall
 		lost := mayRun && (d.typ.Repeat == Binding || f.now > d.ranFrom+d.typ.Memory-0.05)
 		if spent || late || lost {
 			f.answer(d)
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,272 @@
+package choice
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEveryDocumentGetsOneAnswerBeforeExpiry(t *testing.T) {
+	h := start(terms)
+	nowhere := h.NewDestination(1)
+	doc := h.take(nowhere, ticket, 5)
+	h.pass(23)
+	require.Empty(t, h.done)
+	h.pass(3)
+	require.Equal(t, map[*Doc]string{doc: "rejected"}, h.done)
+	require.Positive(t, h.back[doc])
+	require.Empty(t, h.sent)
+}
+
+func TestBindingThatMayHaveRunIsAbandonedAtOnce(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	ran, never := h.take(d, payment, 0), h.take(d, payment, 0)
+	h.settle()
+	h.ends(ran, TimedOut, 0)
+	h.ends(never, NoConnection, 0)
+	h.settle()
+	require.Equal(t, map[*Doc]string{ran: "abandoned"}, h.done)
+	h.pass(4)
+	require.Equal(t, never, h.sent[len(h.sent)-1].doc)
+}
+
+func TestNumberedIsNotSentPastItsMemory(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	doc := h.take(d, zoned, 0)
+	h.settle()
+	d.targets[0].standing = Gone
+	h.pass(1)
+	h.ends(doc, Reset, 0)
+	h.pass(3.9)
+	require.Empty(t, h.done)
+	h.pass(0.3)
+	require.Equal(t, "abandoned", h.done[doc]) // known only to a zone: a rejection would not be harmless
+	require.Len(t, h.sent, 1)
+}
+
+func TestZoneGroupKeepsToTheFirstZone(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0, 1)
+	doc := h.take(d, zoned, 0)
+	h.settle()
+	require.Equal(t, 0, h.sent[0].target.zone)
+	h.ends(doc, Reset, 0)
+	d.targets[0].standing = Draining
+	h.pass(2)
+	require.Len(t, h.sent, 1)
+	d.targets[0].standing = Ready
+	h.pass(0.1)
+	require.Len(t, h.sent, 2)
+}
+
+func TestNothingGoesToADrainingTarget(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0, 0)
+	h.List(false, []Listing{{Target: d.targets[0], Dest: d, Standing: Draining}})
+	h.flood(d, status, 6)
+	h.settle()
+	for _, s := range h.sent {
+		require.Equal(t, d.targets[1], s.target)
+	}
+	h.List(true, nil) // a whole list without a target: it is gone
+	h.flood(d, status, 1)
+	n := len(h.sent)
+	h.answers(d, Delivered)
+	h.pass(1)
+	require.Len(t, h.sent, n)
+}
+
+func TestReturningTargetGetsATrickleThenARamp(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for range 40 { // two a second for twenty seconds
+		h.take(d, status, 0)
+		h.settle()
+		h.answers(d, Delivered)
+		h.pass(0.5)
+	}
+	for range 4 {
+		h.take(d, status, 0)
+		h.settle()
+		h.answers(d, TimedOut)
+	}
+	require.Equal(t, sick, d.targets[0].state)
+	h.flood(d, status, 15)
+	n := len(h.sent)
+	for range 100 {
+		h.pass(0.1)
+		h.answers(d, TimedOut)
+	}
+	require.InDelta(t, 7, len(h.sent)-n, 4) // a trial every two seconds or so, not fifteen documents at once
+	h.pass(3)
+	n = len(h.sent)
+	h.answers(d, Delivered)
+	require.Equal(t, back, d.targets[0].state)
+	h.pass(1.4)
+	require.LessOrEqual(t, len(h.sent)-n, 2)
+}
+
+func TestResetsAmongAnswersDoNotStopATarget(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for i := range 40 {
+		h.take(d, status, 0)
+		h.pass(0.2)
+		h.answers(d, []Outcome{Delivered, Reset, Delivered}[i%3])
+	}
+	require.Equal(t, well, d.targets[0].state)
+}
+
+func TestLossesBetweenAnswersLeaveNoRamp(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	h.take(d, status, 0)
+	h.settle()
+	h.answers(d, Delivered)
+	h.flood(d, status, 2)
+	h.pass(0.6)
+	h.answers(d, TimedOut)
+	require.Equal(t, sick, d.targets[0].state)
+	h.pass(2.2)
+	h.answers(d, Delivered)
+	require.Equal(t, well, d.targets[0].state)
+	require.Contains(t, h.log, "close 0")
+}
+
+func TestKeysGoInOrderAndRest(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0, 0)
+	first, second := h.take(d, ticket, 5), h.take(d, ticket, 5)
+	h.pass(0.1)
+	require.Len(t, h.sent, 1)
+	h.Withdrawn(first) // its call is still out
+	h.pass(0.1)
+	require.Len(t, h.sent, 1)
+	h.ends(first, TimedOut, 0)
+	h.pass(0.06)
+	require.Len(t, h.sent, 1)
+	h.pass(0.1)
+	require.Equal(t, second, h.sent[1].doc)
+	require.True(t, first.Over())
+}
+
+func TestEachToldWaitOfACallIsHeeded(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(1, 0, 0)
+	a, b := h.take(d, status, 0), h.take(d, status, 0)
+	h.settle()
+	require.Len(t, h.sent, 2)
+	require.Equal(t, 1, h.out)
+	h.ends(a, Full, 0.2)
+	h.ends(b, Full, 1)
+	h.pass(0.98)
+	require.Len(t, h.sent, 2)
+	h.pass(2)
+	require.Greater(t, len(h.sent), 2)
+}
+
+func TestWaitBindsOnlyTheRouteWhereRoutesAreApart(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(2, 0, 0)
+	doc := h.take(d, status, 0)
+	h.settle()
+	h.ends(doc, Full, 5)
+	h.pass(0.1)
+	require.Len(t, h.sent, 2)
+	require.NotEqual(t, h.sent[0].target, h.sent[1].target)
+}
+
+func TestRefusalAfterALongRunOfCallsLeavesNoDebt(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for range 60 {
+		h.take(d, status, 0)
+		h.settle()
+		h.answers(d, Delivered)
+		h.pass(0.1)
+	}
+	doc := h.take(d, status, 0)
+	h.settle()
+	h.ends(doc, Full, 0)
+	h.pass(1.5)
+	require.Equal(t, doc, h.sent[len(h.sent)-1].doc)
+	require.Equal(t, 2, doc.sent)
+}
+
+func TestADestinationKeepsToItsShareOfTheSlots(t *testing.T) {
+	h := start(terms)
+	d, other := h.receiver(0, 0, 0, 0, 0), h.receiver(0, 0)
+	h.flood(d, status, 30)
+	h.settle()
+	require.Len(t, h.sent, 6)
+	h.take(other, status, 0)
+	h.settle()
+	require.Equal(t, other, h.sent[6].doc.Dest)
+	h.answers(d, Errored)
+	h.settle()
+	require.LessOrEqual(t, d.out, 4)
+}
+
+func TestSilentTargetGetsNothingBeforeTheTimeOut(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	h.flood(d, status, 1)
+	h.pass(2.2)
+	h.flood(d, status, 3)
+	h.settle()
+	require.Len(t, h.sent, 1)
+	require.True(t, h.ill(d))
+}
+
+func TestFreshWorkGoesBeforeRetries(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	old := h.take(d, status, 0)
+	h.settle()
+	h.ends(old, Reset, 0)
+	fresh := h.take(d, status, 0)
+	h.settle()
+	require.Equal(t, fresh, h.sent[1].doc)
+	h.answers(d, Delivered)
+	h.settle()
+	require.Equal(t, old, h.sent[2].doc)
+}
+
+func TestTenantsTakeTurns(t *testing.T) {
+	with := terms
+	with.TenantQuota = []float64{9, 9}
+	h := start(with)
+	d := h.receiver(0, 0)
+	for i := range 6 {
+		doc := &Doc{Dest: d, Tenant: i / 5}
+		h.Take(doc, status, 20)
+	}
+	h.settle()
+	require.Equal(t, []int{0, 1}, []int{h.sent[0].doc.Tenant, h.sent[1].doc.Tenant})
+}
+
+func TestAFloodedLineIsCutBeforeTheRoomIsFull(t *testing.T) {
+	h := start(terms)
+	flooded, other := h.receiver(0), h.receiver(0)
+	h.flood(other, status, 5)
+	h.flood(flooded, status, 34)
+	h.settle()
+	require.Len(t, h.done, 3)
+	for doc, answer := range h.done {
+		require.Equal(t, flooded, doc.Dest)
+		require.Equal(t, "rejected", answer)
+	}
+}
+
+func TestListIsAskedForAgainAfterAFailure(t *testing.T) {
+	asks := terms
+	asks.AskList = true
+	h := start(asks)
+	h.settle()
+	require.Equal(t, 1, h.asks)
+	h.ListFailed()
+	h.pass(2)
+	require.Equal(t, 2, h.asks)
+}
--- /dev/null
+++ b/choice/host_test.go
@@ -0,0 +1,98 @@
+package choice
+
+import "fmt"
+
+// fake is a host that writes down what it is asked to do and plays the other side at the test's word.
+type fake struct {
+	*Forwarder
+	now  float64
+	sent []transmission
+	done map[*Doc]string
+	back map[*Doc]float64
+	asks int
+	log  []string
+}
+
+type transmission struct {
+	doc     *Doc
+	target  *Target
+	at      float64
+	timeout float64
+}
+
+var terms = Terms{Types: []DocType{{Repeat: Numbered, InOrder: true, Agreed: 3, Life: 24, Memory: 15, Value: 1},
+	{Repeat: Replayable, Agreed: 3, Life: 20, Value: 1}, {Repeat: Binding, Agreed: 3, Life: 20, Value: 1},
+	{Repeat: Numbered, ZoneGroup: true, Agreed: 3, Life: 20, Memory: 5, Value: 1}},
+	KindBatch: []int{1, 10}, KindApart: []bool{false, false, true}, Forwarders: 2, Slots: 8, Room: 40,
+	Transmissions: 6, KeyRest: 0.1, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ComeBack: true, ComeBackMost: 2}
+
+const (
+	ticket = iota
+	status
+	payment
+	zoned
+)
+
+func start(t Terms) *fake {
+	h := &fake{now: 100, done: map[*Doc]string{}, back: map[*Doc]float64{}}
+	h.Forwarder = New(t, 7, h.now, h)
+	return h
+}
+
+// receiver lists a destination with targets of a kind, one in each of the zones given.
+func (h *fake) receiver(kind int, zones ...int) *Destination {
+	d := h.NewDestination(uint64(len(h.dests)))
+	for i, z := range zones {
+		t := &Target{Door: uint64(i)}
+		h.List(false, []Listing{{Target: t, Dest: d, Kind: kind, Zone: z, Standing: Ready}})
+	}
+	return d
+}
+
+func (h *fake) take(d *Destination, typ int, key uint64) *Doc {
+	doc := &Doc{Door: uint64(len(h.held)), Key: key, Dest: d, Tenant: 9}
+	h.Take(doc, typ, h.terms.Types[typ].Life)
+	return doc
+}
+
+func (h *fake) flood(d *Destination, typ, n int) {
+	for range n {
+		h.take(d, typ, 0)
+	}
+}
+
+// pass lets time go by in small steps.
+func (h *fake) pass(seconds float64) {
+	for end := h.now + seconds; h.now < end; {
+		h.now += 0.02
+		h.Clock(h.now)
+		h.Woken()
+		h.Settle()
+	}
+}
+
+func (h *fake) settle() { h.Clock(h.now); h.Settle() }
+
+// ends gives the transmission that is out for a document its ending.
+func (h *fake) ends(d *Doc, o Outcome, wait float64) {
+	h.Ended(d, Ending{Outcome: o, Over: o == Delivered, Took: 0.1, Wait: wait})
+}
+
+// answers ends all calls that are out to a destination in one way.
+func (h *fake) answers(d *Destination, o Outcome) {
+	for _, s := range h.sent {
+		if s.doc.Dest == d && s.doc.call != nil {
+			h.ends(s.doc, o, 0)
+		}
+	}
+}
+
+func (h *fake) Transmit(d *Doc, t *Target, timeout float64) {
+	h.sent = append(h.sent, transmission{d, t, h.now, timeout})
+}
+func (h *fake) Reject(d *Doc, comeBack float64) { h.done[d] += "rejected"; h.back[d] = comeBack }
+func (h *fake) Abandon(d *Doc)                  { h.done[d] += "abandoned" }
+func (h *fake) CloseIdle(t *Target)             { h.log = append(h.log, fmt.Sprint("close ", t.Door)) }
+func (h *fake) Wake(float64)                    {}
+func (h *fake) Watch()                          { h.asks++ }
+func (h *fake) Log(line string)                 { h.log = append(h.log, line) }
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const terms = `{"Classes":[{"Idempotency":"dedup","Group":"all","Sequential":true,"Slo":3000,"HardLimit":24000,
+"MemorySpan":15000,"Worth":1}],"Extra":{"CallsOut":8,"KindBatch":[10]},"Limits":{"AttemptsCap":6,"MaxOpen":90,
+"RetryAfter":true,"MaxRetryAfter":2000},"NInstances":2,"Unheard":{"of":1}}`
+
+func unhex(s string) []byte {
+	b, err := hex.DecodeString(strings.Join(strings.Fields(s), ""))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func frame(records int, body ...[]byte) []byte {
+	b := bytes.Join(body, nil)
+	head := binary.LittleEndian.AppendUint32(nil, uint32(16+len(b)))
+	head = binary.LittleEndian.AppendUint32(head, uint32(records))
+	head = binary.LittleEndian.AppendUint64(head, math.Float64bits(254000))
+	return append(head, b...)
+}
+
+var (
+	provision = append(unhex("06 0300 0102030405060708"),
+		append(binary.LittleEndian.AppendUint32(nil, uint32(len(terms))), terms...)...)
+	manifest = unhex(`07 0000 02000000
+		3900 0000 0000000000000000 0000803f 0a124a07 5b1b 0000 01
+		3900 0000 0000000000d4b740 0000c03f 0a9011f2 841b 0000 01`)
+	discovery = unhex("00 0300 2900000000000000 02 0000")
+	demand    = unhex("0a 0300 c4913a5d 00 0000 640ad2557c3bf091 0000000000006e40 0000000000002840 00006442 01")
+	kill      = unhex("04 0300")
+	ended     = unhex("01 0300 c4913a5d 0a124a07 5b1b 01 0000000000803240 00000000 0000 c800 02 cdcccc3e0000a03f")
+	withdrawn = unhex("02 0300 192b6f0e")
+)
+
+func serve(t *testing.T, in ...[]byte) ([]byte, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Serve(bytes.NewReader(bytes.Join(in, nil)), &out)
+	return out.Bytes(), err
+}
+
+func TestEmptyBatch(t *testing.T) {
+	out, err := serve(t, unhex("10000000 00000000 00000000206ec040"))
+	require.NoError(t, err)
+	require.Equal(t, unhex("08000000 00000000"), out)
+}
+
+func TestADocumentIsTransmittedToItsTarget(t *testing.T) {
+	out, err := serve(t, frame(4, provision, manifest, discovery, demand))
+	require.NoError(t, err)
+	require.Contains(t, string(out), string(unhex("00 0300 c4913a5d 0a124a07 5b1b")))
+	_, err = serve(t, frame(4, provision, manifest, discovery, demand), frame(4, ended, withdrawn, kill, provision))
+	require.NoError(t, err)
+}
+
+func TestMalformedInputIsNamed(t *testing.T) {
+	huge := append([]byte{}, manifest[:3]...)
+	for want, in := range map[string][]byte{
+		"out of range":             {1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"batch header":             {16, 0, 0},
+		"cut short":                frame(1, kill)[:18],
+		"unknown event code 77":    frame(1, []byte{77, 0, 0}),
+		"overruns the frame":       frame(1, append(huge, 255, 255, 255, 255)),
+		"unknown instance 3":       frame(1, demand),
+		"after 1 of 9 records":     frame(9, manifest),
+		"follow the last record":   frame(1, manifest, kill),
+		"settings of instance 3":   frame(1, unhex("06 0300 0102030405060708 02000000 7b7b")),
+		"a field overruns":         frame(2, provision, demand[:20]),
+		"list 0 was never":         frame(2, provision, discovery),
+		"unknown outcome":          frame(2, provision, bytes.Replace(ended, []byte{0xc8, 0}, []byte{7, 0}, 1)),
+		"document type 9":          frame(2, provision, bytes.Replace(demand, []byte{0x5d, 0}, []byte{0x5d, 9}, 1)),
+		"clock is not finite":      append(append(frame(0)[:8:8], 0, 0, 0, 0, 0, 0, 0xf0, 0x7f), kill[:0]...),
+		"unknown target status 44": frame(1, append(append([]byte{}, manifest[:len(manifest)-1]...), 44)),
+	} {
+		_, err := serve(t, in)
+		require.ErrorContains(t, err, want)
+	}
+}
+
+func FuzzBatch(f *testing.F) {
+	f.Add(uint32(5), bytes.Join([][]byte{provision, manifest, discovery, demand, ended}, nil))
+	f.Add(uint32(2), bytes.Join([][]byte{provision, demand}, nil))
+	f.Fuzz(func(t *testing.T, records uint32, body []byte) {
+		h := NewHost()
+		if _, err := h.Batch(records, 254000, body); err == nil {
+			_, _ = h.Batch(1, 254100, withdrawn)
+		}
+		require.NotContains(t, string(h.out.b), "goroutine", "the module panicked")
+	})
+}
