--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,8 +48,9 @@
 	dests   []*Destination
 	ring    []*Destination
 	chains  map[uint64]*chain
-	held    []*Doc // not answered, in the order of taking
-	changed []*Doc // whose wanted state may differ from the present one
+	held    []*Doc    // not answered, in the order of taking
+	changed []*Doc    // whose wanted state may differ from the present one
+	spent   []float64 // per tenant: up to when its share is used
 	out     int
 	illOut  int
 	wake    float64 // the wake-up that is set
@@ -59,7 +60,8 @@
 // New starts a forwarder.
 func New(terms Terms, seed uint64, now float64, host Host) *Forwarder {
 	f := &Forwarder{terms: terms, host: host, dice: newChance(seed), now: now, began: now,
-		chains: map[uint64]*chain{}, wake: math.Inf(1), askAt: math.Inf(1)}
+		chains: map[uint64]*chain{}, wake: math.Inf(1), askAt: math.Inf(1),
+		spent: make([]float64, len(terms.TenantQuota))}
 	if terms.AskList {
 		f.askAt = now
 	}
@@ -68,7 +70,8 @@
 
 // NewDestination is called by the adapter at the first mention of a destination.
 func (f *Forwarder) NewDestination(door uint64) *Destination {
-	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well"}
+	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well",
+		byTenant: make([]lane, len(f.terms.TenantQuota)+1)}
 	f.dests = append(f.dests, d)
 	return d
 }
@@ -132,21 +135,33 @@
 		d.chain.docs = append(d.chain.docs, d)
 	}
 	dest := d.Dest
-	for len(dest.byTen) <= len(f.terms.TenantQuota) {
-		dest.byTen = append(dest.byTen, &lane{})
-	}
-	d.lane = dest.byTen[len(f.terms.TenantQuota)]
-	if d.Tenant < len(f.terms.TenantQuota) {
-		d.lane = dest.byTen[d.Tenant]
+	d.lane = &dest.byTenant[min(d.Tenant, len(f.terms.TenantQuota))]
+	if d.surplus = f.over(d.Tenant); d.surplus {
+		d.lane = &dest.surplus
 	}
 	d.lane.docs = append(d.lane.docs, d)
-	if !d.lane.ringed {
+	if !d.lane.ringed && !d.surplus {
 		d.lane.ringed = true
 		dest.lanes = append(dest.lanes, d.lane)
 	}
 	f.enqueue(d)
 }
 
+// over tells if a tenant has had its share of late, as far as this forwarder's even part of it goes, and counts one
+// more document. Guards against a tenant's burst crowding out what others have a right to.
+func (f *Forwarder) over(tenant int) bool {
+	if tenant >= len(f.terms.TenantQuota) {
+		return false
+	}
+	part := f.terms.TenantQuota[tenant] / float64(f.terms.Forwarders)
+	at := math.Max(f.spent[tenant], f.now-1)
+	if part <= 0 || at > f.now {
+		return true
+	}
+	f.spent[tenant] = at + 1/part
+	return false
+}
+
 func (f *Forwarder) enqueue(d *Doc) {
 	d.queued = true
 	d.Dest.waiting++
@@ -484,6 +499,11 @@
 				d.lanes = append(d.lanes, l)
 			}
 		}
+		for _, doc := range d.surplus.docs {
+			if len(batch) < n && f.ready(doc, t) {
+				batch = append(batch, doc)
+			}
+		}
 	}
 	return batch
 }
@@ -593,7 +613,7 @@
 		}
 		var last *Doc
 		for _, d := range f.held {
-			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0) {
+			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0 && (d.surplus || !last.surplus)) {
 				last = d
 			}
 		}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -270,3 +270,30 @@
 	h.pass(2)
 	require.Equal(t, 2, h.asks)
 }
+
+func TestSurplusOfATenantWaitsAndIsCutFirst(t *testing.T) {
+	with := terms
+	with.TenantQuota = []float64{4, 4} // two a second at each of two forwarders
+	h := start(with)
+	d := h.receiver(0)
+	take := func(tenant int) *Doc {
+		doc := &Doc{Dest: d, Tenant: tenant}
+		h.Take(doc, status, 20)
+		return doc
+	}
+	for range 30 {
+		take(0)
+	}
+	late := take(1)
+	h.List(false, []Listing{{Target: &Target{}, Dest: d, Standing: Ready}})
+	h.settle()
+	require.Contains(t, []*Doc{h.sent[0].doc, h.sent[1].doc}, late)
+	for range 7 {
+		take(1)
+	}
+	require.False(t, take(0).surplus && !h.held[20].surplus)
+	h.settle()
+	for doc := range h.done {
+		require.True(t, doc.surplus)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -18,6 +18,7 @@
 	ranZone  int
 	answered bool
 	queued   bool
+	surplus  bool // beyond its tenant's share
 
 	want  answer // what is wanted of it; emit brings it about
 	to    *Target
@@ -81,28 +82,28 @@
 type Destination struct {
 	Door uint64 // the adapter's number
 
-	targets []*Target
-	shared  *Route
-	kind    int
-	listed  float64 // calls a second as listed
-	lanes   []*lane // the ring of tenants
-	byTen   []*lane
-	retry   []*Doc
-	held    int // documents of it that a forwarder has not answered
-	waiting int // of these, the ones in a lane
-	out     int // calls
-	sent    float64
-	good    int // timely answers in a row
-	took    hist
-	ringed  bool
-	mode    string
+	targets  []*Target
+	shared   *Route
+	kind     int
+	listed   float64 // calls a second as listed
+	lanes    []*lane // the ring of tenants
+	byTenant []lane  // the last for documents without a tenant
+	surplus  lane    // beyond the tenants' shares: after all other fresh work
+	retry    []*Doc
+	held     int // documents of it that a forwarder has not answered
+	waiting  int // of these, the ones in a lane
+	out      int // calls
+	sent     float64
+	good     int // timely answers in a row
+	took     hist
+	ringed   bool
+	mode     string
 }
 
 // lane is a tenant's waiting documents.
 type lane struct {
 	docs   []*Doc
 	ringed bool
-	quota  float64 // documents a second within the tenant's share, here; 0: no share is stated
 }
 
 // call is one call, with one document or several.
