--- a/choice/choice.go
+++ b/choice/choice.go
@@ -414,12 +414,11 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
-// dark tells that none of a destination's targets answers. All such together get half the slots. Guards against many
-// silent destinations, each within its cap, filling all slots.
+// dark tells that a destination has a silent target, or none in good standing. All such together get half the slots.
+// Guards against many silent destinations, each within its cap, filling all slots.
 func (f *Forwarder) dark(d *Destination) bool {
-	return !slices.ContainsFunc(d.targets, func(t *Target) bool {
-		return t.standing == Ready && t.state != sick && !f.silent(t)
-	})
+	return slices.ContainsFunc(d.targets, f.silent) ||
+		!slices.ContainsFunc(d.targets, func(t *Target) bool { return t.standing == Ready && t.state != sick })
 }
 
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
