--- a/choice/choice.go
+++ b/choice/choice.go
@@ -22,7 +22,7 @@
 
 const (
 	capWell    = 0.75 // of the slots, a destination in good health
-	capIll     = 0.5  // one that failed lately, and all together that do not answer
+	capIll     = 0.5  // one that failed lately or is silent
 	restored   = 3    // timely answers that restore the cap
 	turnSize   = 2    // documents a turn, more only where one call carries more
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
@@ -52,7 +52,6 @@
 	changed []*Doc    // whose wanted state may differ from the present one
 	spent   []float64 // per tenant: up to when its share is used
 	out     int
-	darkOut int
 	wake    float64 // the wake-up that is set
 	askAt   float64 // when to ask for the list; infinite while it is coming
 }
@@ -414,13 +413,6 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
-// dark tells that a destination has a silent target, or none in good standing. All such together get half the slots.
-// Guards against many silent destinations, each within its cap, filling all slots.
-func (f *Forwarder) dark(d *Destination) bool {
-	return slices.ContainsFunc(d.targets, f.silent) ||
-		!slices.ContainsFunc(d.targets, func(t *Target) bool { return t.standing == Ready && t.state != sick })
-}
-
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
 
 // place finds the target of a destination that has a place free for one more call, nil if there is none.
@@ -428,7 +420,7 @@
 	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, capWell) {
 		return nil
 	}
-	if half := share(f.terms.Slots, capIll); f.ill(d) && d.out >= half || f.dark(d) && f.darkOut >= half {
+	if f.ill(d) && d.out >= share(f.terms.Slots, capIll) {
 		return nil
 	}
 	var best *Target
@@ -536,9 +528,6 @@
 // send makes a call with some documents wanted at a target.
 func (f *Forwarder) send(t *Target, docs []*Doc) {
 	d := t.dest
-	if f.dark(d) {
-		f.darkOut++
-	}
 	c := &call{target: t, began: f.now, docs: len(docs)}
 	t.calls = append(t.calls, c)
 	t.lastUsed = f.now
@@ -570,12 +559,6 @@
 
 // release goes round the ring until no destination can send.
 func (f *Forwarder) release(retries bool) {
-	f.darkOut = 0
-	for _, d := range f.dests {
-		if f.dark(d) {
-			f.darkOut += d.out
-		}
-	}
 	for idle := 0; idle < len(f.ring); {
 		d := f.ring[0]
 		f.ring = f.ring[1:]
