--- a/choice/choice.go
+++ b/choice/choice.go
@@ -126,6 +126,7 @@
 	d.typ, d.taken, d.expiry = &f.terms.Types[typ], f.now, f.now+left
 	f.held = append(f.held, d)
 	d.Dest.held++
+	d.Dest.taken++
 	if d.typ.InOrder && d.Key != 0 {
 		if d.chain = f.chains[d.Key]; d.chain == nil {
 			d.chain = &chain{}
@@ -320,7 +321,7 @@
 // against feeding documents to one that is down, hung, shut or failing. Hurts when the failures were chance.
 func (f *Forwarder) cool(t *Target) {
 	t.state, t.places = sick, 1
-	t.next = f.now + f.gap(t)
+	t.next = math.Max(t.next, math.Max(f.now, t.route.closed)+f.gap(t)*f.dice.unit())
 }
 
 // gap is the random time between two calls to a target that is sick or back.
@@ -337,7 +338,7 @@
 			peers++
 		}
 	}
-	full := math.Max(d.sent/(f.now-f.began+2), f.known(t))
+	full := math.Max(d.taken*(d.calls+1)/(d.sent+1)/(f.now-f.began+2), f.known(t))
 	cold := 0.9 * f.terms.FallMultiple * full
 	if t.state == sick { // all sick targets of a route share its trials
 		return math.Max(cold*f.terms.ColdFrom, 1/float64(f.terms.Forwarders))
@@ -534,7 +535,8 @@
 	t.route.tokens--
 	t.route.rate += 0.5
 	d.out++
-	d.sent++
+	d.calls++
+	d.sent += float64(len(docs))
 	f.out++
 	for _, o := range d.targets {
 		if o == t && t.state == back || o.route == t.route && o.state == sick && t.state == sick {
--- a/choice/state.go
+++ b/choice/state.go
@@ -82,22 +82,22 @@
 type Destination struct {
 	Door uint64 // the adapter's number
 
-	targets  []*Target
-	shared   *Route
-	kind     int
-	listed   float64 // calls a second as listed
-	lanes    []*lane // the ring of tenants
-	byTenant []lane  // the last for documents without a tenant
-	surplus  lane    // beyond the tenants' shares: after all other fresh work
-	retry    []*Doc
-	held     int // documents of it that a forwarder has not answered
-	waiting  int // of these, the ones in a lane
-	out      int // calls
-	sent     float64
-	good     int // timely answers in a row
-	took     hist
-	ringed   bool
-	mode     string
+	targets            []*Target
+	shared             *Route
+	kind               int
+	listed             float64 // calls a second as listed
+	lanes              []*lane // the ring of tenants
+	byTenant           []lane  // the last for documents without a tenant
+	surplus            lane    // beyond the tenants' shares: after all other fresh work
+	retry              []*Doc
+	held               int     // documents of it that a forwarder has not answered
+	waiting            int     // of these, the ones in a lane
+	out                int     // calls
+	taken, sent, calls float64 // since the start: documents taken, transmissions, calls made
+	good               int     // timely answers in a row
+	took               hist
+	ringed             bool
+	mode               string
 }
 
 // lane is a tenant's waiting documents.
