--- a/choice/choice.go
+++ b/choice/choice.go
@@ -556,7 +556,8 @@
 // timeout is how long a call is waited for: well beyond the slow ones of late, and longer while a target lets calls
 // time out without an answer between. Guards against lost answers holding all slots; hurts where pace drops at once.
 func (f *Forwarder) timeout(t *Target) float64 {
-	return math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
+	allow := math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
+	return math.Min(allow, 2*f.terms.Types[0].Agreed)
 }
 
 // release goes round the ring until no destination can send.
