--- a/choice/choice.go
+++ b/choice/choice.go
@@ -303,7 +303,7 @@
 			f.host.CloseIdle(t) // the connections may be dead, or too many
 		}
 		// Resets or errors among successes are a bad line, not an outage: to cool for each would starve all targets.
-		if t.failing > mostFail || t.state == sick || weight > blame && f.illSibling(t) {
+		if t.failing > mostFail || t.state == sick {
 			f.cool(t)
 		}
 	case Full:
@@ -311,12 +311,6 @@
 	}
 }
 
-func (f *Forwarder) illSibling(t *Target) bool {
-	return slices.ContainsFunc(t.dest.targets, func(o *Target) bool {
-		return o != t && o.standing == Ready && o.state == sick && o.route == t.route
-	})
-}
-
 // cool begins or prolongs a target's sickness. Guards against pushing over a destination that returns cold, and
 // against feeding documents to one that is down, hung, shut or failing. Hurts when the failures were chance.
 func (f *Forwarder) cool(t *Target) {
@@ -414,6 +408,21 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
+// slow tells that calls to a destination hold their slots for long. All such together get half the slots. Guards
+// against several slow destinations, each within its cap, filling all slots; hurts them while all else is idle.
+func (f *Forwarder) slow(d *Destination) bool {
+	return d.took.quantile(0.9) > f.terms.Types[0].Agreed/2
+}
+
+func (f *Forwarder) slowOut() (n int) {
+	for _, d := range f.dests {
+		if f.slow(d) {
+			n += d.out
+		}
+	}
+	return n
+}
+
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
 
 // place finds the target of a destination that has a place free for one more call, nil if there is none.
@@ -421,7 +430,7 @@
 	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, capWell) {
 		return nil
 	}
-	if f.ill(d) && d.out >= share(f.terms.Slots, capIll) {
+	if half := share(f.terms.Slots, capIll); f.ill(d) && d.out >= half || f.slow(d) && f.slowOut() >= half {
 		return nil
 	}
 	var best *Target
@@ -556,8 +565,7 @@
 // timeout is how long a call is waited for: well beyond the slow ones of late, and longer while a target lets calls
 // time out without an answer between. Guards against lost answers holding all slots; hurts where pace drops at once.
 func (f *Forwarder) timeout(t *Target) float64 {
-	allow := math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
-	return math.Min(allow, 2*f.terms.Types[0].Agreed)
+	return math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
 }
 
 // release goes round the ring until no destination can send.
