--- a/choice/choice.go
+++ b/choice/choice.go
@@ -408,21 +408,12 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
-// slow tells that calls to a destination hold their slots for long. All such together get half the slots. Guards
+// slow tells that calls to a destination hold their slots for long; it may not take the last quarter of them. Guards
 // against several slow destinations, each within its cap, filling all slots; hurts them while all else is idle.
 func (f *Forwarder) slow(d *Destination) bool {
 	return d.took.quantile(0.9) > f.terms.Types[0].Agreed/2
 }
 
-func (f *Forwarder) slowOut() (n int) {
-	for _, d := range f.dests {
-		if f.slow(d) {
-			n += d.out
-		}
-	}
-	return n
-}
-
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
 
 // place finds the target of a destination that has a place free for one more call, nil if there is none.
@@ -430,7 +421,7 @@
 	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, capWell) {
 		return nil
 	}
-	if half := share(f.terms.Slots, capIll); f.ill(d) && d.out >= half || f.slow(d) && f.slowOut() >= half {
+	if f.ill(d) && d.out >= share(f.terms.Slots, capIll) || f.slow(d) && f.out >= share(f.terms.Slots, capWell) {
 		return nil
 	}
 	var best *Target
