--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 const (
 	capWell    = 0.75 // of the slots, a destination in good health
 	capIll     = 0.5  // one that failed lately or is silent
+	slotWait   = 0.25 // of the agreed time; slow is who makes others wait longer for a slot
 	restored   = 3    // timely answers that restore the cap
 	turnSize   = 2    // documents a turn, more only where one call carries more
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
@@ -303,7 +304,8 @@
 			f.host.CloseIdle(t) // the connections may be dead, or too many
 		}
 		// Resets or errors among successes are a bad line, not an outage: to cool for each would starve all targets.
-		if t.failing > mostFail || t.state == sick {
+		sibling := func(o *Target) bool { return o.standing == Ready && o.state == sick && o.route == t.route }
+		if t.failing > mostFail || weight > blame && slices.ContainsFunc(t.dest.targets, sibling) {
 			f.cool(t)
 		}
 	case Full:
@@ -408,10 +410,10 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
-// slow tells that calls to a destination hold their slots for long; it may not take the last quarter of them. Guards
-// against several slow destinations, each within its cap, filling all slots; hurts them while all else is idle.
+// slow tells that a destination's calls hold slots so long that others wait for one; it may not take the last quarter.
+// Guards against several slow destinations, each within its cap, filling all slots; hurts them while all else is idle.
 func (f *Forwarder) slow(d *Destination) bool {
-	return d.took.quantile(0.9) > f.terms.Types[0].Agreed/2
+	return d.took.quantile(0.9) > slotWait*f.terms.Types[0].Agreed*float64(f.terms.Slots)
 }
 
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
