--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,7 +23,7 @@
 const (
 	capWell    = 0.75 // of the slots, a destination in good health
 	capIll     = 0.5  // one that failed lately or is silent
-	slotWait   = 0.25 // of the agreed time; slow is who makes others wait longer for a slot
+	slotWait   = 0.4  // of the agreed time; slow is who makes others wait longer for a slot
 	restored   = 3    // timely answers that restore the cap
 	turnSize   = 2    // documents a turn, more only where one call carries more
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
