Hand back documents whose mark is soon forgotten while nothing answers; rotate trials

Numbered documents that timed out at a hanging destination were abandoned when their mark was forgotten; now they are rejected while the client may still repeat them.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,17 +1,16 @@
 // Package choice decides which document goes out when, to which target, and which is given up.
 //
-// How to call it: New at the start; then, for all that happens at one moment, Clock, and List, ListFailed, Take,
-// Ended, Withdrawn or Woken in the order of arrival, and Settle once. The interface (Terms, Doc, Host and the rest)
-// is in port.go, the state kept in state.go. The ordinary path follows docs/design.md: a ring over destinations and
-// within it over tenants, a cap of calls for each destination, retries below fresh work.
+// How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the order of
+// arrival (List, ListFailed, Take, Ended, Withdrawn, Woken), and Settle once. The interface is in port.go, what is
+// remembered in state.go. The ordinary path is that of docs/design.md: rings, cap, retries below fresh work.
 //
 // Mechanisms beside the design:
-//  1. recovery: a target that fails is tried at a trickle and paced up to full load after it returns (cool, pace)
+//  1. recovery: a target that fails is tried at a trickle and paced up after its return (cool, pace)
 //  2. limits: a learned pace, pauses and told waits for each route (refusal, open)
-//  3. places: calls that a target gets at once, fewer when it is slow or silent (place, silent)
+//  3. places: calls that a target gets at once; fewer when it fails, none while silent (place, silent, slow)
 //  4. time-outs from observed times (timeout)
-//  5. early answers: what cannot arrive, or what crowds the holding room, is answered at once (review, crowd)
-//  6. closing retries: a retry that is about to become impossible goes before fresh work (pick)
+//  5. early answers: what cannot arrive, or what crowds the holding room (review, crowd, over)
+//  6. closing retries: one that is about to become impossible goes before fresh work (pick)
 package choice
 
 import (
@@ -37,6 +36,7 @@
 	binBase    = 0.02
 	binStep    = 1.5
 	binsHalved = 100.0
+	guesses    = 4.0 // first guesses that count along with what was measured
 )
 
 // Forwarder is one instance of the module.
@@ -71,7 +71,8 @@
 // NewDestination is called by the adapter at the first mention of a destination.
 func (f *Forwarder) NewDestination(door uint64) *Destination {
 	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well",
-		byTenant: make([]lane, len(f.terms.TenantQuota)+1)}
+		byTenant: make([]lane, len(f.terms.TenantQuota)+1),
+		took:     hist{base: binBase, step: binStep, most: binsHalved, guess: firstGuess, guesses: guesses}}
 	f.dests = append(f.dests, d)
 	return d
 }
@@ -148,8 +149,8 @@
 	f.enqueue(d)
 }
 
-// over tells if a tenant has had its share of late, as far as this forwarder's even part of it goes, and counts one
-// more document. Guards against a tenant's burst crowding out what others have a right to.
+// over tells if a tenant has had its share of late, as far as this forwarder's even part of it goes, and
+// counts one more document. Guards against a tenant's burst crowding out what others have a right to.
 func (f *Forwarder) over(tenant int) bool {
 	if tenant >= len(f.terms.TenantQuota) {
 		return false
@@ -263,7 +264,7 @@
 	case Delivered:
 		usual := d.took.quantile(0.9)
 		d.took.add(e.Took)
-		// Silence with answers shortly before and now is loss on the way, not an outage: nothing is cold after it.
+		// Silence with answers shortly before and now is loss on the way: nothing is cold after it.
 		if t.state == sick && t.unheard > 0 && f.now-t.lastGood < blip {
 			t.state, t.next, t.failing = well, f.now, blame
 		}
@@ -278,7 +279,7 @@
 			t.places = math.Min(t.places+1/t.places, math.Max(1, float64(f.terms.Slots)))
 		}
 		if t.state == sick {
-			for _, o := range t.dest.targets { // an outage mostly takes all of a route's targets, and ends for all
+			for _, o := range d.targets { // an outage mostly takes all of a route's targets, and ends for all
 				if o.route == r && o.state == sick {
 					o.state, o.since, o.failing = back, f.now, math.Min(o.failing, blame)
 					o.next = f.now + f.gap(o)
@@ -301,9 +302,9 @@
 		t.failing += weight * (1 - t.failing)
 		t.places = math.Max(1, t.places/2)
 		if e.Outcome != Errored {
-			f.host.CloseIdle(t) // the connections may be dead, or too many
+			f.unplug = append(f.unplug, t) // its connections may be dead, or too many
 		}
-		// Resets or errors among successes are a bad line, not an outage: to cool for each would starve all targets.
+		// Resets or errors among answers are a bad line, no outage: to cool for each would starve all.
 		sibling := func(o *Target) bool { return o.standing == Ready && o.state == sick && o.route == t.route }
 		if t.failing > mostFail || weight > blame && slices.ContainsFunc(t.dest.targets, sibling) {
 			f.cool(t)
@@ -313,8 +314,9 @@
 	}
 }
 
-// cool begins or prolongs a target's sickness. Guards against pushing over a destination that returns cold, and
-// against feeding documents to one that is down, hung, shut or failing. Hurts when the failures were chance.
+// cool begins or prolongs a target's sickness. Guards against pushing over a destination that returns cold,
+// and against feeding documents to one that is down, hung, shut or failing. Hurts when the failures were
+// chance.
 func (f *Forwarder) cool(t *Target) {
 	t.state, t.places = sick, 1
 	t.next = math.Max(t.next, math.Max(f.now, t.route.closed)+f.gap(t)*f.dice.unit())
@@ -325,8 +327,8 @@
 	return (0.7 + 0.6*f.dice.unit()) / f.pace(t)
 }
 
-// pace is the calls a second that a target may get while it is sick or back, so that all forwarders together,
-// each judging by its own part, stay within what a cold destination stands.
+// pace is the calls a second that a target may get while it is sick or back, so that all forwarders
+// together, each judging by its own part, stay within what a cold destination stands.
 func (f *Forwarder) pace(t *Target) float64 {
 	d, peers := t.dest, 0
 	for _, o := range d.targets {
@@ -343,8 +345,8 @@
 	return cold * math.Max(0.05, share) / float64(max(1, peers))
 }
 
-// known is this forwarder's even part of the rate that a route surely takes, as far as it is told: no less than a
-// call a second for all.
+// known is this forwarder's even part of the rate that a route surely takes, as far as it is told: no less
+// than a call a second for all.
 func (f *Forwarder) known(t *Target) float64 {
 	rate := math.Max(1, t.route.most)
 	if f.terms.RoughRate > 0 {
@@ -371,8 +373,8 @@
 		r.pace = math.Max(0.7*cut, f.known(t))
 		r.tokens = 0 // calls made before any pace was set are no debt
 	}
-	// Shut rather than above its limit: nothing let in for long and no short wait told, or a longer wait than a
-	// limit needs.
+	// Shut rather than above its limit: nothing let in for long and no short wait told, or a longer wait
+	// than a limit needs.
 	if r.refused >= 5 && f.now-r.turned > shutWait || e.Wait > shutWait {
 		for _, o := range t.dest.targets {
 			if o.route == r && o.state != sick {
@@ -398,8 +400,9 @@
 	return f.now >= r.closed && (r.pace == 0 || r.tokens >= 1)
 }
 
-// silent tells that a call has been out for far longer than usual and nothing was answered since it began. Guards
-// against a silent or hung destination keeping its share until the time-out. Hurts when one document is very slow.
+// silent tells that a call has been out for far longer than usual and nothing was answered since it began.
+// Guards against a silent or hung destination keeping its share until the time-out. Hurts when one document
+// is very slow.
 func (f *Forwarder) silent(t *Target) bool {
 	return len(t.calls) > 0 && t.lastGood < t.calls[0].began &&
 		f.now-t.calls[0].began > math.Max(0.4, 3*t.dest.took.quantile(0.9))
@@ -410,12 +413,19 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
-// slow tells that a destination's calls hold slots so long that others wait for one; it may not take the last quarter.
-// Guards against several slow destinations, each within its cap, filling all slots; hurts them while all else is idle.
+// slow tells that a destination's calls hold slots so long that others wait for one; it may not take the
+// last quarter. Guards against several slow destinations, each within its cap, filling all slots; hurts
+// them while all else is idle.
 func (f *Forwarder) slow(d *Destination) bool {
 	return d.took.quantile(0.9) > slotWait*f.terms.Types[0].Agreed*float64(f.terms.Slots)
 }
 
+// dark tells that no target of a destination answers.
+func (f *Forwarder) dark(d *Destination) bool {
+	answers := func(t *Target) bool { return t.standing == Ready && t.state != sick }
+	return !slices.ContainsFunc(d.targets, answers)
+}
+
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
 
 // place finds the target of a destination that has a place free for one more call, nil if there is none.
@@ -478,9 +488,13 @@
 // pick takes up to n documents for a call to a target: fresh ones from the tenants' ring, or retries.
 func (f *Forwarder) pick(d *Destination, t *Target, n int, retries bool) []*Doc {
 	var batch []*Doc
-	// Departure: to a target that is sick or back first go retries, which have least to lose, and elsewhere those
-	// that soon cannot be sent any more. Guards against losing what may have run; hurts fresh work a little.
+	// Departure: to a target that is sick or back first go retries, which have least to lose, and elsewhere
+	// those that soon cannot be sent any more. Guards against losing what may have run; hurts fresh work a
+	// little.
 	for _, doc := range d.retry {
+		if t.state == sick && doc.ranFrom == 0 && doc.sent > f.terms.Transmissions/2 {
+			continue // trials are not to use up one document's transmissions
+		}
 		if len(batch) < n && (retries || t.state != well || closing(doc, f.now)) && f.ready(doc, t) {
 			batch = append(batch, doc)
 		}
@@ -555,8 +569,9 @@
 	}
 }
 
-// timeout is how long a call is waited for: well beyond the slow ones of late, and longer while a target lets calls
-// time out without an answer between. Guards against lost answers holding all slots; hurts where pace drops at once.
+// timeout is how long a call is waited for: well beyond the slow ones of late, and longer while a target
+// lets calls time out without an answer between. Guards against lost answers holding all slots; hurts where
+// pace drops at once.
 func (f *Forwarder) timeout(t *Target) float64 {
 	return math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
 }
@@ -586,14 +601,18 @@
 		spent := f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions
 		late := f.now > d.expiry-lastCall
 		lost := mayRun && (d.typ.Repeat == Binding || f.now > d.ranFrom+d.typ.Memory-0.05)
+		// While nothing answers, one whose mark is soon forgotten goes back to its client, who still may
+		// repeat it.
+		lost = lost || mayRun && !d.typ.ZoneGroup && f.now > d.ranFrom+d.typ.Memory*2/3 && f.dark(d.Dest)
 		if spent || late || lost {
 			f.answer(d)
 		}
 	}
 }
 
-// crowd cuts the longest line while the holding room is nearly full. Guards against a sick or flooded destination
-// turning away everybody's documents at the door. Hurts when the flood would have passed in time.
+// crowd cuts the longest line while the holding room is nearly full. Guards against a sick or flooded
+// destination turning away everybody's documents at the door. Hurts when the flood would have passed in
+// time.
 func (f *Forwarder) crowd() {
 	for float64(len(f.held)) > roomFull*float64(f.terms.Room) {
 		var worst *Destination
@@ -630,6 +649,9 @@
 	}
 	if f.terms.ComeBack {
 		d.back = math.Min(1, f.terms.ComeBackMost)
+		if d.ranFrom > 0 {
+			d.back = math.Min(0.1, d.back) // its mark is soon forgotten
+		}
 	}
 	f.finish(d)
 	f.changed = append(f.changed, d)
@@ -648,15 +670,14 @@
 // note logs each destination's change of mode.
 func (f *Forwarder) note() {
 	for _, d := range f.dests {
-		mode := "well"
+		worst := well
 		for _, t := range d.targets {
-			if t.state == sick && t.standing == Ready {
-				mode = "sick"
-			} else if t.state == back && mode == "well" && t.standing == Ready {
-				mode = "back"
+			if t.standing == Ready && (t.state == sick || worst == well) {
+				worst = t.state
 			}
 		}
-		if f.ill(d) && mode == "well" {
+		mode := [...]string{"well", "sick", "back"}[worst]
+		if f.ill(d) && worst == well {
 			mode = "ill"
 		}
 		if mode != d.mode {
@@ -680,7 +701,10 @@
 		}
 		d.want = wantHeld
 	}
-	f.changed = f.changed[:0]
+	for _, t := range f.unplug {
+		f.host.CloseIdle(t)
+	}
+	f.changed, f.unplug = f.changed[:0], f.unplug[:0]
 	if f.now >= f.askAt {
 		f.askAt = math.Inf(1)
 		f.host.Watch()
@@ -697,27 +721,3 @@
 		f.host.Wake(math.Max(0.001, next-f.now))
 	}
 }
-
-func (h *hist) add(x float64) {
-	n := int(math.Log(math.Max(1, x/binBase)) / math.Log(binStep))
-	h.bins[min(n, len(h.bins)-1)]++
-	if h.total++; h.total > binsHalved {
-		h.total = 0
-		for i := range h.bins {
-			h.bins[i] /= 2
-			h.total += h.bins[i]
-		}
-	}
-}
-
-// quantile is the upper edge of the bin that holds this share of the times.
-func (h *hist) quantile(q float64) float64 {
-	sum, want := 0.0, q*(h.total+4)
-	for i, n := range h.bins {
-		upper := binBase * math.Pow(binStep, float64(i+1))
-		if sum += n; upper >= firstGuess && sum+4 >= want || sum >= want {
-			return upper
-		}
-	}
-	return binBase * math.Pow(binStep, float64(len(h.bins)))
-}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,5 +1,7 @@
 package choice
 
+import "math"
+
 // Doc is one document held by a forwarder. The caller sets the fields in capitals, once.
 type Doc struct {
 	Door   uint64 // the adapter's id
@@ -120,10 +122,41 @@
 	rest float64 // nothing new before
 }
 
-// hist counts times in coarse bins.
+// hist counts times in bins of growing width and forgets by halving; before much was counted, a guess
+// counts along.
 type hist struct {
-	bins  [16]float64
-	total float64
+	bins             [16]float64
+	total            float64
+	base, step, most float64 // upper edge of the first bin, growth of the edges, count at which all is halved
+	guess, guesses   float64
+}
+
+func (h *hist) edge(i int) float64 { return h.base * math.Pow(h.step, float64(i+1)) }
+
+func (h *hist) add(x float64) {
+	n := 0
+	for n < len(h.bins)-1 && x >= h.edge(n) {
+		n++
+	}
+	h.bins[n]++
+	if h.total++; h.total > h.most {
+		h.total = 0
+		for i := range h.bins {
+			h.bins[i] /= 2
+			h.total += h.bins[i]
+		}
+	}
+}
+
+// quantile is the upper edge of the bin that holds this share of the times.
+func (h *hist) quantile(q float64) float64 {
+	sum, want, last := 0.0, q*(h.total+h.guesses), len(h.bins)-1
+	for i, n := range h.bins[:last] {
+		if sum += n; sum >= want || h.edge(i) >= h.guess && sum+h.guesses >= want {
+			return h.edge(i)
+		}
+	}
+	return h.edge(last)
 }
 
 // chance is a permuted congruential generator (PCG-XSH-RR 64/32).
