--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,6 +52,7 @@
 	held    []*Doc    // not answered, in the order of taking
 	changed []*Doc    // whose wanted state may differ from the present one
 	spent   []float64 // per tenant: up to when its share is used
+	unplug  []*Target // whose idle connections are not wanted
 	out     int
 	wake    float64 // the wake-up that is set
 	askAt   float64 // when to ask for the list; infinite while it is coming
