--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,7 +7,7 @@
 // Mechanisms beside the design:
 //  1. recovery: a target that fails is tried at a trickle and paced up after its return (cool, pace)
 //  2. limits: a learned pace, pauses and told waits for each route (refusal, open)
-//  3. places: calls that a target gets at once; fewer when it fails, none while silent (place, silent, slow)
+//  3. places: calls that a target gets at once; fewer when it fails, none while silent (place, silent)
 //  4. time-outs from observed times (timeout)
 //  5. early answers: what cannot arrive, or what crowds the holding room (review, crowd, over)
 //  6. closing retries: one that is about to become impossible goes before fresh work (pick)
@@ -22,7 +22,7 @@
 const (
 	capWell    = 0.75 // of the slots, a destination in good health
 	capIll     = 0.5  // one that failed lately or is silent
-	slotWait   = 0.4  // of the agreed time; slow is who makes others wait longer for a slot
+	allIll     = 0.85 // of all slots, from here on none for a destination that failed lately
 	restored   = 3    // timely answers that restore the cap
 	turnSize   = 2    // documents a turn, more only where one call carries more
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
@@ -414,13 +414,6 @@
 	return d.good < restored || slices.ContainsFunc(d.targets, f.silent)
 }
 
-// slow tells that a destination's calls hold slots so long that others wait for one; it may not take the
-// last quarter. Guards against several slow destinations, each within its cap, filling all slots; hurts
-// them while all else is idle.
-func (f *Forwarder) slow(d *Destination) bool {
-	return d.took.quantile(0.9) > slotWait*f.terms.Types[0].Agreed*float64(f.terms.Slots)
-}
-
 // dark tells that no target of a destination answers.
 func (f *Forwarder) dark(d *Destination) bool {
 	answers := func(t *Target) bool { return t.standing == Ready && t.state != sick }
@@ -434,7 +427,9 @@
 	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, capWell) {
 		return nil
 	}
-	if f.ill(d) && d.out >= share(f.terms.Slots, capIll) || f.slow(d) && f.out >= share(f.terms.Slots, capWell) {
+	// Departure: those that failed lately leave the last slots to the others. Guards against many sick or slow
+	// destinations, each within its cap, filling all slots; hurts them while all else is idle.
+	if f.ill(d) && (d.out >= share(f.terms.Slots, capIll) || f.out >= share(f.terms.Slots, allIll)) {
 		return nil
 	}
 	var best *Target
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -297,3 +297,20 @@
 		require.True(t, doc.surplus)
 	}
 }
+
+func TestManySickDestinationsLeaveSlotsToTheOthers(t *testing.T) {
+	h := start(terms)
+	for range 6 {
+		d := h.receiver(0, 0, 0)
+		h.take(d, status, 0)
+		h.settle()
+		h.answers(d, Reset)
+		h.flood(d, status, 4)
+	}
+	h.pass(0.3)
+	require.Equal(t, 6, h.out)
+	good := h.receiver(0, 0)
+	h.take(good, status, 0)
+	h.settle()
+	require.Equal(t, good, h.sent[len(h.sent)-1].doc.Dest)
+}
