--- a/choice/choice.go
+++ b/choice/choice.go
@@ -338,7 +338,7 @@
 		}
 	}
 	full := math.Max(d.taken*(d.calls+1)/(d.sent+1)/(f.now-f.began+2), f.known(t))
-	cold := 1.6 * f.terms.FallMultiple * full
+	cold := 1.2 * f.terms.FallMultiple * full
 	if t.state == sick { // all sick targets of a route share its trials
 		return math.Max(cold*f.terms.ColdFrom, 1/float64(f.terms.Forwarders))
 	}
