--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,8 +1,9 @@
 // Package choice decides which document goes out when, to which target, and which is given up.
 //
-// How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the order of
-// arrival (List, ListFailed, Take, Ended, Withdrawn, Woken), and Settle once. The interface is in port.go, what is
-// remembered in state.go. The ordinary path is that of docs/design.md: rings, cap, retries below fresh work.
+// How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the
+// order of arrival (List, ListFailed, Take, Ended, Withdrawn, Woken), and Settle once. The interface is in
+// port.go, what is remembered in state.go. The ordinary path is that of docs/design.md: rings, cap, retries
+// below fresh work.
 //
 // Mechanisms beside the design:
 //  1. recovery: a target that fails is tried at a trickle and paced up after its return (cool, pace)
@@ -81,7 +82,6 @@
 // KnowsType tells if the terms state this document type.
 func (f *Forwarder) KnowsType(n int) bool { return n < len(f.terms.Types) }
 
-// Clock sets the time of the news that follow.
 func (f *Forwarder) Clock(now float64) { f.now = now }
 
 // Woken is a wake-up that was asked for.
@@ -174,7 +174,6 @@
 	}
 }
 
-// dequeue takes a document out of its lane.
 func (f *Forwarder) dequeue(d *Doc) {
 	if !d.queued {
 		return
@@ -424,12 +423,18 @@
 
 // place finds the target of a destination that has a place free for one more call, nil if there is none.
 func (f *Forwarder) place(d *Destination) *Target {
-	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, capWell) {
+	part := capWell
+	if f.ill(d) {
+		part = capIll
+	}
+	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, part) {
 		return nil
 	}
-	// Departure: those that failed lately leave the last slots to the others. Guards against many sick or slow
-	// destinations, each within its cap, filling all slots; hurts them while all else is idle.
-	if f.ill(d) && (d.out >= share(f.terms.Slots, capIll) || f.out >= share(f.terms.Slots, allIll)) {
+	// Departure: those that are slow or failed lately leave the last slots to the others, but for one call if
+	// none timed out. Guards against many of them filling all slots; hurts them while all else is idle.
+	long := d.took.quantile(0.9) > f.terms.Types[0].Agreed/2
+	mute := slices.ContainsFunc(d.targets, func(t *Target) bool { return t.unheard > 0 })
+	if (mute || d.out > 0 && (part == capIll || long)) && f.out >= share(f.terms.Slots, allIll) {
 		return nil
 	}
 	var best *Target
@@ -520,7 +525,6 @@
 	return batch
 }
 
-// turn releases a small batch of a destination's documents.
 func (f *Forwarder) turn(d *Destination, retries bool) int {
 	released := 0
 	for released < turnSize {
@@ -538,7 +542,6 @@
 	return released
 }
 
-// send makes a call with some documents wanted at a target.
 func (f *Forwarder) send(t *Target, docs []*Doc) {
 	d := t.dest
 	c := &call{target: t, began: f.now, docs: len(docs)}
@@ -646,7 +649,7 @@
 	if f.terms.ComeBack {
 		d.back = math.Min(1, f.terms.ComeBackMost)
 		if d.ranFrom > 0 {
-			d.back = math.Min(0.1, d.back) // its mark is soon forgotten
+			d.back = 0 // its mark is soon forgotten
 		}
 	}
 	f.finish(d)
