--- a/choice/choice.go
+++ b/choice/choice.go
@@ -372,6 +372,8 @@
 		}
 		r.pace = math.Max(0.7*cut, f.known(t))
 		r.tokens = 0 // calls made before any pace was set are no debt
+	} else {
+		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	}
 	// Shut rather than above its limit: nothing let in for long and no short wait told, or a longer wait
 	// than a limit needs.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -331,3 +331,18 @@
 	require.True(t, h.ill(fast))
 	require.Equal(t, 1, fast.out)
 }
+
+func TestAnOutdatedLimitIsFoundByRefusalsInARow(t *testing.T) {
+	listed := terms
+	listed.RoughRate = 1.5
+	h := start(listed)
+	d := h.receiver(0, 0)
+	d.listed = 30 // it takes far less by now
+	h.flood(d, status, 12)
+	for range 60 {
+		h.pass(0.2)
+		h.answers(d, Full)
+	}
+	require.Less(t, d.shared.pace, 5.0)
+	require.Positive(t, d.shared.pace)
+}
