--- a/choice/choice.go
+++ b/choice/choice.go
@@ -366,11 +366,11 @@
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
 	if r.refused == 1 {
-		if r.pace == 0 {
-			r.pace = math.Max(0.7*r.rate, f.known(t))
-		} else {
-			r.pace = math.Max(0.7*math.Min(r.rate, r.pace), math.Min(f.known(t), 0.9*r.pace))
+		cut := r.rate
+		if r.pace > 0 {
+			cut = math.Min(cut, r.pace)
 		}
+		r.pace = math.Max(0.7*cut, f.known(t))
 		r.tokens = 0 // calls made before any pace was set are no debt
 	} else {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
