--- a/choice/choice.go
+++ b/choice/choice.go
@@ -254,7 +254,6 @@
 	}
 }
 
-// observe draws the conclusions from how a call ended.
 func (f *Forwarder) observe(t *Target, c *call, e Ending) {
 	d, r := t.dest, t.route
 	if e.Most > 0 {
@@ -432,8 +431,8 @@
 	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, part) {
 		return nil
 	}
-	// Departure: those that are slow or failed lately leave the last slots to the others, but for one call if
-	// none timed out. Guards against many of them filling all slots; hurts them while all else is idle.
+	// Departure: those that are slow or failed lately leave the last slots to the others, but for one call
+	// if none timed out. Guards against many of them filling all slots; hurts them while all else is idle.
 	long := d.took.quantile(0.9) > f.terms.Types[0].Agreed/2
 	mute := slices.ContainsFunc(d.targets, func(t *Target) bool { return t.unheard > 0 })
 	if (mute || d.out > 0 && (part == capIll || long)) && f.out >= share(f.terms.Slots, allIll) {
@@ -480,7 +479,6 @@
 	return true
 }
 
-// closing tells that a retry has little time left in which it may be sent.
 func closing(d *Doc, now float64) bool {
 	if d.ranFrom > 0 && d.typ.Repeat == Numbered && now > d.ranFrom+d.typ.Memory/3 {
 		return true
@@ -570,14 +568,17 @@
 	}
 }
 
-// timeout is how long a call is waited for: well beyond the slow ones of late, and longer while a target
-// lets calls time out without an answer between. Guards against lost answers holding all slots; hurts where
-// pace drops at once.
+// timeout is how long a call is waited for: well beyond the slow ones of late, less so for the last slots,
+// and longer while a target lets calls time out without an answer between. Guards against lost answers
+// holding all slots.
 func (f *Forwarder) timeout(t *Target) float64 {
-	return math.Max(0.6, 3*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
+	beyond := 3.0
+	if f.out >= f.terms.Slots-1 && t.unheard == 0 && t.dest.good > 0 {
+		beyond = 2
+	}
+	return math.Max(0.6, beyond*t.dest.took.quantile(0.9)) * math.Pow(2, float64(min(t.unheard, 3)))
 }
 
-// release goes round the ring until no destination can send.
 func (f *Forwarder) release(retries bool) {
 	for idle := 0; idle < len(f.ring); {
 		d := f.ring[0]
@@ -668,7 +669,6 @@
 	f.emit()
 }
 
-// note logs each destination's change of mode.
 func (f *Forwarder) note() {
 	for _, d := range f.dests {
 		worst := well
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -346,3 +346,14 @@
 	require.Less(t, d.shared.pace, 5.0)
 	require.Positive(t, d.shared.pace)
 }
+
+func TestTheLastSlotsAreWaitedForLess(t *testing.T) {
+	h := start(terms)
+	one, two := h.receiver(0, 0, 0), h.receiver(0, 0, 0)
+	h.flood(one, status, 4)
+	h.settle()
+	h.flood(two, status, 4)
+	h.settle()
+	require.Len(t, h.sent, 8)
+	require.Less(t, h.sent[7].timeout, h.sent[0].timeout)
+}
