--- a/choice/choice.go
+++ b/choice/choice.go
@@ -126,7 +126,7 @@
 
 // Take accepts a document of a type, with so much time left.
 func (f *Forwarder) Take(d *Doc, typ int, left float64) {
-	d.typ, d.taken, d.expiry = &f.terms.Types[typ], f.now, f.now+left
+	d.typ, d.expiry = &f.terms.Types[typ], f.now+left
 	f.held = append(f.held, d)
 	d.Dest.held++
 	d.Dest.taken++
--- a/choice/port.go
+++ b/choice/port.go
@@ -16,7 +16,6 @@
 	InOrder      bool
 	Agreed, Life float64
 	Memory       float64 // numbered: how long a mark is known, from the transmission on
-	Value        float64
 }
 
 // Terms are what a forwarder is told at its start; times in seconds, rates in calls a second.
@@ -37,7 +36,6 @@
 	ComeBackMost  float64 // longer ones are not honoured
 	AskList       bool    // the list comes only after asking
 	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
-	Reports       bool    // answers tell the share left of a limit, and the limit
 }
 
 // Outcome is how a transmission ended.
@@ -59,7 +57,7 @@
 	Outcome    Outcome
 	Over       bool    // the document has its final answer
 	Took, Wait float64 // Wait: told to stay away so long; 0 if not told
-	Left, Most float64 // report: share left of the limit, the limit; Most 0 if none
+	Most       float64 // the reported limit in calls a second; 0 if none
 }
 
 // Standing is what the list says of a target.
@@ -81,7 +79,7 @@
 	Standing Standing
 }
 
-// Host carries out what a forwarder decides. All calls are made from within Settle, but for Log.
+// Host carries out what a forwarder decides. All calls are made from within Settle.
 type Host interface {
 	Transmit(d *Doc, t *Target, timeout float64)
 	Reject(d *Doc, comeBack float64)
--- a/choice/state.go
+++ b/choice/state.go
@@ -10,7 +10,6 @@
 	Dest   *Destination
 
 	typ      *DocType
-	taken    float64
 	expiry   float64
 	chain    *chain
 	lane     *lane
--- a/internal/wire/terms.go
+++ b/internal/wire/terms.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"spanflow/choice"
 )
@@ -11,16 +12,15 @@
 // settings names the figures read here as the wire writes them; times in milliseconds.
 type settings struct {
 	Classes []struct {
-		Idempotency, Group                string
-		Sequential                        bool
-		Slo, HardLimit, MemorySpan, Worth float64
+		Idempotency, Group         string
+		Sequential                 bool
+		Slo, HardLimit, MemorySpan float64
 	}
 	Tenants []struct{ QuotaRps float64 }
 	Extra   struct {
-		CallsOut           int
-		KindBatch          []int
-		SeparateRoutes     []bool
-		ReportX0, ReportX1 string
+		CallsOut       int
+		KindBatch      []int
+		SeparateRoutes []bool
 	}
 	Guarantees struct{ Cold, ColdFrom, FallMultiple, KeyRest float64 }
 	Limits     struct {
@@ -35,20 +35,20 @@
 	MyZone, NInstances    int
 }
 
-func readTerms(text []byte) (choice.Terms, error) {
+// readTerms returns the module's terms and the place of the limit among a load report's values, -1 if there is none.
+func readTerms(text []byte) (choice.Terms, int, error) {
 	var s settings
 	if err := json.Unmarshal(text, &s); err != nil {
-		return choice.Terms{}, err
+		return choice.Terms{}, -1, err
 	}
 	if len(s.Classes) == 0 || s.Extra.CallsOut < 1 || s.NInstances < 1 {
-		return choice.Terms{}, errors.New("no classes, no calls out or no instances are stated")
+		return choice.Terms{}, -1, errors.New("no classes, no calls out or no instances are stated")
 	}
 	t := choice.Terms{KindBatch: s.Extra.KindBatch, KindApart: s.Extra.SeparateRoutes, Forwarders: s.NInstances,
 		Slots: s.Extra.CallsOut, Room: s.Limits.MaxOpen, Transmissions: s.Limits.AttemptsCap, Zone: s.MyZone,
 		KeyRest: s.Guarantees.KeyRest / 1000, ColdFrom: s.Guarantees.ColdFrom, ColdFor: s.Guarantees.Cold / 1000,
 		FallMultiple: s.Guarantees.FallMultiple, ComeBack: s.Limits.RetryAfter,
-		ComeBackMost: s.Limits.MaxRetryAfter / 1000, AskList: s.Discovery == "ask",
-		Reports: len(s.Report.Fields) >= 2 && s.Report.Fields[0] == "x0" && s.Report.Fields[1] == "x1"}
+		ComeBackMost: s.Limits.MaxRetryAfter / 1000, AskList: s.Discovery == "ask"}
 	switch s.WeightKind {
 	case "nominal":
 		t.RoughRate = 1
@@ -60,7 +60,7 @@
 	}
 	for i, c := range s.Classes {
 		d := choice.DocType{ZoneGroup: c.Group == "zone", InOrder: c.Sequential, Agreed: c.Slo / 1000,
-			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000, Value: c.Worth}
+			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000}
 		switch c.Idempotency {
 		case "retryable":
 			d.Repeat = choice.Replayable
@@ -69,9 +69,9 @@
 		case "fragile":
 			d.Repeat = choice.Binding
 		default:
-			return choice.Terms{}, fmt.Errorf("class %d: unknown idempotency %q", i, c.Idempotency)
+			return choice.Terms{}, -1, fmt.Errorf("class %d: unknown idempotency %q", i, c.Idempotency)
 		}
 		t.Types = append(t.Types, d)
 	}
-	return t, nil
+	return t, slices.Index(s.Report.Fields, "x1"), nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -153,6 +153,7 @@
 	docs    map[uint32]*choice.Doc
 	dests   map[uint32]*choice.Destination
 	targets map[uint64]*choice.Target
+	limitAt int // place of the limit in a load report
 	dirty   bool
 }
 
@@ -268,11 +269,11 @@
 }
 
 func (h *Host) provision(number uint16, seed uint64, text []byte, now float64) error {
-	terms, err := readTerms(text)
+	terms, limitAt, err := readTerms(text)
 	if err != nil {
 		return fmt.Errorf("settings of instance %d: %w", number, err)
 	}
-	in := &instance{host: h, number: number, docs: map[uint32]*choice.Doc{},
+	in := &instance{host: h, number: number, limitAt: limitAt, docs: map[uint32]*choice.Doc{},
 		dests: map[uint32]*choice.Destination{}, targets: map[uint64]*choice.Target{}}
 	in.f = choice.New(terms, seed, now, in)
 	h.instances[number] = in
@@ -383,10 +384,9 @@
 	note := r.u32()
 	r.u16() // which transmission: only one is ever out
 	reason := r.u16()
-	fields := make([]float64, 0, 4)
-	for range r.u8() {
-		if v := r.f32(); r.err == nil {
-			fields = append(fields, v)
+	for i := range int(r.u8()) {
+		if v := r.f32(); i == in.limitAt {
+			e.Most = v
 		}
 	}
 	outcome, known := outcomes[reason]
@@ -397,9 +397,6 @@
 	if outcome == choice.Full {
 		e.Wait = float64(note) / 1000
 	}
-	if len(fields) >= 2 {
-		e.Left, e.Most = fields[0], fields[1]
-	}
 	return func() {
 		if d := in.docs[id]; d != nil {
 			in.f.Ended(d, e)
