--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,7 @@
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
 	shutWait   = 2.5  // seconds; a limit has room again sooner
+	manyLost   = 1.5  // losses between prompt answers, halved in seven seconds, that end trust in idle connections
 	blip       = 3.0  // seconds of silence that are no outage
 	binBase    = 0.02
 	binStep    = 1.5
@@ -42,21 +43,22 @@
 
 // Forwarder is one instance of the module.
 type Forwarder struct {
-	terms   Terms
-	host    Host
-	dice    chance
-	now     float64
-	began   float64
-	dests   []*Destination
-	ring    []*Destination
-	chains  map[uint64]*chain
-	held    []*Doc    // not answered, in the order of taking
-	changed []*Doc    // whose wanted state may differ from the present one
-	spent   []float64 // per tenant: up to when its share is used
-	unplug  []*Target // whose idle connections are not wanted
-	out     int
-	wake    float64 // the wake-up that is set
-	askAt   float64 // when to ask for the list; infinite while it is coming
+	terms                  Terms
+	host                   Host
+	dice                   chance
+	now                    float64
+	began                  float64
+	dests                  []*Destination
+	ring                   []*Destination
+	chains                 map[uint64]*chain
+	held                   []*Doc    // not answered, in the order of taking
+	changed                []*Doc    // whose wanted state may differ from the present one
+	spent                  []float64 // per tenant: up to when its share is used
+	unplug                 []*Target // whose idle connections are not wanted
+	out                    int
+	wake                   float64 // the wake-up that is set
+	lost, lostAt, distrust float64 // losses of late, when counted, until when idle connections are not kept
+	askAt                  float64 // when to ask for the list; infinite while it is coming
 }
 
 // New starts a forwarder.
@@ -229,6 +231,10 @@
 		f.out--
 		t.dest.out--
 		t.calls = without(t.calls, c)
+		// Losses between prompt answers: idle connections may go dead, so none is kept for a while. Costs handshakes.
+		if f.now < f.distrust {
+			f.unplug = append(f.unplug, t)
+		}
 	}
 	if e.Outcome == Full && e.Wait > 0 { // each document of a call may be told its own
 		t.route.closed = math.Max(t.route.closed, f.now+e.Wait+0.002+0.05*f.dice.unit())
@@ -263,11 +269,17 @@
 	case Delivered:
 		usual := d.took.quantile(0.9)
 		d.took.add(e.Took)
+		if t.dead && f.now-t.lastGood < 2*blip && e.Took < usual {
+			f.lost, f.lostAt = f.lost*math.Exp((f.lostAt-f.now)/10)+1, f.now
+			if f.lost > manyLost {
+				f.distrust = f.now + 20
+			}
+		}
 		// Silence with answers shortly before and now is loss on the way: nothing is cold after it.
 		if t.state == sick && t.unheard > 0 && f.now-t.lastGood < blip {
 			t.state, t.next, t.failing = well, f.now, blame
 		}
-		t.unheard = 0
+		t.unheard, t.dead = 0, false
 		t.lastGood, t.proof = f.now, math.Max(t.proof, c.began)
 		t.failing *= 1 - blame
 		r.refused = 0
@@ -291,6 +303,7 @@
 		d.good = 0
 		if e.Outcome == TimedOut {
 			t.unheard++
+			t.dead = t.dead || c.reused
 		}
 		weight := blame
 		if t.proof >= c.began {
@@ -544,7 +557,8 @@
 
 func (f *Forwarder) send(t *Target, docs []*Doc) {
 	d := t.dest
-	c := &call{target: t, began: f.now, docs: len(docs)}
+	reused := len(t.calls) == 0 && f.now-t.lastUsed > 0.5 && t.lastGood > 0
+	c := &call{target: t, began: f.now, docs: len(docs), reused: reused}
 	t.calls = append(t.calls, c)
 	t.lastUsed = f.now
 	t.route.tokens--
--- a/choice/state.go
+++ b/choice/state.go
@@ -51,6 +51,7 @@
 	calls    []*call
 	lastUsed float64
 	lastGood float64 // when it last answered as it should
+	dead     bool    // a reused connection gave no answer
 	unheard  int     // time-outs since it last answered
 	proof    float64 // begin of the latest call that it answered as it should
 	state    health
@@ -113,6 +114,7 @@
 	began  float64
 	docs   int // documents without an ending yet
 	noted  bool
+	reused bool // on a connection that had been idle, as far as can be told
 }
 
 // chain is the documents of one key that are not over, in the order of taking.
