--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,12 +33,8 @@
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
 	shutWait   = 2.5  // seconds; a limit has room again sooner
-	manyLost   = 1.5  // losses between prompt answers, halved in seven seconds, that end trust in idle connections
+	manyLost   = 2.0  // losses between prompt answers, halved in 7 s, that end trust in idle connections
 	blip       = 3.0  // seconds of silence that are no outage
-	binBase    = 0.02
-	binStep    = 1.5
-	binsHalved = 100.0
-	guesses    = 4.0 // first guesses that count along with what was measured
 )
 
 // Forwarder is one instance of the module.
@@ -76,7 +72,7 @@
 func (f *Forwarder) NewDestination(door uint64) *Destination {
 	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well",
 		byTenant: make([]lane, len(f.terms.TenantQuota)+1),
-		took:     hist{base: binBase, step: binStep, most: binsHalved, guess: firstGuess, guesses: guesses}}
+		took:     hist{base: 0.02, step: 1.5, most: 100, guess: firstGuess, guesses: 4}}
 	f.dests = append(f.dests, d)
 	return d
 }
@@ -105,7 +101,10 @@
 		if t.standing == Gone && l.Standing == Ready && f.now > f.began {
 			t.next = f.now + f.dice.unit()*0.3 // all forwarders hear of a new target at about the same time
 		}
-		t.zone, t.standing, d.kind = l.Zone, l.Standing, l.Kind
+		t.zone, t.standing, d.batch = l.Zone, l.Standing, 1
+		if l.Kind < len(f.terms.KindBatch) {
+			d.batch = max(1, f.terms.KindBatch[l.Kind])
+		}
 		if l.Rate > 0 {
 			d.listed = l.Rate
 		}
@@ -231,7 +230,7 @@
 		f.out--
 		t.dest.out--
 		t.calls = without(t.calls, c)
-		// Losses between prompt answers: idle connections may go dead, so none is kept for a while. Costs handshakes.
+		// Losses between prompt answers: idle connections go dead, so none is kept. Costs handshakes.
 		if f.now < f.distrust {
 			f.unplug = append(f.unplug, t)
 		}
@@ -327,8 +326,7 @@
 }
 
 // cool begins or prolongs a target's sickness. Guards against pushing over a destination that returns cold,
-// and against feeding documents to one that is down, hung, shut or failing. Hurts when the failures were
-// chance.
+// and against feeding documents to one that is down, hung, shut or failing. Hurts after chance failures.
 func (f *Forwarder) cool(t *Target) {
 	t.state, t.places = sick, 1
 	t.next = math.Max(t.next, math.Max(f.now, t.route.closed)+f.gap(t)*f.dice.unit())
@@ -357,8 +355,7 @@
 	return cold * math.Max(0.05, share) / float64(max(1, peers))
 }
 
-// known is this forwarder's even part of the rate that a route surely takes, as far as it is told: no less
-// than a call a second for all.
+// known is this forwarder's even part of the rate that a route surely takes; at least one a second for all.
 func (f *Forwarder) known(t *Target) float64 {
 	rate := math.Max(1, t.route.most)
 	if f.terms.RoughRate > 0 {
@@ -387,8 +384,7 @@
 	} else {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	}
-	// Shut rather than above its limit: nothing let in for long and no short wait told, or a longer wait
-	// than a limit needs.
+	// Shut rather than above its limit: nothing let in for long, no short wait told, or a long one.
 	if r.refused >= 5 && f.now-r.turned > shutWait || e.Wait > shutWait {
 		for _, o := range t.dest.targets {
 			if o.route == r && o.state != sick {
@@ -415,8 +411,7 @@
 }
 
 // silent tells that a call has been out for far longer than usual and nothing was answered since it began.
-// Guards against a silent or hung destination keeping its share until the time-out. Hurts when one document
-// is very slow.
+// Guards against a silent destination keeping its share until the time-out. Hurts when one call is slow.
 func (f *Forwarder) silent(t *Target) bool {
 	return len(t.calls) > 0 && t.lastGood < t.calls[0].began &&
 		f.now-t.calls[0].began > math.Max(0.4, 3*t.dest.took.quantile(0.9))
@@ -460,7 +455,7 @@
 		if float64(len(t.calls)) >= math.Floor(t.places) || t.state == sick && len(t.calls) > 0 {
 			continue
 		}
-		if n := len(t.calls); n > 0 && f.batch(d) > 1 && t.calls[n-1].began == f.now {
+		if n := len(t.calls); n > 0 && d.batch > 1 && t.calls[n-1].began == f.now {
 			continue // one call a turn: more documents would join the same call
 		}
 		s := float64(len(t.calls)) / t.places
@@ -474,13 +469,6 @@
 	return best
 }
 
-func (f *Forwarder) batch(d *Destination) int {
-	if d.kind < len(f.terms.KindBatch) {
-		return max(1, f.terms.KindBatch[d.kind])
-	}
-	return 1
-}
-
 // ready tells if a document may be sent to a target now by the rules of order and repetition.
 func (f *Forwarder) ready(d *Doc, t *Target) bool {
 	if d.chain != nil && (d.chain.docs[0] != d || d.chain.rest > f.now && d.sent == 0) {
@@ -503,8 +491,7 @@
 func (f *Forwarder) pick(d *Destination, t *Target, n int, retries bool) []*Doc {
 	var batch []*Doc
 	// Departure: to a target that is sick or back first go retries, which have least to lose, and elsewhere
-	// those that soon cannot be sent any more. Guards against losing what may have run; hurts fresh work a
-	// little.
+	// those that soon cannot be sent any more. Guards against losing what may have run; delays fresh work.
 	for _, doc := range d.retry {
 		if t.state == sick && doc.ranFrom == 0 && doc.sent > f.terms.Transmissions/2 {
 			continue // trials are not to use up one document's transmissions
@@ -545,7 +532,7 @@
 		if t == nil {
 			break
 		}
-		docs := f.pick(d, t, f.batch(d), retries)
+		docs := f.pick(d, t, d.batch, retries)
 		if len(docs) == 0 {
 			break
 		}
@@ -583,8 +570,7 @@
 }
 
 // timeout is how long a call is waited for: well beyond the slow ones of late, less so for the last slots,
-// and longer while a target lets calls time out without an answer between. Guards against lost answers
-// holding all slots.
+// and longer while a target answers none. Guards against lost answers holding all slots.
 func (f *Forwarder) timeout(t *Target) float64 {
 	beyond := 3.0
 	if f.out >= f.terms.Slots-1 && t.unheard == 0 && t.dest.good > 0 {
@@ -617,8 +603,7 @@
 		spent := f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions
 		late := f.now > d.expiry-lastCall
 		lost := mayRun && (d.typ.Repeat == Binding || f.now > d.ranFrom+d.typ.Memory-0.05)
-		// While nothing answers, one whose mark is soon forgotten goes back to its client, who still may
-		// repeat it.
+		// While nothing answers, one whose mark is soon forgotten goes back; its client may still repeat it.
 		lost = lost || mayRun && !d.typ.ZoneGroup && f.now > d.ranFrom+d.typ.Memory*2/3 && f.dark(d.Dest)
 		if spent || late || lost {
 			f.answer(d)
@@ -626,9 +611,8 @@
 	}
 }
 
-// crowd cuts the longest line while the holding room is nearly full. Guards against a sick or flooded
-// destination turning away everybody's documents at the door. Hurts when the flood would have passed in
-// time.
+// crowd cuts the longest line while the room is nearly full. Guards against a sick or flooded destination
+// turning away everybody's documents at the door. Hurts when the flood would have passed in time.
 func (f *Forwarder) crowd() {
 	for float64(len(f.held)) > roomFull*float64(f.terms.Room) {
 		var worst *Destination
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -357,3 +357,25 @@
 	require.Len(t, h.sent, 8)
 	require.Less(t, h.sent[7].timeout, h.sent[0].timeout)
 }
+
+func TestDeadIdleConnectionsAreGivenUp(t *testing.T) {
+	h := start(terms)
+	var receivers []*Destination
+	for range 3 {
+		receivers = append(receivers, h.receiver(0, 0))
+	}
+	call := func(d *Destination, o Outcome) {
+		h.take(d, status, 0)
+		h.pass(0.4)
+		h.answers(d, o)
+	}
+	for _, o := range []Outcome{Delivered, TimedOut, Delivered} {
+		for _, d := range receivers {
+			call(d, o)
+		}
+	}
+	h.log = nil
+	call(receivers[0], Delivered)
+	h.settle()
+	require.Contains(t, h.log, "close 0")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -86,7 +86,7 @@
 
 	targets            []*Target
 	shared             *Route
-	kind               int
+	batch              int     // documents in one call at most
 	listed             float64 // calls a second as listed
 	lanes              []*lane // the ring of tenants
 	byTenant           []lane  // the last for documents without a tenant
