--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,7 @@
 	restored   = 3    // timely answers that restore the cap
 	turnSize   = 2    // documents a turn, more only where one call carries more
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
+	overdue    = 0.01 // seconds after expiry: the call's end should have come
 	lookAgain  = 0.02 // seconds between looks at lines that wait
 	lastCall   = 0.04 // seconds before expiry: nothing is sent after, so that the answer comes in time
 	firstGuess = 0.4  // seconds a call takes before any was measured
@@ -204,7 +205,6 @@
 	f.unchain(d)
 }
 
-// unchain lets the next document of the key go, once nothing of this one can still be under way.
 func (f *Forwarder) unchain(d *Doc) {
 	if d.chain == nil || d.call != nil || !d.answered {
 		return
@@ -274,7 +274,7 @@
 				f.distrust = f.now + 20
 			}
 		}
-		// Silence with answers shortly before and now is loss on the way: nothing is cold after it.
+		// Silence with answers before and after is loss on the way: nothing is cold after it.
 		if t.state == sick && t.unheard > 0 && f.now-t.lastGood < blip {
 			t.state, t.next, t.failing = well, f.now, blame
 		}
@@ -596,7 +596,7 @@
 // review answers the documents that have no way left to arrive.
 func (f *Forwarder) review() {
 	for _, d := range slices.Clone(f.held) {
-		if d.call != nil {
+		if d.call != nil && f.now < d.expiry+overdue {
 			continue
 		}
 		mayRun := d.ranFrom > 0 && d.typ.Repeat != Replayable
@@ -637,7 +637,7 @@
 // answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
 func (f *Forwarder) answer(d *Doc) {
 	d.want = wantRejected
-	if d.ranFrom > 0 {
+	if d.ranFrom > 0 || d.call != nil {
 		switch d.typ.Repeat {
 		case Binding:
 			d.want = wantAbandoned
@@ -714,6 +714,7 @@
 			next = math.Min(next, f.now+lookAgain)
 			break
 		}
+		next = math.Min(next, d.expiry+overdue)
 	}
 	if next < f.wake {
 		f.wake = next
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -379,3 +379,12 @@
 	h.settle()
 	require.Contains(t, h.log, "close 0")
 }
+
+func TestExpiryIsKeptThoughTheCallNeverEnds(t *testing.T) {
+	h := start(terms)
+	doc := h.take(h.receiver(0, 0), payment, 0)
+	h.pass(20.5)
+	require.Equal(t, "abandoned", h.done[doc])
+	h.ends(doc, TimedOut, 0)
+	require.True(t, doc.Over())
+}
