--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,8 @@
 // Package choice decides which document goes out when, to which target, and which is given up.
 //
 // How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the
-// order of arrival (List, ListFailed, Take, Ended, Withdrawn, Woken), and Settle once. The interface is in
+// order of arrival (List, ListFailed, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and Settle once.
+// Where the room at the door is the module's to mind, Admit comes before Take. The interface is in
 // port.go, what is remembered in state.go. The ordinary path is that of docs/design.md: rings, cap, retries
 // below fresh work.
 //
@@ -15,7 +16,6 @@
 package choice
 
 import (
-	"fmt"
 	"math"
 	"slices"
 )
@@ -59,9 +59,6 @@
 	return d
 }
 
-// Woken is a wake-up that was asked for.
-func (f *Forwarder) Woken() { f.wake = math.Inf(1) }
-
 // List takes news of the targets; whole means that all are named.
 func (f *Forwarder) List(whole bool, lines []Listing) {
 	named := map[*Target]bool{}
@@ -103,10 +100,37 @@
 	}
 }
 
+// Admit tells if a document of so many bytes, with so much time left, is taken on, or when to come back with it.
+func (f *Forwarder) Admit(size int, left float64) (taken bool, comeBack float64) {
+	if len(f.held) < f.terms.Room && (f.terms.Keep == 0 || f.kept+size <= f.terms.Keep) && left > lastCall {
+		return true, 0
+	}
+	return false, f.comeBack()
+}
+
+// Recover takes a document that an earlier process of this forwarder had taken on; call it in the order of taking.
+// What was out then may have run and is a retry now; what has no way left is answered by the next settling.
+func (f *Forwarder) Recover(d *Doc, typ int, left float64, past Past) {
+	f.Take(d, typ, left)
+	if d.sent, d.ranFrom, d.ranZone = past.Sent, past.Ran, past.Zone; d.sent > 0 {
+		f.dequeue(d)
+		d.Dest.retry = append(d.Dest.retry, d)
+		f.enqueue(d)
+	}
+}
+
+// Stop says that the process ends after so long. No call begins that is likely to be out then: what is held stays
+// owed, and the next process takes it up. Guards against calls cut off that may have run. Hurts when none follows.
+func (f *Forwarder) Stop(in float64) { f.until = f.now + in }
+
+// Done tells a stopping process that nothing is left to wait for.
+func (f *Forwarder) Done() bool { return f.until > 0 && f.out == 0 && len(f.held) == 0 }
+
 // Take accepts a document of a type, with so much time left.
 func (f *Forwarder) Take(d *Doc, typ int, left float64) {
 	d.typ, d.expiry = &f.terms.Types[typ], f.now+left
 	f.held = append(f.held, d)
+	f.kept += d.Size
 	d.Dest.held++
 	d.Dest.taken++
 	f.chain(d)
@@ -139,21 +163,6 @@
 	return false
 }
 
-// Withdrawn says that the client does not want the document any more.
-func (f *Forwarder) Withdrawn(d *Doc) { f.finish(d) }
-
-// finish ends the forwarder's duty for a document; a call that carries it may still be out.
-func (f *Forwarder) finish(d *Doc) {
-	if d.answered {
-		return
-	}
-	d.answered = true
-	d.Dest.held--
-	f.held = without(f.held, d)
-	f.dequeue(d)
-	f.unchain(d)
-}
-
 // Ended takes the end of the transmission that is out for a document.
 func (f *Forwarder) Ended(d *Doc, e Ending) {
 	c := d.call
@@ -424,6 +433,9 @@
 	if f.ill(d) {
 		part = capIll
 	}
+	if f.until > 0 && f.now+d.took.slow > f.until {
+		return nil
+	}
 	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, part) {
 		return nil
 	}
@@ -641,16 +653,21 @@
 			}
 		}
 	}
-	if f.terms.ComeBack {
-		d.back = math.Min(1, f.terms.ComeBackMost)
-		if d.ranFrom > 0 {
-			d.back = 0 // its mark is soon forgotten
-		}
+	if d.ranFrom == 0 { // else its mark is soon forgotten
+		d.back = f.comeBack()
 	}
+	d.telling = f.terms.Confirmed
 	f.finish(d)
 	f.changed = append(f.changed, d)
 }
 
+func (f *Forwarder) comeBack() float64 {
+	if !f.terms.ComeBack {
+		return 0
+	}
+	return math.Min(1, f.terms.ComeBackMost)
+}
+
 // Settle decides all that follows from the news taken since the last time.
 func (f *Forwarder) Settle() {
 	f.review()
@@ -661,28 +678,6 @@
 	f.emit()
 }
 
-func (f *Forwarder) note() {
-	for _, d := range f.heard {
-		worst := well
-		for _, t := range d.targets {
-			if t.standing == Ready && (t.state == sick || worst == well) {
-				worst = t.state
-			}
-		}
-		mode := [...]string{"well", "sick", "back"}[worst]
-		if f.ill(d) && worst == well {
-			mode = "ill"
-		}
-		if mode != d.mode {
-			f.host.Log(fmt.Sprintf("dest %d %s > %s: out %d held %d good %d p90 %.2f", d.Door, d.mode, mode, d.out,
-				d.held, d.good, d.took.slow))
-			d.mode = mode
-		}
-		d.heard = false
-	}
-	f.heard = f.heard[:0]
-}
-
 // emit brings the present state to the wanted one: transmissions, answers, the list, the next wake-up.
 func (f *Forwarder) emit() {
 	for _, d := range f.changed {
@@ -718,3 +713,6 @@
 		f.host.Wake(math.Max(0.001, next-f.now))
 	}
 }
+
+// KeepIdle is how long an idle connection is kept: not so long that the other side's close crosses a call.
+func (t *Terms) KeepIdle() float64 { return t.IdleLife - math.Min(0.5, t.IdleLife/10) }
--- a/choice/port.go
+++ b/choice/port.go
@@ -37,6 +37,15 @@
 	ComeBackMost  float64 // longer ones are not honoured
 	AskList       bool    // the list comes only after asking
 	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
+	Keep          int     // bytes of documents that can be kept beyond a restart; 0: no bound
+	Confirmed     bool    // an answer is given only once Told says so
+}
+
+// Past is what an earlier process of this forwarder did with a document; times on the clock of Clock.
+type Past struct {
+	Sent int     // transmissions spent
+	Ran  float64 // begin of the first that may have run; 0: surely none ran
+	Zone int     // of its target
 }
 
 // Outcome is how a transmission ended.
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,9 @@
 package choice
 
-import "math"
+import (
+	"fmt"
+	"math"
+)
 
 // Forwarder is one instance of the module.
 type Forwarder struct {
@@ -18,6 +21,8 @@
 	spent    []float64      // per tenant: up to when its share is used
 	unplug   []*Target      // whose idle connections are not wanted
 	out      int
+	kept     int     // bytes of documents that are not over
+	until    float64 // when a stopping process ends; 0: it does not stop
 	wake     float64 // the wake-up that is set
 	idle     odds    // how calls on idle connections end
 	distrust float64 // until when no idle connection is kept
@@ -31,6 +36,7 @@
 	Tenant int
 	Key    uint64
 	Dest   *Destination
+	Size   int // bytes that it takes where documents are kept
 
 	typ      *DocType
 	expiry   float64
@@ -43,6 +49,8 @@
 	answered bool
 	queued   bool
 	surplus  bool // beyond its tenant's share
+	telling  bool // its answer is on its way
+	freed    bool
 
 	want  answer // what is wanted of it; emit brings it about
 	to    *Target
@@ -51,7 +59,7 @@
 }
 
 // Over tells that nothing more can be heard of the document.
-func (d *Doc) Over() bool { return d.answered && d.call == nil }
+func (d *Doc) Over() bool { return d.answered && d.call == nil && !d.telling }
 
 type answer uint8
 
@@ -166,6 +174,53 @@
 	}
 }
 
+// Woken is a wake-up that was asked for.
+func (f *Forwarder) Woken() { f.wake = math.Inf(1) }
+
+// Withdrawn says that the client does not want the document any more.
+func (f *Forwarder) Withdrawn(d *Doc) { f.finish(d) }
+
+// finish ends the forwarder's duty for a document; a call that carries it may still be out.
+func (f *Forwarder) finish(d *Doc) {
+	if d.answered {
+		return
+	}
+	d.answered = true
+	d.Dest.held--
+	f.held = without(f.held, d)
+	f.dequeue(d)
+	f.unchain(d)
+}
+
+// Told says that the final answer of a document has reached those whom it is for.
+func (f *Forwarder) Told(d *Doc) {
+	d.telling = false
+	f.unchain(d)
+}
+
+// note logs the destinations that changed their mode.
+func (f *Forwarder) note() {
+	for _, d := range f.heard {
+		worst := well
+		for _, t := range d.targets {
+			if t.standing == Ready && (t.state == sick || worst == well) {
+				worst = t.state
+			}
+		}
+		mode := [...]string{"well", "sick", "back"}[worst]
+		if f.ill(d) && worst == well {
+			mode = "ill"
+		}
+		if mode != d.mode {
+			f.host.Log(fmt.Sprintf("dest %d %s > %s: out %d held %d good %d p90 %.2f", d.Door, d.mode, mode, d.out,
+				d.held, d.good, d.took.slow))
+			d.mode = mode
+		}
+		d.heard = false
+	}
+	f.heard = f.heard[:0]
+}
+
 func (f *Forwarder) enqueue(d *Doc) {
 	d.queued = true
 	d.Dest.waiting++
@@ -189,8 +244,16 @@
 	d.lane = nil // it can only come back by the retry lane
 }
 
+// unchain lets go of a document of which nothing more can be heard.
 func (f *Forwarder) unchain(d *Doc) {
-	if d.chain == nil || d.call != nil || !d.answered {
+	if !d.Over() {
+		return
+	}
+	if !d.freed {
+		d.freed = true
+		f.kept -= d.Size
+	}
+	if d.chain == nil {
 		return
 	}
 	d.chain.docs = without(d.chain.docs, d)
--- /dev/null
+++ b/forward/config.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"spanflow/choice"
+	"spanflow/internal/directory"
+	"spanflow/internal/terms"
+)
+
+// Order is what a forwarder is told before it starts.
+type Order struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	Folder    string // the folder that lasts
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+	DiskMB    int
+	Cores     float64
+	Known     directory.List
+	Terms     choice.Terms
+	Fronts    terms.Fronts
+}
+
+// The least limits with which a forwarder runs.
+const (
+	leastMemory  = 16
+	leastSockets = 64
+	leastDisk    = 1
+)
+
+// FromEnvironment reads the file that PROXY_CONFIG names; the other variables go before what it says.
+func FromEnvironment(getenv func(string) string) (*Order, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, errors.New("PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	return ReadOrder(text, getenv)
+}
+
+// ReadOrder reads an order; variables that are set go before the text's fields.
+func ReadOrder(text []byte, getenv func(string) string) (*Order, error) {
+	var c struct {
+		Name, Listen, Discovery, Seed, State string
+		Limits                               struct {
+			Cores    float64
+			MemoryMB int `json:"memory_mb"`
+			Sockets  int
+			DiskMB   int `json:"disk_mb"`
+		}
+		Known    directory.List
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	first := func(name, other string) string {
+		if v := getenv(name); v != "" {
+			return v
+		}
+		return other
+	}
+	o := &Order{Name: first("PROXY_NAME", c.Name), Listen: first("PROXY_LISTEN", c.Listen),
+		Discovery: first("PROXY_DISCOVERY", c.Discovery), Folder: first("PROXY_STATE", c.State),
+		MemoryMB: c.Limits.MemoryMB, Sockets: c.Limits.Sockets, DiskMB: c.Limits.DiskMB, Cores: c.Limits.Cores,
+		Known: c.Known}
+	for _, f := range []struct{ name, value string }{{"listen", o.Listen}, {"discovery", o.Discovery}} {
+		if i := strings.LastIndexByte(f.value, ':'); i < 0 {
+			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
+		} else if _, err := strconv.ParseUint(f.value[i+1:], 10, 16); err != nil {
+			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
+		}
+	}
+	if o.Folder == "" {
+		return nil, errors.New("PROXY_STATE is not set")
+	}
+	if info, err := os.Stat(o.Folder); err != nil {
+		return nil, fmt.Errorf("PROXY_STATE: %w", err)
+	} else if !info.IsDir() {
+		return nil, fmt.Errorf("PROXY_STATE: %s is not a folder", o.Folder)
+	}
+	var err error
+	if o.Seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %q is not a hexadecimal number", c.Seed)
+	}
+	for _, l := range []struct {
+		name         string
+		value, least int
+	}{{"limits.memory_mb", o.MemoryMB, leastMemory}, {"limits.sockets", o.Sockets, leastSockets},
+		{"limits.disk_mb", o.DiskMB, leastDisk}} {
+		if l.value < l.least {
+			return nil, fmt.Errorf("%s: %d is under the least, %d", l.name, l.value, l.least)
+		}
+	}
+	if len(c.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	if o.Terms, o.Fronts, err = terms.Read(c.Settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return o, nil
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,120 @@
+// Package forward is the forwarder as a library: Run serves until its context ends.
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/rs/zerolog"
+
+	"spanflow/choice"
+	"spanflow/internal/dial"
+	"spanflow/internal/directory"
+	"spanflow/internal/intake"
+	"spanflow/internal/ledger"
+	"spanflow/internal/outlet"
+)
+
+const (
+	killAfter     = 3700 * time.Millisecond // after the word to stop, a forwarder may be killed
+	killMargin    = 500 * time.Millisecond  // what is left of it for the end itself
+	comingFor     = 500 * time.Millisecond  // new connections may still come for so long
+	countsEvery   = 10 * time.Second
+	descriptors   = 32 // for files, pollers and the like
+	connectAtMost = 30 * time.Second
+)
+
+// Run serves by an order until ctx ends, then finishes what it can in the time there is. ready, if not nil, is called
+// with the address once clients are served.
+func Run(ctx context.Context, order *Order, logTo io.Writer, ready func(addr string)) error {
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(logTo).With().Timestamp().Str("forwarder", order.Name).Logger()
+	runtime.GOMAXPROCS(max(1, int(order.Cores)))
+	debug.SetMemoryLimit(int64(order.MemoryMB) << 20 * 6 / 10)
+
+	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
+
+	led, err := ledger.Open(order.Folder, int64(order.DiskMB)*1_000_000)
+	if err != nil {
+		return fmt.Errorf("PROXY_STATE: %w", err)
+	}
+	defer led.Close()
+	connect := time.Duration(order.Fronts.Connect * float64(time.Second))
+	if connect <= 0 {
+		connect = connectAtMost
+	}
+	room := order.Sockets - descriptors
+	dialer, err := dial.New("outlet", room/3)
+	if err != nil {
+		return err
+	}
+	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
+	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
+	x := newExchange()
+	o := &owner{order: order, log: log, exchange: x, ledger: led, epoch: time.Now(),
+		docs: map[uint64]*paper{}, byUID: map[string]*target{}, types: map[string]int{}}
+	o.dests = map[uint64]*choice.Destination{}
+	for i, name := range order.Fronts.Types {
+		o.types[name] = i
+	}
+	o.outlet = outlet.New(dialer, x, outlet.Terms{Connect: connect,
+		KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second))})
+	o.dir = directory.New(dialer, order.Discovery, connect, x)
+	o.begin(o.epoch)
+	in, err := intake.Open(order.Listen, room/2, x)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Info().Str("listen", in.Addr()).Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).
+		Int("targets", len(o.targets)).Msg("ready")
+	if ready != nil {
+		ready(in.Addr())
+	}
+	o.serve(ctx, in, dialer)
+	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
+	return nil
+}
+
+// serve turns until the module lets the process end.
+func (o *owner) serve(ctx context.Context, in *intake.Intake, dialer *dial.Dialer) {
+	timer := time.NewTimer(0)
+	report := time.NewTicker(countsEvery)
+	defer report.Stop()
+	asked := ctx.Done()
+	var coming, end <-chan time.Time
+	for {
+		if o.wakeAt.IsZero() {
+			timer.Stop()
+		} else {
+			timer.Reset(time.Until(o.wakeAt))
+		}
+		select {
+		case <-o.exchange.bell:
+		case <-timer.C:
+		case <-report.C:
+			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", in.Clients()).
+				Int("most_clients", in.Peak).Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).
+				Int("idle_lines", o.outlet.Idle()).Int64("disk", o.ledger.Used()).Msg("counts")
+			continue
+		case <-asked:
+			asked = nil
+			o.log.Info().Int("held", len(o.docs)).Msg("stopping")
+			coming, end = time.After(comingFor), time.After(killAfter-killMargin)
+			o.exchange.leave(stopping(killAfter - killMargin))
+		case <-coming:
+			coming = nil
+			in.Leave()
+		case <-end:
+			o.turn()
+			return
+		}
+		if o.turn() && coming == nil && in.Clients() == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/forward/owner.go
@@ -0,0 +1,363 @@
+package forward
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"spanflow/choice"
+	"spanflow/internal/directory"
+	"spanflow/internal/intake"
+	"spanflow/internal/ledger"
+	"spanflow/internal/outlet"
+	"spanflow/internal/resp"
+)
+
+// owner is what the one goroutine that owns the module works with.
+type owner struct {
+	order    *Order
+	log      zerolog.Logger
+	exchange *Exchange
+	ledger   *ledger.Ledger
+	outlet   *outlet.Outlet
+	dir      *directory.Directory
+	f        *choice.Forwarder
+	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
+	docs     map[uint64]*paper
+	dests    map[uint64]*choice.Destination
+	targets  []*target // by number
+	byUID    map[string]*target
+	types    map[string]int
+	rev      int64
+	wakeAt   time.Time // zero: none set
+	calls    []*outlet.Call
+	counts   counts
+	quiet    time.Time // no log line about delay before
+}
+
+// paper is a document that is owed or was until just now.
+type paper struct {
+	outlet.Paper
+	doc *choice.Doc
+	typ int
+}
+
+// target is what the list says of one, as far as carrying out needs it.
+type target struct {
+	uid, addr   string
+	zone, batch int
+	module      *choice.Target
+}
+
+// counts are for the log.
+type counts struct {
+	taken, refused, delivered, returned, abandoned, recovered int
+	ends                                                      [outlet.Unsent + 1]int
+}
+
+const (
+	slowTurn   = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
+	slowPause  = time.Second            // between two such lines
+	refuseMost = 9_999_999              // milliseconds
+)
+
+func (o *owner) clock(t time.Time) float64 {
+	return float64(o.epoch.UnixMicro())/1e6 + t.Sub(o.epoch).Seconds()
+}
+
+func micros(seconds float64) int64 { return int64(seconds * 1e6) }
+
+// begin gives the module the known list and what an earlier process owed.
+func (o *owner) begin(now time.Time) {
+	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
+	o.listed(&o.order.Known, true)
+	for _, e := range o.ledger.Owed() {
+		typ, known := o.types[e.Type]
+		if !known {
+			o.log.Error().Str("id", e.ID).Str("type", e.Type).Msg("recovered document of an unknown type")
+			typ = 0
+		}
+		past := choice.Past{Sent: e.Sent, Ran: float64(e.Ran) / 1e6, Zone: e.RanZone}
+		if e.Out > 0 { // it was out when that process ended
+			if err := o.ledger.Back(e.Seq, true); err != nil {
+				o.log.Error().Err(err).Msg("ledger cannot be written")
+			}
+			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
+		}
+		p := o.paper(e, typ)
+		o.f.Recover(p.doc, typ, float64(e.Expiry)/1e6-o.clock(now), past)
+		o.counts.recovered++
+	}
+	o.f.Settle()
+	o.flush()
+}
+
+// paper makes the module's document of an entry.
+func (o *owner) paper(e *ledger.Entry, typ int) *paper {
+	p := &paper{Paper: outlet.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ}
+	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size()}
+	o.docs[e.Seq] = p
+	return p
+}
+
+func (o *owner) dest(number uint64) *choice.Destination {
+	d := o.dests[number]
+	if d == nil {
+		d = o.f.NewDestination(number)
+		o.dests[number] = d
+	}
+	return d
+}
+
+// turn takes all news, lets the module settle once, and carries out what it decides. It tells if the process may end.
+func (o *owner) turn() bool {
+	news, since := o.exchange.take()
+	start := time.Now()
+	o.f.Clock(o.clock(start))
+	for _, n := range news {
+		o.hear(n)
+	}
+	if !o.wakeAt.IsZero() && !start.Before(o.wakeAt) {
+		o.wakeAt = time.Time{}
+		o.f.Woken()
+	}
+	o.f.Settle()
+	o.flush()
+	end := time.Now()
+	if waited := start.Sub(since); (len(news) > 0 && waited > slowTurn || end.Sub(start) > slowTurn) && end.After(o.quiet) {
+		o.quiet = end.Add(slowPause)
+		o.log.Warn().Int("news", len(news)).Dur("waited_ms", waited).Dur("turn_ms", end.Sub(start)).Msg("late")
+	}
+	return o.f.Done()
+}
+
+func (o *owner) hear(n any) {
+	switch n := n.(type) {
+	case intake.Asked:
+		o.asked(n)
+	case outlet.Ended:
+		o.ended(n)
+	case *directory.List:
+		o.listed(n, n.All)
+	case watchEnded:
+		o.log.Warn().Str("why", string(n)).Msg("watch ended")
+		o.f.ListFailed()
+	case told:
+		for _, door := range n {
+			if p := o.docs[door]; p != nil {
+				o.over(p)
+				o.f.Told(p.doc)
+				o.forget(p)
+			}
+		}
+	case stopping:
+		o.f.Stop(time.Duration(n).Seconds())
+	}
+}
+
+func (o *owner) asked(a intake.Asked) {
+	switch {
+	case a.Ping:
+		a.Client.Answer(resp.Simple("PONG"), false)
+	case a.Paper != nil:
+		a.Client.Answer(o.handedIn(a.Client, a.Paper), false)
+	default:
+		o.log.Warn().Str("answer", a.Error).Msg("bad command")
+		a.Client.Answer(resp.Failure(a.Error), a.Last)
+	}
+}
+
+// handedIn takes a document on, if the module will, and returns the answer for its client.
+func (o *owner) handedIn(c *intake.Client, in *intake.Paper) []byte {
+	typ, known := o.types[in.Type]
+	if !known {
+		return resp.Failure("ERR unknown type of document")
+	}
+	if c.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
+		return nil
+	}
+	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: len(o.order.Terms.TenantQuota), Type: in.Type, ID: in.ID,
+		Mark: in.Mark, Body: in.Body, Expiry: time.Now().UnixMicro() + micros(in.Left)}
+	if taken, back := o.f.Admit(e.Size(), in.Left); !taken {
+		o.counts.refused++
+		return resp.Busy(min(int(back*1000), refuseMost))
+	}
+	if err := o.ledger.Take(e); err != nil {
+		o.log.Error().Err(err).Msg("ledger cannot be written")
+		return resp.Failure("ERR it cannot be kept")
+	}
+	p := o.paper(e, typ)
+	o.f.Take(p.doc, typ, in.Left)
+	o.counts.taken++
+	return resp.Simple("OK")
+}
+
+func (o *owner) ended(e outlet.Ended) {
+	for pass := range 2 { // delivered ones first: the module judges a call by the first end
+		for i, p := range e.Call.Papers {
+			if (e.Ends[i] == outlet.Took) == (pass == 0) {
+				o.end(p.Door, e.Ends[i], &e)
+			}
+		}
+	}
+	if e.Why != "" {
+		o.log.Info().Str("target", e.Call.Target).Stringer("end", e.Ends[0]).Dur("took_ms", e.Took).Str("why", e.Why).
+			Msg("call failed")
+	}
+}
+
+func (o *owner) end(door uint64, end outlet.End, e *outlet.Ended) {
+	o.counts.ends[end]++
+	p := o.docs[door]
+	if p == nil {
+		return
+	}
+	outcome, over := end.Outcome()
+	if over {
+		o.over(p)
+		if outcome == choice.Delivered {
+			o.counts.delivered++
+		}
+	} else if err := o.ledger.Back(door, end.Ran()); err != nil {
+		o.log.Error().Err(err).Msg("ledger cannot be written")
+	}
+	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait,
+		Most: o.limit(e.Report)})
+	o.forget(p)
+}
+
+// limit finds the limit in a load report, 0 if it tells none.
+func (o *owner) limit(report string) float64 {
+	for pair := range strings.SplitSeq(report, ",") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == o.order.Fronts.Limit {
+			if v, err := strconv.ParseFloat(value, 64); err == nil && v > 0 && v < 1e9 {
+				return v
+			}
+		}
+	}
+	return 0
+}
+
+// over records that nothing more is owed for a document.
+func (o *owner) over(p *paper) {
+	if err := o.ledger.Over(p.Door); err != nil {
+		o.log.Error().Err(err).Msg("ledger cannot be written")
+	}
+}
+
+// forget lets go of a document of which nothing more can be heard.
+func (o *owner) forget(p *paper) {
+	if p.doc.Over() {
+		delete(o.docs, p.Door)
+	}
+}
+
+func (o *owner) listed(l *directory.List, whole bool) {
+	o.rev = l.Rev
+	lines := make([]choice.Listing, 0, len(l.Targets))
+	for _, e := range l.Targets {
+		t := o.byUID[e.UID]
+		if t == nil {
+			t = &target{uid: e.UID, module: &choice.Target{Door: uint64(len(o.targets))}}
+			o.targets = append(o.targets, t)
+			o.byUID[e.UID] = t
+		}
+		kind := index(o.order.Fronts.Kinds, e.Kind)
+		t.zone, t.batch = index(o.order.Fronts.Zones, e.Zone), 1
+		if e.Endpoint != "" {
+			t.addr = e.Endpoint
+		}
+		if kind < len(o.order.Terms.KindBatch) {
+			t.batch = max(1, o.order.Terms.KindBatch[kind])
+		}
+		line := choice.Listing{Target: t.module, Dest: o.dest(e.Dest), Kind: kind, Zone: t.zone, Rate: e.Rate}
+		switch e.State {
+		case "active":
+			line.Standing = choice.Ready
+		case "leaving":
+			line.Standing = choice.Draining
+		case "left":
+			line.Standing = choice.Gone
+		default:
+			o.log.Warn().Str("target", e.UID).Str("state", e.State).Msg("unknown state in the list")
+			line.Standing = choice.Draining
+		}
+		lines = append(lines, line)
+	}
+	o.f.List(whole, lines)
+}
+
+// index is a name's number; one that the settings do not have gets a number beyond them.
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return len(names)
+}
+
+// flush sends the calls that the module has decided on.
+func (o *owner) flush() {
+	for _, c := range o.calls {
+		o.outlet.Send(c)
+	}
+	o.calls = o.calls[:0]
+}
+
+// Transmit, Reject, Abandon, CloseIdle, Wake, Watch and Log make an owner the choice.Host.
+
+// Transmit adds a document to the call that is being made up for the target, as far as one call carries them.
+func (o *owner) Transmit(d *choice.Doc, to *choice.Target, timeout float64) {
+	p, t := o.docs[d.Door], o.targets[to.Door]
+	if err := o.ledger.Out(d.Door, micros(o.clock(time.Now())), t.zone); err != nil {
+		o.log.Error().Err(err).Msg("ledger cannot be written")
+		c := &outlet.Call{Target: t.addr, Papers: []outlet.Paper{p.Paper}}
+		o.exchange.CallEnded(outlet.Ended{Call: c, Ends: []outlet.End{outlet.Unsent}})
+		return
+	}
+	allow := time.Duration(timeout * float64(time.Second))
+	for _, c := range o.calls {
+		if c.Target == t.addr && len(c.Papers) < t.batch {
+			c.Papers = append(c.Papers, p.Paper)
+			c.Allow = min(c.Allow, allow)
+			return
+		}
+	}
+	o.calls = append(o.calls, &outlet.Call{Target: t.addr, Papers: []outlet.Paper{p.Paper}, Allow: allow})
+}
+
+func (o *owner) Reject(d *choice.Doc, comeBack float64) {
+	o.counts.returned++
+	o.dir.Notify(directory.Notice{Door: d.Door, ID: o.docs[d.Door].ID, Returned: true, After: comeBack})
+}
+
+func (o *owner) Abandon(d *choice.Doc) {
+	o.counts.abandoned++
+	o.dir.Notify(directory.Notice{Door: d.Door, ID: o.docs[d.Door].ID})
+}
+
+func (o *owner) CloseIdle(t *choice.Target) {
+	o.flush() // what was decided before takes the connections first
+	o.outlet.CloseIdle(o.targets[t.Door].addr)
+}
+
+func (o *owner) Wake(in float64) { o.wakeAt = time.Now().Add(time.Duration(in * float64(time.Second))) }
+
+func (o *owner) Watch() { o.dir.Watch(o.rev) }
+
+func (o *owner) Log(line string) { o.log.Info().Str("mode", line).Msg("module") }
+
+func (c *counts) write(e *zerolog.Event) *zerolog.Event {
+	e = e.Int("taken", c.taken).Int("recovered", c.recovered).Int("refused", c.refused).Int("delivered", c.delivered).
+		Int("returned", c.returned).Int("abandoned", c.abandoned)
+	for i, n := range c.ends {
+		if n > 0 {
+			e = e.Int(fmt.Sprintf("end_%s", strings.ReplaceAll(outlet.End(i).String(), " ", "_")), n)
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,193 @@
+// Package dial opens connections to others on nbio and tells what becomes of them.
+package dial
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+// ErrNeverUp is the cause of a connection that did not come up in time.
+var ErrNeverUp = errors.New("connection did not come up in time")
+
+// ErrNoRoom is the cause of a connection for which there was no descriptor.
+var ErrNoRoom = errors.New("all descriptors for connections are taken")
+
+// Watcher hears what becomes of a line. Calls come from the network's goroutines;
+// Down comes exactly once, as the last, unless the owner closed the line itself.
+type Watcher interface {
+	Data(b []byte)
+	Down(cause error)
+}
+
+// Dialer opens lines, at most so many at once.
+type Dialer struct {
+	engine *nbio.Engine
+	most   int64
+	open   atomic.Int64
+	Peak   atomic.Int64
+}
+
+// Line is one connection.
+type Line struct {
+	dialer  *Dialer
+	watcher Watcher
+	written atomic.Int64 // bytes that the socket took
+	mu      sync.Mutex
+	conn    *nbio.Conn
+	up      bool
+	over    bool
+	early   []byte // written before it was up
+	wanted  int64
+	cancel  context.CancelFunc
+}
+
+// New starts the network; most bounds the lines open at once.
+func New(name string, most int) (*Dialer, error) {
+	d := &Dialer{most: int64(most)}
+	d.engine = nbio.NewEngine(nbio.Config{Name: name, NPoller: 1, ReadBufferSize: 32 << 10, MaxConnReadTimesPerEventLoop: 64})
+	d.engine.OnData(func(c *nbio.Conn, b []byte) {
+		if l, ok := c.Session().(*Line); ok && l.alive() {
+			l.watcher.Data(b)
+		}
+	})
+	d.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if l, ok := c.Session().(*Line); ok {
+			l.written.Add(int64(n))
+		}
+	})
+	d.engine.OnClose(func(c *nbio.Conn, err error) {
+		if l, ok := c.Session().(*Line); ok {
+			l.end(err)
+		}
+	})
+	return d, d.engine.Start()
+}
+
+// Stop ends all lines.
+func (d *Dialer) Stop() { d.engine.Stop() }
+
+// Open tells how many lines there are.
+func (d *Dialer) Open() int { return int(d.open.Load()) }
+
+// Dial begins to open a line. What cannot even begin is told by Down like the rest, never from within this call.
+// The connection is made by the standard library and handed to nbio once it is up: nbio's own dialer takes an IPv4
+// address for 0.0.0.0, and does not look whether connecting failed.
+func (d *Dialer) Dial(addr string, within time.Duration, w Watcher) *Line {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	l := &Line{dialer: d, watcher: w, cancel: cancel}
+	n := d.open.Add(1)
+	for peak := d.Peak.Load(); n > peak && !d.Peak.CompareAndSwap(peak, n); peak = d.Peak.Load() {
+	}
+	go l.open(ctx, addr, n <= d.most)
+	return l
+}
+
+func (l *Line) open(ctx context.Context, addr string, room bool) {
+	defer l.cancel()
+	if !room {
+		l.end(ErrNoRoom)
+		return
+	}
+	dialer := net.Dialer{KeepAlive: -1}
+	std, err := dialer.DialContext(ctx, "tcp", addr)
+	if err == nil {
+		err = l.connected(std)
+	} else if ctx.Err() != nil || errors.Is(err, syscall.ETIMEDOUT) {
+		err = ErrNeverUp
+	}
+	if err != nil {
+		l.end(err)
+	}
+}
+
+func (l *Line) alive() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.over
+}
+
+// connected hands the connection to nbio and sends what was written before.
+func (l *Line) connected(std net.Conn) error {
+	c, err := nbio.NBConn(std)
+	if err != nil {
+		std.Close()
+		return err
+	}
+	c.SetSession(l)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over {
+		return c.Close()
+	}
+	if _, err := l.dialer.engine.AddConn(c); err != nil {
+		return err
+	}
+	l.conn, l.up = c, true
+	if len(l.early) > 0 {
+		c.Write(l.early)
+		l.early = nil
+	}
+	return nil
+}
+
+// Write sends b, at once or when the line is up. The line keeps no part of b but copies what it must.
+func (l *Line) Write(b []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wanted += int64(len(b))
+	switch {
+	case l.over:
+	case l.conn == nil:
+		l.early = append(l.early, b...)
+	default:
+		l.conn.Write(b)
+	}
+}
+
+// Sent tells if the socket took the last byte of all that was to be written.
+func (l *Line) Sent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.written.Load() >= l.wanted
+}
+
+// Close ends the line; Down is not called for it.
+func (l *Line) Close() { l.shut() }
+
+// end reports the line's end, once.
+func (l *Line) end(cause error) {
+	if l.shut() {
+		l.watcher.Down(cause)
+	}
+}
+
+func (l *Line) shut() bool {
+	l.mu.Lock()
+	if l.over {
+		l.mu.Unlock()
+		return false
+	}
+	l.over = true
+	c := l.conn
+	l.mu.Unlock()
+	l.dialer.open.Add(-1)
+	l.cancel()
+	if c != nil {
+		c.Close()
+	}
+	return true
+}
+
+// Up tells if the connection ever came up.
+func (l *Line) Up() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up
+}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,319 @@
+// Package directory speaks with discovery: the list, the watch on its changes, and the notices.
+package directory
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"spanflow/internal/dial"
+	"spanflow/internal/http1"
+)
+
+const (
+	mostLine    = 4 << 20         // of a watch, in bytes
+	blankEvery  = 2 * time.Second // an empty line comes so often while nothing changes
+	mostNotices = 512             // in one call
+	answerIn    = 2 * time.Second // a notice call without an answer is made again after so long
+	againIn     = 50 * time.Millisecond
+)
+
+// Desk is where the directory's news go.
+type Desk interface {
+	Listed(*List)
+	WatchEnded(why string)
+	Told(doors []uint64)
+}
+
+// List is what the list says, whole or of its changes.
+type List struct {
+	Rev     int64   `json:"rev"`
+	All     bool    `json:"all"`
+	Targets []Entry `json:"targets"`
+}
+
+// Entry is one line of the list.
+type Entry struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Dest     uint64  `json:"pod_group"`
+	State    string  `json:"state"`
+	Rate     float64 `json:"capacity_hint"`
+}
+
+// Notice ends a document that was not delivered.
+type Notice struct {
+	Door     uint64
+	ID       string
+	Returned bool
+	After    float64 // seconds until the client may come again; 0 if not told
+}
+
+// Directory holds the connections to discovery.
+type Directory struct {
+	dialer  *dial.Dialer
+	addr    string
+	connect time.Duration
+	desk    Desk
+	mu      sync.Mutex
+	watch   *watch
+	out     *report
+	waiting []Notice // not in a call
+	stopped bool
+}
+
+// New has no connections yet.
+func New(d *dial.Dialer, addr string, connect time.Duration, desk Desk) *Directory {
+	return &Directory{dialer: d, addr: addr, connect: connect, desk: desk}
+}
+
+// Stop ends all connections and starts none.
+func (d *Directory) Stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
+	if d.watch != nil {
+		d.watch.close()
+	}
+	if d.out != nil {
+		d.out.timer.Stop()
+		d.out.line.Close()
+		d.out = nil
+	}
+}
+
+// watch is one connection with an open answer.
+type watch struct {
+	dir    *Directory
+	line   *dial.Line
+	reader http1.Reader
+	code   int
+	rest   []byte // an unfinished line
+	timer  *time.Timer
+	over   bool
+}
+
+// Watch asks for the changes since a version, on a new connection.
+func (d *Directory) Watch(rev int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		return
+	}
+	if d.watch != nil {
+		d.watch.close()
+	}
+	w := &watch{dir: d}
+	d.watch = w
+	w.line = d.dialer.Dial(d.addr, d.connect, w)
+	path := "/v1/endpoints?stream=1&index=" + strconv.FormatInt(rev, 10)
+	w.line.Write(append(http1.Begin(nil, "GET", path, d.addr), "\r\n"...))
+	w.await(d.connect + answerIn)
+}
+
+// await ends the watch if nothing comes within a time. Guards against a link that goes silent.
+func (w *watch) await(within time.Duration) {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.timer = time.AfterFunc(within, func() { w.end("silent") })
+}
+
+func (w *watch) close() {
+	w.over = true
+	w.timer.Stop()
+	w.line.Close()
+}
+
+func (w *watch) end(why string) {
+	w.dir.mu.Lock()
+	defer w.dir.mu.Unlock()
+	w.ended(why)
+}
+
+func (w *watch) ended(why string) {
+	if w.over {
+		return
+	}
+	w.close()
+	if w.dir.watch == w {
+		w.dir.watch = nil
+	}
+	w.dir.desk.WatchEnded(why)
+}
+
+// Data and Down make a watch a dial.Watcher.
+
+func (w *watch) Data(b []byte) {
+	w.dir.mu.Lock()
+	defer w.dir.mu.Unlock()
+	if w.over {
+		return
+	}
+	w.await(2*blankEvery + blankEvery/2)
+	_, whole, err := w.reader.Feed(b, w)
+	switch {
+	case err != nil:
+		w.ended(err.Error())
+	case whole:
+		w.ended(fmt.Sprintf("answered %d", w.code))
+	}
+}
+
+func (w *watch) Down(cause error) { w.end(fmt.Sprint(cause)) }
+
+// Status, Field and Body make a watch an http1.Handler.
+
+func (w *watch) Status(code int)          { w.code = code }
+func (w *watch) Field(name, value []byte) {}
+
+func (w *watch) Body(piece []byte) error {
+	if w.code != 200 {
+		return nil
+	}
+	for {
+		end := bytes.IndexByte(piece, '\n')
+		if end < 0 {
+			if len(w.rest)+len(piece) > mostLine {
+				return errors.New("a line of the list is over the limit")
+			}
+			w.rest = append(w.rest, piece...)
+			return nil
+		}
+		line := piece[:end]
+		if len(w.rest) > 0 {
+			w.rest = append(w.rest, line...)
+			line = w.rest
+		}
+		if line = bytes.TrimSpace(line); len(line) > 0 {
+			l := &List{}
+			if err := json.Unmarshal(line, l); err != nil {
+				return fmt.Errorf("a line of the list cannot be read: %w", err)
+			}
+			w.dir.desk.Listed(l)
+		}
+		w.rest = w.rest[:0]
+		piece = piece[end+1:]
+	}
+}
+
+// Notify sends a notice, again and again until it is answered.
+func (d *Directory) Notify(n Notice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting = append(d.waiting, n)
+	d.report()
+}
+
+// report is a connection that carries notices, a call at a time.
+type report struct {
+	dir    *Directory
+	line   *dial.Line
+	reader http1.Reader
+	code   int
+	out    []Notice
+	timer  *time.Timer
+}
+
+// report begins a call with the notices that wait, if none is out; the lock is held.
+func (d *Directory) report() {
+	if d.stopped || len(d.waiting) == 0 || d.out != nil && len(d.out.out) > 0 {
+		return
+	}
+	r := d.out
+	if r == nil {
+		r = &report{dir: d, reader: http1.Reader{MostBody: 64 << 10}}
+		r.line = d.dialer.Dial(d.addr, d.connect, r)
+		d.out = r
+	}
+	n := min(len(d.waiting), mostNotices)
+	r.out = append(r.out, d.waiting[:n]...)
+	d.waiting = append(d.waiting[:0], d.waiting[n:]...)
+	var body []byte
+	for _, n := range r.out {
+		id, _ := json.Marshal(n.ID)
+		body = append(append(body, `{"id":`...), id...)
+		switch ms := int(n.After * 1000); {
+		case !n.Returned:
+			body = append(body, `,"state":"failed"`...)
+		case ms > 0:
+			body = append(body, `,"state":"returned","after_ms":`...)
+			body = strconv.AppendInt(body, int64(ms), 10)
+		default:
+			body = append(body, `,"state":"returned"`...)
+		}
+		body = append(body, "}\n"...)
+	}
+	r.reader.Reset()
+	r.line.Write(http1.End(http1.Begin(nil, "POST", "/v1/notices", d.addr), body))
+	r.timer = time.AfterFunc(d.connect+answerIn, func() { r.lost() })
+}
+
+// lost puts the notices of a call back and makes it again a little later. A notice told twice does no harm.
+func (r *report) lost() {
+	d := r.dir
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.out != r {
+		return
+	}
+	r.drop()
+	time.AfterFunc(againIn, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.report()
+	})
+}
+
+func (r *report) drop() {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	r.line.Close()
+	r.dir.waiting = append(r.out, r.dir.waiting...)
+	r.dir.out = nil
+}
+
+// Data and Down make a report a dial.Watcher.
+
+func (r *report) Data(b []byte) {
+	d := r.dir
+	d.mu.Lock()
+	if d.out != r || len(r.out) == 0 {
+		d.mu.Unlock()
+		r.lost()
+		return
+	}
+	_, whole, err := r.reader.Feed(b, r)
+	if err != nil || whole && r.code/100 != 2 {
+		d.mu.Unlock()
+		r.lost()
+		return
+	}
+	if whole {
+		r.timer.Stop()
+		doors := make([]uint64, len(r.out))
+		for i, n := range r.out {
+			doors[i] = n.Door
+		}
+		r.out = nil
+		if r.reader.Close {
+			r.drop()
+		}
+		d.desk.Told(doors)
+		d.report()
+	}
+	d.mu.Unlock()
+}
+
+func (r *report) Down(error) { r.lost() }
+
+func (r *report) Status(code int)          { r.code = code }
+func (r *report) Field(name, value []byte) {}
+func (r *report) Body([]byte) error        { return nil }
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,105 @@
+package ledger
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// encode adds the entry's record to b.
+func (e *Entry) encode(b []byte) []byte {
+	for _, v := range []uint64{e.Seq, e.Key, e.Dest, uint64(e.Expiry), uint64(e.Ran), uint64(e.Out)} {
+		b = binary.LittleEndian.AppendUint64(b, v)
+	}
+	for _, v := range []int{e.Tenant, e.Sent, e.RanZone, e.OutZone, len(e.Type), len(e.ID), len(e.Mark), len(e.Body)} {
+		b = binary.LittleEndian.AppendUint32(b, uint32(v))
+	}
+	b = append(append(append(b, e.Type...), e.ID...), e.Mark...)
+	return append(b, e.Body...)
+}
+
+const fixed = 6*8 + 8*4
+
+// decode reads an entry's record, nil if it is none.
+func decode(b []byte) *Entry {
+	if len(b) < fixed {
+		return nil
+	}
+	long := func(i int) uint64 { return binary.LittleEndian.Uint64(b[8*i:]) }
+	word := func(i int) int { return int(binary.LittleEndian.Uint32(b[48+4*i:])) }
+	e := &Entry{Seq: long(0), Key: long(1), Dest: long(2), Expiry: int64(long(3)), Ran: int64(long(4)),
+		Out: int64(long(5)), Tenant: word(0), Sent: word(1), RanZone: word(2), OutZone: word(3)}
+	sizes := [4]int{word(4), word(5), word(6), word(7)}
+	if sizes[0]+sizes[1]+sizes[2]+sizes[3] != len(b)-fixed {
+		return nil
+	}
+	var texts [4]string
+	rest := b[fixed:]
+	for i, n := range sizes {
+		texts[i], rest = string(rest[:n]), rest[n:]
+	}
+	e.Type, e.ID, e.Mark, e.Body = texts[0], texts[1], texts[2], []byte(texts[3])
+	return e
+}
+
+// record cuts the first record off a file's text; ok is false where none can be read.
+func record(b []byte) (kind byte, body, rest []byte, ok bool) {
+	if len(b) < header {
+		return 0, nil, nil, false
+	}
+	n := binary.LittleEndian.Uint32(b)
+	if n > mostEntry || int(n) > len(b)-header {
+		return 0, nil, nil, false
+	}
+	end := header + int(n)
+	sound := binary.LittleEndian.Uint32(b[4:]) == crc32.ChecksumIEEE(b[8:end])
+	return b[8], b[header:end], b[end:], sound
+}
+
+// replay applies a file's records. One whose checksum fails is passed over if another follows it; else the rest of
+// the file is a torn tail.
+func (l *Ledger) replay(b []byte, number int) {
+	for len(b) > 0 {
+		kind, body, rest, ok := record(b)
+		if !ok {
+			l.Dropped++
+			if _, _, _, next := record(rest); !next {
+				return
+			}
+			b = rest
+			continue
+		}
+		b = rest
+		l.apply(kind, body, number)
+	}
+}
+
+func (l *Ledger) apply(kind byte, b []byte, number int) {
+	if kind == kindEntry {
+		if e := decode(b); e != nil {
+			e.file = number
+			l.entries[e.Seq] = e
+			l.next = max(l.next, e.Seq+1)
+			return
+		}
+		l.Dropped++
+		return
+	}
+	if len(b) < 8 {
+		l.Dropped++
+		return
+	}
+	seq := binary.LittleEndian.Uint64(b)
+	l.next = max(l.next, seq+1)
+	e := l.entries[seq]
+	switch {
+	case e == nil: // of a document whose record has been freed
+	case kind == kindOut && len(b) == 20:
+		e.sent(int64(binary.LittleEndian.Uint64(b[8:])), int(binary.LittleEndian.Uint32(b[16:])))
+	case kind == kindBack && len(b) == 9:
+		e.back(b[8] == 1)
+	case kind == kindOver && len(b) == 8:
+		delete(l.entries, seq)
+	default:
+		l.Dropped++
+	}
+}
--- /dev/null
+++ b/internal/outlet/outlet.go
@@ -0,0 +1,234 @@
+// Package outlet carries calls to targets: connections, their reuse, and how each call ended. It chooses nothing.
+package outlet
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"spanflow/internal/dial"
+	"spanflow/internal/http1"
+)
+
+const mostAnswer = 256 << 10
+
+// Desk is where news of calls go.
+type Desk interface {
+	CallEnded(Ended)
+}
+
+// Terms are the outlet's bounds.
+type Terms struct {
+	Connect  time.Duration // a connection that takes longer never comes up
+	KeepIdle time.Duration // an idle connection is closed after so long
+}
+
+// Outlet holds the connections to all targets.
+type Outlet struct {
+	dialer *dial.Dialer
+	desk   Desk
+	terms  Terms
+	mu     sync.Mutex
+	idle   map[string][]*trunk // the latest used last
+}
+
+// New has no connections yet.
+func New(d *dial.Dialer, desk Desk, terms Terms) *Outlet {
+	return &Outlet{dialer: d, desk: desk, terms: terms, idle: map[string][]*trunk{}}
+}
+
+// trunk is one connection to a target with at most one call on it.
+type trunk struct {
+	outlet *Outlet
+	target string
+	line   *dial.Line
+	reader http1.Reader
+	answer answer
+	call   *Call
+	began  time.Time
+	timer  *time.Timer // ends the call, or while idle the connection
+	turn   int         // counts calls and idle times, so that a late timer is known as one
+}
+
+// Send begins a call, on the idle connection used last if there is one.
+func (o *Outlet) Send(c *Call) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var t *trunk
+	if l := o.idle[c.Target]; len(l) > 0 {
+		t = l[len(l)-1]
+		o.idle[c.Target] = l[:len(l)-1]
+		t.timer.Stop()
+	} else {
+		t = &trunk{outlet: o, target: c.Target, reader: http1.Reader{MostBody: mostAnswer}}
+		t.line = o.dialer.Dial(c.Target, o.terms.Connect, t)
+	}
+	t.call, t.began = c, time.Now()
+	t.answer = answer{body: t.answer.body[:0], keep: len(c.Papers) > 1}
+	t.reader.Reset()
+	t.line.Write(c.request())
+	t.turn++
+	turn := t.turn
+	t.timer = time.AfterFunc(c.Allow, func() { t.giveUp(turn) })
+}
+
+// CloseIdle closes the connections to a target that carry no call.
+func (o *Outlet) CloseIdle(target string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range o.idle[target] {
+		t.timer.Stop()
+		t.line.Close()
+	}
+	delete(o.idle, target)
+}
+
+// Idle tells how many connections carry no call.
+func (o *Outlet) Idle() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for _, l := range o.idle {
+		n += len(l)
+	}
+	return n
+}
+
+// giveUp ends a call whose time is over, or a connection that was idle for too long.
+func (t *trunk) giveUp(turn int) {
+	o := t.outlet
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t.turn != turn {
+		return
+	}
+	if t.call == nil {
+		o.drop(t)
+		t.line.Close()
+		return
+	}
+	end := GivenUp
+	if !t.line.Sent() {
+		end = GivenUpEarly
+	}
+	t.line.Close()
+	t.finish(t.cut(end), "")
+}
+
+// Data takes what came from the target.
+func (t *trunk) Data(b []byte) {
+	o := t.outlet
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t.call == nil { // nothing was asked for
+		o.drop(t)
+		t.line.Close()
+		return
+	}
+	used, whole, err := t.reader.Feed(b, &t.answer)
+	switch {
+	case err != nil:
+		t.line.Close()
+		t.finish(t.broken(Garbled), err.Error())
+	case whole:
+		keep := !t.reader.Close && used == len(b) && t.line.Sent()
+		if !keep {
+			t.line.Close()
+		}
+		t.finish(t.answer.ends(t.call), "")
+		if keep {
+			t.rest()
+		}
+	}
+}
+
+// Down takes the end of the connection.
+func (t *trunk) Down(cause error) {
+	o := t.outlet
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case t.call == nil:
+		o.drop(t)
+	case t.reader.Ended():
+		t.finish(t.answer.ends(t.call), "")
+	case errors.Is(cause, dial.ErrNeverUp):
+		t.finish(t.same(NeverUp), "")
+	case !t.line.Up():
+		t.finish(t.same(Refused), text(cause))
+	default:
+		t.finish(t.broken(Broken), text(cause))
+	}
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// broken is end if the call was written whole, else that it was cut before.
+func (t *trunk) broken(end End) []End {
+	if !t.line.Sent() {
+		end = BrokenEarly
+	}
+	return t.cut(end)
+}
+
+// cut is end for each paper, unless the part of the answer that came tells more: a status holds from its line on,
+// but for the 200 of several papers, whose ends stand in the body.
+func (t *trunk) cut(end End) []End {
+	if a := &t.answer; a.code != 0 && (a.code != 200 || len(t.call.Papers) == 1) {
+		return a.ends(t.call)
+	}
+	return t.same(end)
+}
+
+func (t *trunk) same(end End) []End {
+	ends := make([]End, len(t.call.Papers))
+	for i := range ends {
+		ends[i] = end
+	}
+	return ends
+}
+
+// finish reports the call's end; the lock is held.
+func (t *trunk) finish(ends []End, why string) {
+	t.timer.Stop()
+	e := Ended{Call: t.call, Ends: ends, Took: time.Since(t.began), Why: why}
+	if why == "" {
+		e.Wait, e.Report = t.answer.wait, t.answer.report
+	}
+	t.call = nil
+	t.turn++
+	t.outlet.desk.CallEnded(e)
+}
+
+// rest keeps the connection for a later call; the lock is held.
+func (t *trunk) rest() {
+	o := t.outlet
+	o.idle[t.target] = append(o.idle[t.target], t)
+	turn := t.turn
+	t.timer = time.AfterFunc(o.terms.KeepIdle, func() { t.giveUp(turn) })
+}
+
+// drop takes a connection off the idle ones.
+func (o *Outlet) drop(t *trunk) {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.turn++
+	l := o.idle[t.target]
+	for i, x := range l {
+		if x == t {
+			l = append(l[:i], l[i+1:]...)
+			break
+		}
+	}
+	if len(l) == 0 {
+		delete(o.idle, t.target)
+	} else {
+		o.idle[t.target] = l
+	}
+}
--- a/internal/wire/terms.go
+++ b/internal/terms/terms.go
@@ -1,4 +1,5 @@
-package wire
+// Package terms turns the operators' settings into what the decision module is told at its start.
+package terms
 
 import (
 	"encoding/json"
@@ -9,10 +10,10 @@
 	"spanflow/choice"
 )
 
-// settings names the figures read here as the wire writes them; times in milliseconds.
+// settings names the figures read here as the operators write them; times in milliseconds.
 type settings struct {
 	Classes []struct {
-		Idempotency, Group         string
+		Name, Idempotency, Group   string
 		Sequential                 bool
 		Slo, HardLimit, MemorySpan float64
 	}
@@ -27,6 +28,7 @@
 		AttemptsCap, MaxOpen int
 		MaxRetryAfter        float64
 		ConnIdle             float64
+		ConnectTimeout       float64
 		RetryAfter           bool
 	}
 	Report struct {
@@ -34,16 +36,33 @@
 	}
 	Discovery, WeightKind string
 	MyZone, NInstances    int
+	Azs, Kinds            []string
 }
 
-// readTerms returns the module's terms and the place of the limit among a load report's values, -1 if there is none.
-func readTerms(text []byte) (choice.Terms, int, error) {
+// Fronts is what a front needs beside the module's terms.
+type Fronts struct {
+	Types, Zones, Kinds []string // by their numbers
+	LimitAt             int      // place of the limit among a load report's values, -1 if there is none
+	Limit               string   // its name
+	Connect             float64  // seconds in which a connection comes up or never does
+}
+
+// limit is the load report's field that tells the limit in calls a second.
+const limit = "x1"
+
+// Read decodes settings.
+func Read(text []byte) (choice.Terms, Fronts, error) {
 	var s settings
 	if err := json.Unmarshal(text, &s); err != nil {
-		return choice.Terms{}, -1, err
+		return choice.Terms{}, Fronts{}, err
 	}
-	if len(s.Classes) == 0 || s.Extra.CallsOut < 1 || s.NInstances < 1 {
-		return choice.Terms{}, -1, errors.New("no classes, no calls out or no instances are stated")
+	switch {
+	case len(s.Classes) == 0:
+		return choice.Terms{}, Fronts{}, errors.New("Classes states no document type")
+	case s.Extra.CallsOut < 1:
+		return choice.Terms{}, Fronts{}, errors.New("Extra.CallsOut is not a number of slots")
+	case s.NInstances < 1:
+		return choice.Terms{}, Fronts{}, errors.New("NInstances is not a number of forwarders")
 	}
 	t := choice.Terms{KindBatch: s.Extra.KindBatch, KindApart: s.Extra.SeparateRoutes, Forwarders: s.NInstances,
 		Slots: s.Extra.CallsOut, Room: s.Limits.MaxOpen, Transmissions: s.Limits.AttemptsCap, Zone: s.MyZone,
@@ -59,6 +78,8 @@
 	for _, q := range s.Tenants {
 		t.TenantQuota = append(t.TenantQuota, q.QuotaRps)
 	}
+	f := Fronts{Zones: s.Azs, Kinds: s.Kinds, LimitAt: slices.Index(s.Report.Fields, limit), Limit: limit,
+		Connect: s.Limits.ConnectTimeout / 1000}
 	for i, c := range s.Classes {
 		d := choice.DocType{ZoneGroup: c.Group == "zone", InOrder: c.Sequential, Agreed: c.Slo / 1000,
 			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000}
@@ -70,9 +91,10 @@
 		case "fragile":
 			d.Repeat = choice.Binding
 		default:
-			return choice.Terms{}, -1, fmt.Errorf("class %d: unknown idempotency %q", i, c.Idempotency)
+			return choice.Terms{}, Fronts{}, fmt.Errorf("Classes[%d].Idempotency: unknown word %q", i, c.Idempotency)
 		}
 		t.Types = append(t.Types, d)
+		f.Types = append(f.Types, c.Name)
 	}
-	return t, slices.Index(s.Report.Fields, "x1"), nil
+	return t, f, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 
 	"spanflow/choice"
+	"spanflow/internal/terms"
 )
 
 const (
@@ -269,13 +270,13 @@
 }
 
 func (h *Host) provision(number uint16, seed uint64, text []byte, now float64) error {
-	terms, limitAt, err := readTerms(text)
+	t, fronts, err := terms.Read(text)
 	if err != nil {
 		return fmt.Errorf("settings of instance %d: %w", number, err)
 	}
-	in := &instance{host: h, number: number, limitAt: limitAt, docs: map[uint32]*choice.Doc{},
+	in := &instance{host: h, number: number, limitAt: fronts.LimitAt, docs: map[uint32]*choice.Doc{},
 		dests: map[uint32]*choice.Destination{}, targets: map[uint64]*choice.Target{}}
-	in.f = choice.New(terms, seed, now, in)
+	in.f = choice.New(t, seed, now, in)
 	h.instances[number] = in
 	in.touch()
 	return nil
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const terms = `{"Classes":[{"Idempotency":"dedup","Group":"all","Sequential":true,"Slo":3000,"HardLimit":24000,
+const settingsText = `{"Classes":[{"Idempotency":"dedup","Group":"all","Sequential":true,"Slo":3000,"HardLimit":24000,
 "MemorySpan":15000,"Worth":1}],"Extra":{"CallsOut":8,"KindBatch":[10]},"Limits":{"AttemptsCap":6,"MaxOpen":90,
 "RetryAfter":true,"MaxRetryAfter":2000},"NInstances":2,"Unheard":{"of":1}}`
 
@@ -34,7 +34,7 @@
 
 var (
 	provision = append(unhex("06 0300 0102030405060708"),
-		append(binary.LittleEndian.AppendUint32(nil, uint32(len(terms))), terms...)...)
+		append(binary.LittleEndian.AppendUint32(nil, uint32(len(settingsText))), settingsText...)...)
 	manifest = unhex(`07 0000 02000000
 		3900 0000 0000000000000000 0000803f 0a124a07 5b1b 0000 01
 		3900 0000 0000000000d4b740 0000c03f 0a9011f2 841b 0000 01`)
