Integration tests that start the program; final answers are recorded before they are told

The stories: delivery unchanged, pieces and pipelines, bad input, calls of several documents, notices until answered, a full room and ledger, kill and stop with documents delivered, out and held, a wrong order.

Seen while writing them: a notice that was out when the process ended was decided anew by the next one, which could transmit a document whose end had been heard. Ledger records of answers and Past.Answered close that. Connections past the bound on clients are refused documents by Admit; only far past it are they turned away unread.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -100,19 +100,24 @@
 	}
 }
 
-// Admit tells if a document of so many bytes, with so much time left, is taken on, or when to come back with it.
-func (f *Forwarder) Admit(size int, left float64) (taken bool, comeBack float64) {
-	if len(f.held) < f.terms.Room && (f.terms.Keep == 0 || f.kept+size <= f.terms.Keep) && left > lastCall {
-		return true, 0
+// Admit tells if a document of so many bytes, with so much time left, is taken on while so many clients are
+// connected, or when to come back with it.
+func (f *Forwarder) Admit(size int, left float64, clients int) (taken bool, comeBack float64) {
+	full := len(f.held) >= f.terms.Room || f.terms.Keep > 0 && f.kept+size > f.terms.Keep
+	if full || left <= lastCall || f.terms.Clients > 0 && clients > f.terms.Clients {
+		return false, f.comeBack()
 	}
-	return false, f.comeBack()
+	return true, 0
 }
 
 // Recover takes a document that an earlier process of this forwarder had taken on; call it in the order of taking.
 // What was out then may have run and is a retry now; what has no way left is answered by the next settling.
 func (f *Forwarder) Recover(d *Doc, typ int, left float64, past Past) {
 	f.Take(d, typ, left)
-	if d.sent, d.ranFrom, d.ranZone = past.Sent, past.Ran, past.Zone; d.sent > 0 {
+	if past.Answered { // and is not transmitted any more
+		d.telling = true
+		f.finish(d)
+	} else if d.sent, d.ranFrom, d.ranZone = past.Sent, past.Ran, past.Zone; d.sent > 0 {
 		f.dequeue(d)
 		d.Dest.retry = append(d.Dest.retry, d)
 		f.enqueue(d)
--- a/choice/port.go
+++ b/choice/port.go
@@ -38,6 +38,7 @@
 	AskList       bool    // the list comes only after asking
 	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
 	Keep          int     // bytes of documents that can be kept beyond a restart; 0: no bound
+	Clients       int     // connections of clients with which documents are taken on; 0: no bound
 	Confirmed     bool    // an answer is given only once Told says so
 }
 
@@ -46,6 +47,8 @@
 	Sent int     // transmissions spent
 	Ran  float64 // begin of the first that may have run; 0: surely none ran
 	Zone int     // of its target
+
+	Answered bool // it has its final answer, of which Told has not spoken yet
 }
 
 // Outcome is how a transmission ended.
--- /dev/null
+++ b/cmd/spanflow/main_test.go
@@ -0,0 +1,385 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/internal/standin"
+)
+
+// The tests start the built program and speak to it over sockets.
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "spanflow")
+	if err == nil {
+		program = filepath.Join(dir, "spanflow")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settings = `{"Azs":["a"],"Kinds":["single","several"],"Classes":[
+{"Name":"ticket","Group":"all","Idempotency":"dedup","Sequential":true,"Slo":3000,"HardLimit":24000,"MemorySpan":15000},
+{"Name":"payment","Idempotency":"fragile","Slo":3000,"HardLimit":20000},
+{"Name":"status","Idempotency":"retryable","Slo":3000,"HardLimit":20000}],
+"Extra":{"CallsOut":8,"KindBatch":[1,10]},"Guarantees":{"Cold":10000,"ColdFrom":0.2,"FallMultiple":2,"KeyRest":100},
+"Limits":{"AttemptsCap":6,"MaxOpen":%d,"RetryAfter":true,"MaxRetryAfter":2000,"ConnIdle":10000,"ConnectTimeout":1500},
+"Report":{"Fields":["x0","x1"]},"Discovery":"ask","WeightKind":"silent","NInstances":1,"Tenants":[]}`
+
+// stage is a forwarder with those around it.
+type stage struct {
+	t         *testing.T
+	discovery *standin.Discovery
+	target    *standin.Target
+	folder    string
+	listen    string
+	room      int
+	diskMB    int
+	cmd       *exec.Cmd
+	log       *logged
+	ended     chan error
+}
+
+// logged lets a test wait for a line of the program's log.
+type logged struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	more chan struct{}
+}
+
+func (l *logged) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case l.more <- struct{}{}:
+	default:
+	}
+	return l.text.Write(p)
+}
+
+func (l *logged) has(word string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), word)
+}
+
+func (s *stage) await(word string) {
+	s.t.Helper()
+	late := time.After(15 * time.Second)
+	for !s.log.has(word) {
+		select {
+		case <-s.log.more:
+		case <-late:
+			s.t.Fatalf("no %q in the log:\n%s", word, s.log.text.String())
+		}
+	}
+}
+
+func newStage(t *testing.T, kind string) *stage {
+	s := &stage{t: t, folder: t.TempDir(), room: 100, diskMB: 3}
+	var err error
+	s.target, err = standin.NewTarget("", nil)
+	require.NoError(t, err)
+	s.discovery, err = standin.NewDiscovery("", standin.Entry{UID: "s1", Endpoint: s.target.Addr, Zone: "a", Kind: kind, Dest: 7, State: "active"})
+	require.NoError(t, err)
+	return s
+}
+
+// order writes the program's configuration and returns its environment.
+func (s *stage) order() []string {
+	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": s.diskMB},
+		"known":  json.RawMessage(s.discovery.Known()), "settings": json.RawMessage(fmt.Sprintf(settings, s.room))})
+	require.NoError(s.t, err)
+	path := filepath.Join(s.t.TempDir(), "config.json")
+	require.NoError(s.t, os.WriteFile(path, config, 0o600))
+	return []string{"PROXY_CONFIG=" + path, "PROXY_STATE=" + s.folder, "PROXY_DISCOVERY=" + s.discovery.Addr}
+}
+
+func (s *stage) start() *standin.Client {
+	s.t.Helper()
+	s.log = &logged{more: make(chan struct{}, 1)}
+	s.cmd = exec.Command(program)
+	s.cmd.Env, s.cmd.Stderr = append(os.Environ(), s.order()...), s.log
+	require.NoError(s.t, s.cmd.Start())
+	s.ended = make(chan error, 1)
+	cmd, ended := s.cmd, s.ended
+	go func() { ended <- cmd.Wait() }()
+	s.t.Cleanup(func() { cmd.Process.Kill() })
+	s.await(`"message":"ready"`)
+	_, text, _ := strings.Cut(s.log.text.String(), `"listen":"`)
+	s.listen, _, _ = strings.Cut(text, `"`)
+	return s.client()
+}
+
+func (s *stage) client() *standin.Client {
+	c, err := standin.NewClient(s.listen)
+	require.NoError(s.t, err)
+	s.say(c, standin.Command("PING"), "+PONG")
+	return c
+}
+
+func (s *stage) say(c *standin.Client, raw, want string) {
+	s.t.Helper()
+	got, err := c.Say(raw)
+	require.NoError(s.t, err)
+	require.Equal(s.t, want, got)
+}
+
+func (s *stage) put(c *standin.Client, key, id, names, want string) {
+	s.t.Helper()
+	s.say(c, standin.Command("MSG.PUT", key, id, names, "body of "+id), want)
+}
+
+func (s *stage) kill() {
+	s.cmd.Process.Kill()
+	<-s.ended
+}
+
+func (s *stage) call() standin.Call {
+	s.t.Helper()
+	select {
+	case c := <-s.target.Calls:
+		return c
+	case <-time.After(20 * time.Second):
+		s.t.Fatalf("no call came; log:\n%s", s.log.text.String())
+	}
+	panic("unreachable")
+}
+
+func (s *stage) notice() standin.Notice {
+	s.t.Helper()
+	select {
+	case n := <-s.discovery.Notices:
+		return n
+	case <-time.After(20 * time.Second):
+		s.t.Fatalf("no notice came; log:\n%s", s.log.text.String())
+	}
+	panic("unreachable")
+}
+
+const zero = "0000000000000000"
+
+func TestADocumentReachesItsTargetUnchanged(t *testing.T) {
+	s := newStage(t, "single")
+	c := s.start()
+	body := "any\x00bytes\r\n\xff" + strings.Repeat("x", 60<<10)
+	s.say(c, standin.Command("MSG.PUT", zero, "d1", "c=status,d=8000,dest=7", body), "+OK")
+	require.Equal(t, standin.Call{Target: s.target.Addr, ID: "d1", IDs: []string{"d1"}, Body: body, Path: "/hook"}, s.call())
+	s.put(c, "5", "d2", "c=ticket,d=8000,dest=7,k=m2,r=1,again=1", "+OK")
+	require.Equal(t, "m2", s.call().Mark)
+}
+
+func TestCommandsMayComeInPiecesOrSeveralAtOnce(t *testing.T) {
+	s := newStage(t, "single")
+	c := s.start()
+	raw := standin.Command("MSG.PUT", zero, "d1", "c=status,d=8000,dest=7", "b")
+	c.Write([]byte(raw[:20]))
+	s.say(s.client(), standin.Command("PING"), "+PONG") // the piece has been read by now
+	s.say(c, raw[20:]+standin.Command("PING")+standin.Command("NONSENSE"), "+OK")
+	for _, want := range []string{"+PONG", "-ERR unknown command"} {
+		got, err := c.Hear()
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	require.Equal(t, "d1", s.call().ID)
+}
+
+func TestBadInputTakesNothingOnAndHarmsNobody(t *testing.T) {
+	s := newStage(t, "single")
+	c := s.start()
+	for names, want := range map[string]string{
+		"c=unheard,d=8000,dest=7": "-ERR unknown type of document", "c=status,d=soon,dest=7": "-ERR d is not a time in milliseconds",
+		"c=status,dest=7": "-ERR d or dest is missing", "c=status,d=0,dest=7": "-BUSY 1000"} {
+		s.put(c, zero, "d1", names, want)
+	}
+	s.say(s.client(), "GET / HTTP/1.1\r\n\r\n", "-ERR not an array of bulk strings")
+	s.say(s.client(), "*5\r\n$99999999\r\n", "-ERR command over the limit")
+	s.put(c, zero, "d2", "c=status,d=8000,dest=7", "+OK")
+	require.Equal(t, "d2", s.call().ID)
+}
+
+func TestSeveralDocumentsTravelAsOneCallWithAnEndForEach(t *testing.T) {
+	s := newStage(t, "several")
+	hold := make(chan struct{})
+	s.target.Do(func(c standin.Call) standin.Reply { return standin.Reply{Hold: hold} })
+	c := s.start()
+	var first []string
+	for i := range 2 { // both places of the target are taken
+		s.put(c, zero, fmt.Sprint("d", i), "c=status,d=8000,dest=7", "+OK")
+		first = append(first, s.call().ID)
+	}
+	for i := range 3 {
+		s.put(c, zero, fmt.Sprint("e", i), "c=status,d=8000,dest=7", "+OK")
+	}
+	s.target.Do(func(c standin.Call) standin.Reply {
+		if len(c.IDs) < 3 {
+			return standin.Reply{}
+		}
+		return standin.Reply{Body: `[{"id":"e0","state":"ok"},{"id":"e1","state":"later"},{"id":"e2","state":"gone"}]`}
+	})
+	close(hold)
+	require.Equal(t, []string{"d0", "d1"}, first)
+	require.Equal(t, []string{"e0", "e1", "e2"}, s.call().IDs)
+	require.Equal(t, []string{"e1"}, s.call().IDs)
+}
+
+func TestWhatIsNotDeliveredEndsByANoticeSentUntilItIsAnswered(t *testing.T) {
+	s := newStage(t, "single")
+	s.target.Do(func(standin.Call) standin.Reply { return standin.Reply{Break: true} })
+	s.discovery.Deaf(true)
+	c := s.start()
+	s.put(c, zero, "p1", "c=payment,d=8000,dest=7", "+OK") // it may have run and must not run twice
+	s.call()
+	s.await("notices not answered")
+	s.discovery.Deaf(false)
+	require.Equal(t, standin.Notice{ID: "p1", State: "failed"}, s.notice())
+	s.put(c, zero, "s1", "c=status,d=300,dest=9", "+OK") // a destination that the list does not have
+	n := s.notice()
+	require.Equal(t, "returned", n.State)
+	require.Empty(t, s.target.Calls)
+}
+
+func TestAFullRoomAndAFullLedgerAreRefusals(t *testing.T) {
+	s := newStage(t, "single")
+	s.target.Do(func(standin.Call) standin.Reply { return standin.Reply{Hold: make(chan struct{})} })
+	s.room, s.diskMB = 20, 1
+	c := s.start()
+	big, answers := strings.Repeat("x", 60<<10), map[string]int{}
+	for i := range 10 {
+		got, err := c.Put(zero, fmt.Sprint("d", i), "c=status,d=8000,dest=7", big)
+		require.NoError(t, err)
+		answers[got]++
+	}
+	require.Greater(t, answers["+OK"], 2)
+	require.Greater(t, answers["-BUSY 1000"], 2)
+	files, err := os.ReadDir(s.folder)
+	require.NoError(t, err)
+	size := int64(0)
+	for _, f := range files {
+		info, err := f.Info()
+		require.NoError(t, err)
+		size += info.Size()
+	}
+	require.Less(t, size, int64(1_000_000))
+}
+
+// The process is killed with a document delivered, one out that may run again, one out that may not, and one held
+// behind another of its key; the next process ends each exactly once and in order.
+func TestAKilledForwarderOwesWhatItHadTakenOn(t *testing.T) {
+	s := newStage(t, "single")
+	hold := make(chan struct{})
+	s.target.Do(func(c standin.Call) standin.Reply {
+		if c.ID == "done" {
+			return standin.Reply{}
+		}
+		return standin.Reply{Hold: hold}
+	})
+	c := s.start()
+	s.put(c, zero, "done", "c=status,d=20000,dest=7", "+OK")
+	require.Equal(t, "done", s.call().ID)
+	s.put(c, "5", "k1", "c=ticket,d=20000,dest=7,k=m1", "+OK")
+	require.Equal(t, "k1", s.call().ID)
+	s.put(c, zero, "pay", "c=payment,d=20000,dest=7", "+OK")
+	require.Equal(t, "pay", s.call().ID)
+	s.put(c, "5", "k2", "c=ticket,d=20000,dest=7,k=m2", "+OK")
+	s.kill()
+	s.target.Do(nil)
+	s.start()
+	require.Equal(t, standin.Notice{ID: "pay", State: "failed"}, s.notice())
+	require.Equal(t, []string{"k1", "k2"}, []string{s.call().ID, s.call().ID})
+	s.stop()
+	require.Empty(t, s.target.Calls)
+	require.Empty(t, s.discovery.Notices)
+	require.True(t, s.log.has(`"owed":0`), s.log.text.String())
+}
+
+func (s *stage) stop() {
+	s.t.Helper()
+	asked := time.Now()
+	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(s.t, <-s.ended, "the program ends by itself with status 0")
+	require.Less(s.t, time.Since(asked), 3700*time.Millisecond)
+}
+
+func TestAnAnswerThatWasNotHeardIsToldAgainByTheNextProcess(t *testing.T) {
+	s := newStage(t, "single")
+	s.target.Do(func(standin.Call) standin.Reply { return standin.Reply{Break: true} })
+	s.discovery.Deaf(true)
+	c := s.start()
+	s.put(c, zero, "p1", "c=payment,d=20000,dest=7", "+OK")
+	s.call()
+	s.await("notices not answered")
+	s.kill()
+	s.discovery.Deaf(false)
+	s.start()
+	require.Equal(t, standin.Notice{ID: "p1", State: "failed"}, s.notice())
+	require.Empty(t, s.target.Calls)
+}
+
+func TestAStoppingForwarderServesFinishesAndKeepsTheRest(t *testing.T) {
+	s := newStage(t, "single")
+	hold := make(chan struct{})
+	s.target.Do(func(c standin.Call) standin.Reply { return standin.Reply{Hold: hold} })
+	c := s.start()
+	s.put(c, zero, "out", "c=status,d=20000,dest=7", "+OK")
+	s.call()
+	s.put(c, zero, "far", "c=status,d=20000,dest=9", "+OK") // no target yet
+	require.NoError(t, s.cmd.Process.Signal(syscall.SIGTERM))
+	s.await(`"message":"stopping"`)
+	s.put(c, zero, "late", "c=status,d=20000,dest=7", "+OK")
+	s.put(s.client(), zero, "later", "c=status,d=20000,dest=7", "+OK")
+	close(hold)
+	require.ElementsMatch(t, []string{"late", "later"}, []string{s.call().ID, s.call().ID})
+	_, err := c.Hear()
+	require.Error(t, err, "the client is to go elsewhere")
+	require.NoError(t, <-s.ended)
+	require.True(t, s.log.has(`"owed":1`), s.log.text.String())
+	s.discovery.Set(standin.Entry{UID: "s2", Endpoint: s.target.Addr, Zone: "a", Kind: "single", Dest: 9, State: "active"})
+	s.start()
+	require.Equal(t, "far", s.call().ID)
+}
+
+func TestChangesOfTheListAreFollowed(t *testing.T) {
+	s := newStage(t, "single")
+	c := s.start()
+	s.put(c, zero, "d1", "c=status,d=20000,dest=8", "+OK")
+	s.discovery.Set(standin.Entry{UID: "s2", Endpoint: s.target.Addr, Zone: "a", Kind: "single", Dest: 8, State: "active"})
+	require.Equal(t, "d1", s.call().ID)
+}
+
+func TestAWrongOrderIsOnePlainLineBeforeAnythingListens(t *testing.T) {
+	s := newStage(t, "single")
+	for _, c := range []struct{ env, says string }{{"PROXY_CONFIG=", "PROXY_CONFIG is not set"},
+		{"PROXY_CONFIG=/nowhere", "PROXY_CONFIG: open /nowhere"}, {"PROXY_STATE=/nowhere", "PROXY_STATE: stat /nowhere"},
+		{"PROXY_DISCOVERY=here", `discovery: "here" is not an address with a port`}} {
+		cmd := exec.Command(program)
+		cmd.Env = append(append(os.Environ(), s.order()...), c.env)
+		out, err := cmd.CombinedOutput()
+		require.Error(t, err)
+		require.Contains(t, string(out), "spanflow: "+c.says)
+		require.Equal(t, 1, strings.Count(string(out), "\n"))
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -84,11 +84,16 @@
 // WatchEnded says that the list stopped coming.
 func (x *Exchange) WatchEnded(why string) { x.leave(watchEnded(why)) }
 
+// NoticesLost says that notices will be sent once more.
+func (x *Exchange) NoticesLost(why string) { x.leave(noticesLost(why)) }
+
 // Told says which notices were answered.
 func (x *Exchange) Told(doors []uint64) { x.leave(told(doors)) }
 
 type (
 	watchEnded string
 	told       []uint64
-	stopping   time.Duration
+
+	noticesLost string
+	stopping    time.Duration
 )
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 
 	"spanflow/choice"
@@ -37,6 +38,7 @@
 	runtime.GOMAXPROCS(max(1, int(order.Cores)))
 	debug.SetMemoryLimit(int64(order.MemoryMB) << 20 * 6 / 10)
 
+	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
 	led, err := ledger.Open(order.Folder, int64(order.DiskMB)*1_000_000)
@@ -53,12 +55,12 @@
 	if err != nil {
 		return err
 	}
-	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
+	order.Terms.Keep, order.Terms.Clients, order.Terms.Confirmed = led.Room(), room/2, true
 	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
 	x := newExchange()
 	o := &owner{order: order, log: log, exchange: x, ledger: led, epoch: time.Now(),
-		docs: map[uint64]*paper{}, byUID: map[string]*target{}, types: map[string]int{}}
-	o.dests = map[uint64]*choice.Destination{}
+		docs: map[uint64]*paper{}, byUID: map[string]*target{}, types: map[string]int{},
+		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}}
 	for i, name := range order.Fronts.Types {
 		o.types[name] = i
 	}
@@ -66,16 +68,20 @@
 		KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second))})
 	o.dir = directory.New(dialer, order.Discovery, connect, x)
 	o.begin(o.epoch)
-	in, err := intake.Open(order.Listen, room/2, x)
+	in, err := intake.Open(order.Listen, order.Terms.Clients, order.Terms.Clients+room/8, x)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	o.intake = in
 	log.Info().Str("listen", in.Addr()).Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).
 		Int("targets", len(o.targets)).Msg("ready")
 	if ready != nil {
 		ready(in.Addr())
 	}
 	o.serve(ctx, in, dialer)
+	o.dir.Stop()
+	in.Stop()
+	dialer.Stop()
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
@@ -97,9 +103,9 @@
 		case <-o.exchange.bell:
 		case <-timer.C:
 		case <-report.C:
-			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", in.Clients()).
-				Int("most_clients", in.Peak).Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).
-				Int("idle_lines", o.outlet.Idle()).Int64("disk", o.ledger.Used()).Msg("counts")
+			clients, most := in.Clients()
+			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", clients).Int("most_clients", most).
+				Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", o.outlet.Idle()).Int64("disk", o.ledger.Used()).Msg("counts")
 			continue
 		case <-asked:
 			asked = nil
@@ -113,7 +119,7 @@
 			o.turn()
 			return
 		}
-		if o.turn() && coming == nil && in.Clients() == 0 {
+		if clients, _ := in.Clients(); o.turn() && coming == nil && clients == 0 {
 			return
 		}
 	}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -34,6 +34,8 @@
 	rev      int64
 	wakeAt   time.Time // zero: none set
 	calls    []*outlet.Call
+	intake   *intake.Intake
+	unknown  map[string]bool // names that came with documents
 	counts   counts
 	quiet    time.Time // no log line about delay before
 }
@@ -62,6 +64,7 @@
 	slowTurn   = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
 	slowPause  = time.Second            // between two such lines
 	refuseMost = 9_999_999              // milliseconds
+	mostNames  = 16                     // unknown names that get a line
 )
 
 func (o *owner) clock(t time.Time) float64 {
@@ -88,6 +91,9 @@
 			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
 		}
 		p := o.paper(e, typ)
+		if past.Answered = e.Answer != ledger.None; past.Answered {
+			o.notify(p, e.Answer, e.After)
+		}
 		o.f.Recover(p.doc, typ, float64(e.Expiry)/1e6-o.clock(now), past)
 		o.counts.recovered++
 	}
@@ -142,6 +148,8 @@
 		o.ended(n)
 	case *directory.List:
 		o.listed(n, n.All)
+	case noticesLost:
+		o.log.Warn().Str("why", string(n)).Msg("notices not answered")
 	case watchEnded:
 		o.log.Warn().Str("why", string(n)).Msg("watch ended")
 		o.f.ListFailed()
@@ -181,13 +189,18 @@
 	}
 	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: len(o.order.Terms.TenantQuota), Type: in.Type, ID: in.ID,
 		Mark: in.Mark, Body: in.Body, Expiry: time.Now().UnixMicro() + micros(in.Left)}
-	if taken, back := o.f.Admit(e.Size(), in.Left); !taken {
+	if in.Unknown != "" && !o.unknown[in.Unknown] && len(o.unknown) < mostNames {
+		o.unknown[in.Unknown] = true
+		o.log.Warn().Str("name", in.Unknown).Msg("unknown name with a document")
+	}
+	clients, _ := o.intake.Clients()
+	if taken, back := o.f.Admit(e.Size(), in.Left, clients); !taken {
 		o.counts.refused++
 		return resp.Busy(min(int(back*1000), refuseMost))
 	}
 	if err := o.ledger.Take(e); err != nil {
 		o.log.Error().Err(err).Msg("ledger cannot be written")
-		return resp.Failure("ERR it cannot be kept")
+		return resp.Busy(0)
 	}
 	p := o.paper(e, typ)
 	o.f.Take(p.doc, typ, in.Left)
@@ -332,12 +345,24 @@
 
 func (o *owner) Reject(d *choice.Doc, comeBack float64) {
 	o.counts.returned++
-	o.dir.Notify(directory.Notice{Door: d.Door, ID: o.docs[d.Door].ID, Returned: true, After: comeBack})
+	o.answer(o.docs[d.Door], ledger.Returned, int(comeBack*1000))
 }
 
 func (o *owner) Abandon(d *choice.Doc) {
 	o.counts.abandoned++
-	o.dir.Notify(directory.Notice{Door: d.Door, ID: o.docs[d.Door].ID})
+	o.answer(o.docs[d.Door], ledger.Abandoned, 0)
+}
+
+// answer records a final answer and tells it.
+func (o *owner) answer(p *paper, a ledger.Answer, after int) {
+	if err := o.ledger.Answer(p.Door, a, after); err != nil {
+		o.log.Error().Err(err).Msg("ledger cannot be written")
+	}
+	o.notify(p, a, after)
+}
+
+func (o *owner) notify(p *paper, a ledger.Answer, after int) {
+	o.dir.Notify(directory.Notice{Door: p.Door, ID: p.ID, Returned: a == ledger.Returned, AfterMs: after})
 }
 
 func (o *owner) CloseIdle(t *choice.Target) {
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -19,6 +19,8 @@
 // ErrNoRoom is the cause of a connection for which there was no descriptor.
 var ErrNoRoom = errors.New("all descriptors for connections are taken")
 
+const stopWithin = 200 * time.Millisecond
+
 // Watcher hears what becomes of a line. Calls come from the network's goroutines;
 // Down comes exactly once, as the last, unless the owner closed the line itself.
 type Watcher interface {
@@ -71,7 +73,11 @@
 }
 
 // Stop ends all lines.
-func (d *Dialer) Stop() { d.engine.Stop() }
+func (d *Dialer) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	d.engine.Shutdown(ctx)
+}
 
 // Open tells how many lines there are.
 func (d *Dialer) Open() int { return int(d.open.Load()) }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,6 +26,7 @@
 type Desk interface {
 	Listed(*List)
 	WatchEnded(why string)
+	NoticesLost(why string)
 	Told(doors []uint64)
 }
 
@@ -52,7 +53,7 @@
 	Door     uint64
 	ID       string
 	Returned bool
-	After    float64 // seconds until the client may come again; 0 if not told
+	AfterMs  int // until the client may come again; 0 if not told
 }
 
 // Directory holds the connections to discovery.
@@ -239,12 +240,12 @@
 	for _, n := range r.out {
 		id, _ := json.Marshal(n.ID)
 		body = append(append(body, `{"id":`...), id...)
-		switch ms := int(n.After * 1000); {
+		switch {
 		case !n.Returned:
 			body = append(body, `,"state":"failed"`...)
-		case ms > 0:
+		case n.AfterMs > 0:
 			body = append(body, `,"state":"returned","after_ms":`...)
-			body = strconv.AppendInt(body, int64(ms), 10)
+			body = strconv.AppendInt(body, int64(n.AfterMs), 10)
 		default:
 			body = append(body, `,"state":"returned"`...)
 		}
@@ -252,17 +253,20 @@
 	}
 	r.reader.Reset()
 	r.line.Write(http1.End(http1.Begin(nil, "POST", "/v1/notices", d.addr), body))
-	r.timer = time.AfterFunc(d.connect+answerIn, func() { r.lost() })
+	r.timer = time.AfterFunc(d.connect+answerIn, func() { r.lost("no answer") })
 }
 
 // lost puts the notices of a call back and makes it again a little later. A notice told twice does no harm.
-func (r *report) lost() {
+func (r *report) lost(why string) {
 	d := r.dir
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.out != r {
 		return
 	}
+	if len(r.out) > 0 {
+		d.desk.NoticesLost(why)
+	}
 	r.drop()
 	time.AfterFunc(againIn, func() {
 		d.mu.Lock()
@@ -287,13 +291,13 @@
 	d.mu.Lock()
 	if d.out != r || len(r.out) == 0 {
 		d.mu.Unlock()
-		r.lost()
+		r.lost("unasked answer")
 		return
 	}
 	_, whole, err := r.reader.Feed(b, r)
 	if err != nil || whole && r.code/100 != 2 {
 		d.mu.Unlock()
-		r.lost()
+		r.lost(fmt.Sprintf("answered %d", r.code))
 		return
 	}
 	if whole {
@@ -312,7 +316,7 @@
 	d.mu.Unlock()
 }
 
-func (r *report) Down(error) { r.lost() }
+func (r *report) Down(cause error) { r.lost(fmt.Sprint(cause)) }
 
 func (r *report) Status(code int)          { r.code = code }
 func (r *report) Field(name, value []byte) {}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,11 +3,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lesismal/nbio"
 
@@ -38,6 +41,8 @@
 	Left  float64 // seconds
 	Body  []byte
 	Again bool // a forwarder that died or did not answer had it
+
+	Unknown string // a name among those with values that is not known here
 }
 
 // Client is one connection.
@@ -46,28 +51,64 @@
 	conn    *nbio.Conn
 	reader  resp.Reader
 	asked   atomic.Int32 // commands without an answer
+	partial atomic.Bool  // a command is read in part
 	gone    atomic.Bool
+	mute    bool  // what came could not be understood: nothing more is read
 	turn    int64 // of its latest command, under the intake's lock
-	refused bool  // over the bound
 }
 
+// quiet tells that closing the connection takes no answer from anybody.
+func (c *Client) quiet() bool { return c.asked.Load() == 0 && !c.partial.Load() }
+
 // Intake holds the clients' connections.
 type Intake struct {
 	engine  *nbio.Engine
 	desk    Desk
-	most    int
+	most    int // from here on the connection that has been quiet for the longest is closed for each new one
+	hard    int // from here on new ones are turned away unread, so that descriptors do not run out
 	mu      sync.Mutex
 	clients map[*Client]struct{}
 	clock   int64
 	leaving bool
-	Peak    int
+	peak    int
+}
+
+// door is the listener; it turns connections away before nbio knows of them.
+type door struct {
+	net.Listener
+	intake *Intake
+}
+
+const (
+	acceptPause = 20 * time.Millisecond // after a failed accept, for want of descriptors say
+	stopWithin  = 200 * time.Millisecond
+)
+
+func (d door) Accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				time.Sleep(acceptPause)
+			}
+			return nil, err
+		}
+		if n, _ := d.intake.Clients(); n < d.intake.hard {
+			return c, nil
+		}
+		c.Close()
+	}
 }
 
-// Open listens at an address; most bounds the connections.
-func Open(addr string, most int, desk Desk) (*Intake, error) {
-	in := &Intake{desk: desk, most: most, clients: map[*Client]struct{}{}}
+// Open listens at an address; most and hard bound the connections.
+func Open(addr string, most, hard int, desk Desk) (*Intake, error) {
+	in := &Intake{desk: desk, most: most, hard: hard, clients: map[*Client]struct{}{}}
 	in.engine = nbio.NewEngine(nbio.Config{Name: "intake", Network: "tcp", Addrs: []string{addr}, NPoller: 1,
-		ReadBufferSize: 72 << 10, MaxWriteBufferSize: 256 << 10, MaxConnReadTimesPerEventLoop: 8})
+		ReadBufferSize: 72 << 10, MaxWriteBufferSize: 256 << 10, MaxConnReadTimesPerEventLoop: 8,
+		Listen: func(network, addr string) (net.Listener, error) {
+			l, err := net.Listen(network, addr)
+			return door{l, in}, err
+		}})
 	in.engine.OnOpen(in.opened)
 	in.engine.OnClose(func(c *nbio.Conn, _ error) {
 		if cl, ok := c.Session().(*Client); ok {
@@ -89,7 +130,11 @@
 func (in *Intake) Addr() string { return in.engine.Addrs[0] }
 
 // Stop ends all connections and stops listening.
-func (in *Intake) Stop() { in.engine.Stop() }
+func (in *Intake) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	in.engine.Shutdown(ctx)
+}
 
 // Leave closes each connection as soon as it has no command without an answer, so that clients go elsewhere.
 func (in *Intake) Leave() {
@@ -97,7 +142,7 @@
 	in.leaving = true
 	var quiet []*Client
 	for c := range in.clients {
-		if c.asked.Load() == 0 {
+		if c.quiet() {
 			quiet = append(quiet, c)
 		}
 	}
@@ -107,11 +152,11 @@
 	}
 }
 
-// Clients tells how many connections there are.
-func (in *Intake) Clients() int {
+// Clients tells how many connections there are, and how many there were at most.
+func (in *Intake) Clients() (now, peak int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return len(in.clients)
+	return len(in.clients), in.peak
 }
 
 // opened makes room for a connection over the bound by closing the one that has been quiet for the longest, which a
@@ -119,32 +164,24 @@
 func (in *Intake) opened(conn *nbio.Conn) {
 	c := &Client{intake: in, conn: conn}
 	conn.SetSession(c)
-	conn.SetNoDelay(true)
 	in.mu.Lock()
 	var oldest *Client
 	if len(in.clients) >= in.most {
 		for o := range in.clients {
-			if o.asked.Load() == 0 && o.reader.Waiting() == 0 && (oldest == nil || o.turn < oldest.turn) {
+			if o.quiet() && (oldest == nil || o.turn < oldest.turn) {
 				oldest = o
 			}
 		}
-		c.refused = oldest == nil
-	}
-	if oldest != nil {
 		delete(in.clients, oldest)
 	}
 	in.clock++
 	c.turn = in.clock
 	in.clients[c] = struct{}{}
-	in.Peak = max(in.Peak, len(in.clients))
+	in.peak = max(in.peak, len(in.clients))
 	in.mu.Unlock()
 	if oldest != nil {
 		oldest.conn.Close()
 	}
-	if c.refused {
-		conn.Write(resp.Failure("ERR too many connections"))
-		conn.Close()
-	}
 }
 
 func (in *Intake) closed(c *Client) {
@@ -155,7 +192,7 @@
 }
 
 func (in *Intake) data(c *Client, b []byte) {
-	if c.gone.Load() || c.refused {
+	if c.mute {
 		return
 	}
 	in.mu.Lock()
@@ -167,8 +204,9 @@
 		in.desk.Ask(command(c, args))
 		return nil
 	})
+	c.partial.Store(c.reader.Waiting() > 0)
 	if err != nil {
-		c.gone.Store(true) // nothing more is read
+		c.mute = true
 		c.asked.Add(1)
 		in.desk.Ask(Asked{Client: c, Error: "ERR " + err.Error(), Last: true})
 	}
@@ -232,6 +270,9 @@
 			}
 		case "again":
 			p.Again = value == "1"
+		case "r", "":
+		default:
+			p.Unknown = name
 		}
 	}
 	if p.Left < 0 || !dest {
@@ -246,11 +287,11 @@
 // Answer writes the answer to the oldest command without one. It tells if the connection stood.
 func (c *Client) Answer(b []byte, last bool) bool {
 	_, err := c.conn.Write(b)
-	left := c.asked.Add(-1)
+	c.asked.Add(-1)
 	c.intake.mu.Lock()
 	leaving := c.intake.leaving
 	c.intake.mu.Unlock()
-	if last || leaving && left == 0 {
+	if last || leaving && c.quiet() {
 		c.conn.Close()
 	}
 	return err == nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,16 +19,17 @@
 	block     = 512      // a file counts in whole blocks
 	parts     = 16       // the space is used in so many files
 	mostEntry = 72 << 10 // the largest record
-	overhead  = 96       // bytes that a document takes beside its body, mark and id
+	overhead  = 104      // bytes that a document takes beside its body, mark and id
 	header    = 9        // length, checksum, kind
 	suffix    = ".ledger"
 )
 
 const (
-	kindEntry = iota + 1 // a document with all that is known of it
-	kindOut              // a transmission is about to begin
-	kindBack             // a transmission has ended, the document has not
-	kindOver             // nothing more is owed
+	kindEntry  = iota + 1 // a document with all that is known of it
+	kindOut               // a transmission is about to begin
+	kindBack              // a transmission has ended, the document has not
+	kindOver              // nothing more is owed
+	kindAnswer            // the final answer is about to be told
 )
 
 // ErrFull says that the ledger holds as much as it may.
@@ -49,11 +50,22 @@
 	RanZone int
 	Out     int64 // begin of the transmission that is out
 	OutZone int
+	Answer  Answer
+	After   int // with Returned: milliseconds until the client may come again
 	Body    []byte
 
 	file int // number of the file with its record
 }
 
+// Answer is the final answer of a document that is not delivered.
+type Answer uint8
+
+const (
+	None Answer = iota
+	Returned
+	Abandoned
+)
+
 // Size is what an entry takes of the ledger's room.
 func (e *Entry) Size() int { return len(e.Body) + len(e.Mark) + len(e.ID) + len(e.Type) + overhead }
 
@@ -191,6 +203,17 @@
 	return l.append(append(b, 0))
 }
 
+// Answer records the final answer, before it is told.
+func (l *Ledger) Answer(seq uint64, a Answer, after int) error {
+	e := l.entries[seq]
+	if e == nil {
+		return nil
+	}
+	e.Answer, e.After = a, after
+	b := append(binary.LittleEndian.AppendUint64(l.begin(kindAnswer), seq), byte(a))
+	return l.append(binary.LittleEndian.AppendUint32(b, uint32(after)))
+}
+
 // Over records that nothing more is owed for a document.
 func (l *Ledger) Over(seq uint64) error {
 	e := l.entries[seq]
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -10,14 +10,14 @@
 	for _, v := range []uint64{e.Seq, e.Key, e.Dest, uint64(e.Expiry), uint64(e.Ran), uint64(e.Out)} {
 		b = binary.LittleEndian.AppendUint64(b, v)
 	}
-	for _, v := range []int{e.Tenant, e.Sent, e.RanZone, e.OutZone, len(e.Type), len(e.ID), len(e.Mark), len(e.Body)} {
+	for _, v := range []int{e.Tenant, e.Sent, e.RanZone, e.OutZone, int(e.Answer), e.After, len(e.Type), len(e.ID), len(e.Mark), len(e.Body)} {
 		b = binary.LittleEndian.AppendUint32(b, uint32(v))
 	}
 	b = append(append(append(b, e.Type...), e.ID...), e.Mark...)
 	return append(b, e.Body...)
 }
 
-const fixed = 6*8 + 8*4
+const fixed = 6*8 + 10*4
 
 // decode reads an entry's record, nil if it is none.
 func decode(b []byte) *Entry {
@@ -27,8 +27,9 @@
 	long := func(i int) uint64 { return binary.LittleEndian.Uint64(b[8*i:]) }
 	word := func(i int) int { return int(binary.LittleEndian.Uint32(b[48+4*i:])) }
 	e := &Entry{Seq: long(0), Key: long(1), Dest: long(2), Expiry: int64(long(3)), Ran: int64(long(4)),
-		Out: int64(long(5)), Tenant: word(0), Sent: word(1), RanZone: word(2), OutZone: word(3)}
-	sizes := [4]int{word(4), word(5), word(6), word(7)}
+		Out: int64(long(5)), Tenant: word(0), Sent: word(1), RanZone: word(2), OutZone: word(3),
+		Answer: Answer(word(4)), After: word(5)}
+	sizes := [4]int{word(6), word(7), word(8), word(9)}
 	if sizes[0]+sizes[1]+sizes[2]+sizes[3] != len(b)-fixed {
 		return nil
 	}
@@ -97,6 +98,8 @@
 		e.sent(int64(binary.LittleEndian.Uint64(b[8:])), int(binary.LittleEndian.Uint32(b[16:])))
 	case kind == kindBack && len(b) == 9:
 		e.back(b[8] == 1)
+	case kind == kindAnswer && len(b) == 13:
+		e.Answer, e.After = Answer(b[8]), int(binary.LittleEndian.Uint32(b[9:]))
 	case kind == kindOver && len(b) == 8:
 		delete(l.entries, seq)
 	default:
