--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,6 +25,7 @@
 	killAfter     = 3700 * time.Millisecond // after the word to stop, a forwarder may be killed
 	killMargin    = 500 * time.Millisecond  // what is left of it for the end itself
 	comingFor     = 500 * time.Millisecond  // new connections may still come for so long
+	lookEvery     = 20 * time.Millisecond
 	countsEvery   = 10 * time.Second
 	descriptors   = 32 // for files, pollers and the like
 	connectAtMost = 30 * time.Second
@@ -92,7 +93,7 @@
 	report := time.NewTicker(countsEvery)
 	defer report.Stop()
 	asked := ctx.Done()
-	var coming, end <-chan time.Time
+	var coming, end, look <-chan time.Time
 	for {
 		if o.wakeAt.IsZero() {
 			timer.Stop()
@@ -115,6 +116,8 @@
 		case <-coming:
 			coming = nil
 			in.Leave()
+			look = time.Tick(lookEvery)
+		case <-look: // if the clients have gone
 		case <-end:
 			o.turn()
 			return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -192,13 +192,13 @@
 }
 
 func (in *Intake) data(c *Client, b []byte) {
-	if c.mute {
-		return
-	}
 	in.mu.Lock()
 	in.clock++
 	c.turn = in.clock
 	in.mu.Unlock()
+	if c.mute {
+		return
+	}
 	err := c.reader.Feed(b, func(args [][]byte) error {
 		c.asked.Add(1)
 		in.desk.Ask(command(c, args))
