Take back calls whose first byte is unsent when a wait is told or a target drains; tenants by name

Seen: reading the protocol against internal/outlet: a call that waits up to ConnectTimeout (1.5 s) for its connection may send its first byte after the grace of a drain (0.5 to 2 s) or 100 ms after a told wait. At fault: Outlet.Send kept such a call until its own time-out. Host.Recall ends it before its first byte, as Moot; what has begun to be sent stays out.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,17 +39,6 @@
 	blip       = 3.0  // seconds of silence that are no outage
 )
 
-// New starts a forwarder.
-func New(terms Terms, seed uint64, now float64, host Host) *Forwarder {
-	f := &Forwarder{terms: terms, host: host, dice: newChance(seed), now: now, began: now,
-		chains: map[uint64]*chain{}, wake: math.Inf(1), askAt: math.Inf(1),
-		spent: make([]float64, len(terms.TenantQuota))}
-	if terms.AskList {
-		f.askAt = now
-	}
-	return f
-}
-
 // NewDestination is called by the adapter at the first mention of a destination.
 func (f *Forwarder) NewDestination(door uint64) *Destination {
 	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well",
@@ -75,7 +64,9 @@
 		if t.standing == Gone && l.Standing == Ready && f.now > f.began {
 			t.next = f.now + f.dice.unit()*0.3 // all forwarders hear of a new target at about the same time
 		}
-		f.hear(d)
+		if f.hear(d); l.Standing != Ready && len(t.calls) > 0 {
+			f.recall = append(f.recall, t)
+		}
 		t.zone, t.standing, d.batch = l.Zone, l.Standing, 1
 		if l.Kind < len(f.terms.KindBatch) {
 			d.batch = max(1, f.terms.KindBatch[l.Kind])
@@ -100,8 +91,7 @@
 	}
 }
 
-// Admit tells if a document of so many bytes, with so much time left, is taken on while so many clients are
-// connected, or when to come back with it.
+// Admit tells if a document is taken on, or when to come back with it.
 func (f *Forwarder) Admit(size int, left float64, clients int) (taken bool, comeBack float64) {
 	full := len(f.held) >= f.terms.Room || f.terms.Keep > 0 && f.kept+size > f.terms.Keep
 	if full || left <= lastCall || f.terms.Clients > 0 && clients > f.terms.Clients {
@@ -110,7 +100,7 @@
 	return true, 0
 }
 
-// Recover takes a document that an earlier process of this forwarder had taken on; call it in the order of taking.
+// Recover takes a document that an earlier process of this forwarder had taken on, in the order of taking.
 // What was out then may have run and is a retry now; what has no way left is answered by the next settling.
 func (f *Forwarder) Recover(d *Doc, typ int, left float64, past Past) {
 	f.Take(d, typ, left)
@@ -124,8 +114,8 @@
 	}
 }
 
-// Stop says that the process ends after so long. No call begins that is likely to be out then: what is held stays
-// owed, and the next process takes it up. Guards against calls cut off that may have run. Hurts when none follows.
+// Stop says that the process ends after so long. No call begins that is likely to be out then: what is held
+// stays owed for the next process. Guards against cutting calls off. Hurts when no process follows.
 func (f *Forwarder) Stop(in float64) { f.until = f.now + in }
 
 // Done tells a stopping process that nothing is left to wait for.
@@ -190,7 +180,13 @@
 			f.unplug = append(f.unplug, t)
 		}
 	}
+	// What is on its way while a wait is told, but not sent, comes too late: connecting can take long.
 	if e.Outcome == Full && e.Wait > 0 { // each document of a call may be told its own
+		for _, o := range t.dest.targets {
+			if o.route == t.route && len(o.calls) > 0 {
+				f.recall = append(f.recall, o)
+			}
+		}
 		t.route.closed = math.Max(t.route.closed, f.now+e.Wait+0.002+0.05*f.dice.unit())
 	}
 	if !c.noted {
@@ -685,6 +681,9 @@
 
 // emit brings the present state to the wanted one: transmissions, answers, the list, the next wake-up.
 func (f *Forwarder) emit() {
+	for _, t := range f.recall {
+		f.host.Recall(t)
+	}
 	for _, d := range f.changed {
 		switch d.want {
 		case wantOut:
@@ -700,7 +699,7 @@
 		f.host.CloseIdle(t)
 		t.kept = false
 	}
-	f.changed, f.unplug = f.changed[:0], f.unplug[:0]
+	f.changed, f.unplug, f.recall = f.changed[:0], f.unplug[:0], f.recall[:0]
 	if f.now >= f.askAt {
 		f.askAt = math.Inf(1)
 		f.host.Watch()
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -10,7 +10,9 @@
 	done map[*Doc]string
 	back map[*Doc]float64
 	asks int
-	log  []string
+
+	recalled []*Target
+	log      []string
 }
 
 type transmission struct {
@@ -92,6 +94,7 @@
 }
 func (h *fake) Reject(d *Doc, comeBack float64) { h.done[d] += "rejected"; h.back[d] = comeBack }
 func (h *fake) Abandon(d *Doc)                  { h.done[d] += "abandoned" }
+func (h *fake) Recall(t *Target)                { h.recalled = append(h.recalled, t) }
 func (h *fake) CloseIdle(t *Target)             { h.log = append(h.log, fmt.Sprint("close ", t.Door)) }
 func (h *fake) Wake(float64)                    {}
 func (h *fake) Watch()                          { h.asks++ }
--- a/choice/port.go
+++ b/choice/port.go
@@ -97,6 +97,7 @@
 	Transmit(d *Doc, t *Target, timeout float64)
 	Reject(d *Doc, comeBack float64)
 	Abandon(d *Doc)
+	Recall(t *Target) // ends the calls to a target of which nothing has been sent, as Moot
 	CloseIdle(t *Target)
 	Wake(in float64)
 	Watch()
--- a/choice/state.go
+++ b/choice/state.go
@@ -19,6 +19,7 @@
 	heard    []*Destination // with news since the last settling
 	changed  []*Doc         // whose wanted state may differ from the present one
 	spent    []float64      // per tenant: up to when its share is used
+	recall   []*Target      // whose calls are not wanted any more unless they have begun to be sent
 	unplug   []*Target      // whose idle connections are not wanted
 	out      int
 	kept     int     // bytes of documents that are not over
@@ -30,6 +31,17 @@
 	askAt    float64 // when to ask for the list; infinite while it is coming
 }
 
+// New starts a forwarder.
+func New(terms Terms, seed uint64, now float64, host Host) *Forwarder {
+	f := &Forwarder{terms: terms, host: host, dice: newChance(seed), now: now, began: now,
+		chains: map[uint64]*chain{}, wake: math.Inf(1), askAt: math.Inf(1),
+		spent: make([]float64, len(terms.TenantQuota))}
+	if terms.AskList {
+		f.askAt = now
+	}
+	return f
+}
+
 // Doc is one document held by a forwarder. The caller sets the fields in capitals, once.
 type Doc struct {
 	Door   uint64 // the adapter's id
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -57,7 +57,7 @@
 // counts are for the log.
 type counts struct {
 	taken, refused, delivered, returned, abandoned, recovered int
-	ends                                                      [outlet.Unsent + 1]int
+	ends                                                      [outlet.Recalled + 1]int
 }
 
 const (
@@ -187,7 +187,7 @@
 	if c.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
 		return nil
 	}
-	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: len(o.order.Terms.TenantQuota), Type: in.Type, ID: in.ID,
+	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: index(o.order.Fronts.Tenants, in.Tenant), Type: in.Type, ID: in.ID,
 		Mark: in.Mark, Body: in.Body, Expiry: time.Now().UnixMicro() + micros(in.Left)}
 	if in.Unknown != "" && !o.unknown[in.Unknown] && len(o.unknown) < mostNames {
 		o.unknown[in.Unknown] = true
@@ -321,7 +321,7 @@
 	o.calls = o.calls[:0]
 }
 
-// Transmit, Reject, Abandon, CloseIdle, Wake, Watch and Log make an owner the choice.Host.
+// Transmit, Reject, Abandon, Recall, CloseIdle, Wake, Watch and Log make an owner the choice.Host.
 
 // Transmit adds a document to the call that is being made up for the target, as far as one call carries them.
 func (o *owner) Transmit(d *choice.Doc, to *choice.Target, timeout float64) {
@@ -365,6 +365,8 @@
 	o.dir.Notify(directory.Notice{Door: p.Door, ID: p.ID, Returned: a == ledger.Returned, AfterMs: after})
 }
 
+func (o *owner) Recall(t *choice.Target) { o.outlet.Recall(o.targets[t.Door].addr) }
+
 func (o *owner) CloseIdle(t *choice.Target) {
 	o.flush() // what was decided before takes the connections first
 	o.outlet.CloseIdle(o.targets[t.Door].addr)
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -167,6 +167,9 @@
 // Close ends the line; Down is not called for it.
 func (l *Line) Close() { l.shut() }
 
+// CloseUnlessUp ends the line if nothing can have been sent on it yet, and tells if it did.
+func (l *Line) CloseUnlessUp() bool { return l.finish(true) }
+
 // end reports the line's end, once.
 func (l *Line) end(cause error) {
 	if l.shut() {
@@ -174,9 +177,11 @@
 	}
 }
 
-func (l *Line) shut() bool {
+func (l *Line) shut() bool { return l.finish(false) }
+
+func (l *Line) finish(unlessUp bool) bool {
 	l.mu.Lock()
-	if l.over {
+	if l.over || unlessUp && l.up {
 		l.mu.Unlock()
 		return false
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -33,14 +33,16 @@
 
 // Paper is a document handed in. It holds a copy of what was read: it outlives the buffer.
 type Paper struct {
-	Key   uint64
-	ID    string
-	Type  string
-	Mark  string
-	Dest  uint64
-	Left  float64 // seconds
-	Body  []byte
-	Again bool // a forwarder that died or did not answer had it
+	Key  uint64
+	ID   string
+	Type string
+	Mark string
+	Dest uint64
+	Left float64 // seconds
+	Body []byte
+
+	Tenant string // empty if none is told
+	Again  bool   // a forwarder that died or did not answer had it
 
 	Unknown string // a name among those with values that is not known here
 }
@@ -268,6 +270,8 @@
 			if p.Mark = value; strings.ContainsAny(value, "\r\n") || len(value) > 128 {
 				return nil, errors.New("k holds bytes that it may not")
 			}
+		case "t":
+			p.Tenant = value
 		case "again":
 			p.Again = value == "1"
 		case "r", "":
--- a/internal/outlet/end.go
+++ b/internal/outlet/end.go
@@ -22,10 +22,11 @@
 	GivenUp                 // no answer in the time allowed, the call written whole
 	GivenUpEarly            // no answer in the time allowed, the call not written whole
 	Unsent                  // the forwarder itself could not begin the call
+	Recalled                // the module took the call back before its first byte
 )
 
 var names = [...]string{"took", "failed", "waiting", "turned away", "line busy", "spent", "gone", "unread", "refused",
-	"never up", "broken early", "broken", "garbled", "given up", "given up early", "unsent"}
+	"never up", "broken early", "broken", "garbled", "given up", "given up early", "unsent", "recalled"}
 
 func (e End) String() string { return names[e] }
 
@@ -41,7 +42,7 @@
 		return choice.Errored, false
 	case Waiting, TurnedAway:
 		return choice.Full, false
-	case LineBusy, Spent, Unread, Unsent:
+	case LineBusy, Spent, Unread, Unsent, Recalled:
 		return choice.Moot, false
 	case Gone:
 		return choice.Moot, true
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -10,7 +10,7 @@
 	"spanflow/internal/http1"
 )
 
-const mostAnswer = 256 << 10
+const mostAnswer = 64 << 10
 
 // Desk is where news of calls go.
 type Desk interface {
@@ -30,11 +30,12 @@
 	terms  Terms
 	mu     sync.Mutex
 	idle   map[string][]*trunk // the latest used last
+	rising map[*trunk]struct{} // whose first call may not have begun to be sent
 }
 
 // New has no connections yet.
 func New(d *dial.Dialer, desk Desk, terms Terms) *Outlet {
-	return &Outlet{dialer: d, desk: desk, terms: terms, idle: map[string][]*trunk{}}
+	return &Outlet{dialer: d, desk: desk, terms: terms, idle: map[string][]*trunk{}, rising: map[*trunk]struct{}{}}
 }
 
 // trunk is one connection to a target with at most one call on it.
@@ -62,6 +63,7 @@
 	} else {
 		t = &trunk{outlet: o, target: c.Target, reader: http1.Reader{MostBody: mostAnswer}}
 		t.line = o.dialer.Dial(c.Target, o.terms.Connect, t)
+		o.rising[t] = struct{}{}
 	}
 	t.call, t.began = c, time.Now()
 	t.answer = answer{body: t.answer.body[:0], keep: len(c.Papers) > 1}
@@ -72,6 +74,17 @@
 	t.timer = time.AfterFunc(c.Allow, func() { t.giveUp(turn) })
 }
 
+// Recall ends the calls to a target of which nothing has been sent because their connection is not up.
+func (o *Outlet) Recall(target string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for t := range o.rising {
+		if t.target == target && t.line.CloseUnlessUp() {
+			t.finish(t.same(Recalled), "")
+		}
+	}
+}
+
 // CloseIdle closes the connections to a target that carry no call.
 func (o *Outlet) CloseIdle(target string) {
 	o.mu.Lock()
@@ -202,6 +215,7 @@
 	}
 	t.call = nil
 	t.turn++
+	delete(t.outlet.rising, t)
 	t.outlet.desk.CallEnded(e)
 }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -17,8 +17,11 @@
 		Sequential                 bool
 		Slo, HardLimit, MemorySpan float64
 	}
-	Tenants []struct{ QuotaRps float64 }
-	Extra   struct {
+	Tenants []struct {
+		Name     string
+		QuotaRps float64
+	}
+	Extra struct {
 		CallsOut       int
 		KindBatch      []int
 		SeparateRoutes []bool
@@ -42,9 +45,10 @@
 // Fronts is what a front needs beside the module's terms.
 type Fronts struct {
 	Types, Zones, Kinds []string // by their numbers
-	LimitAt             int      // place of the limit among a load report's values, -1 if there is none
-	Limit               string   // its name
-	Connect             float64  // seconds in which a connection comes up or never does
+	Tenants             []string
+	LimitAt             int     // place of the limit among a load report's values, -1 if there is none
+	Limit               string  // its name
+	Connect             float64 // seconds in which a connection comes up or never does
 }
 
 // limit is the load report's field that tells the limit in calls a second.
@@ -75,11 +79,12 @@
 	case "rough":
 		t.RoughRate = 1.5
 	}
+	f := Fronts{Zones: s.Azs, Kinds: s.Kinds, LimitAt: slices.Index(s.Report.Fields, limit), Limit: limit,
+		Connect: s.Limits.ConnectTimeout / 1000}
 	for _, q := range s.Tenants {
 		t.TenantQuota = append(t.TenantQuota, q.QuotaRps)
+		f.Tenants = append(f.Tenants, q.Name)
 	}
-	f := Fronts{Zones: s.Azs, Kinds: s.Kinds, LimitAt: slices.Index(s.Report.Fields, limit), Limit: limit,
-		Connect: s.Limits.ConnectTimeout / 1000}
 	for i, c := range s.Classes {
 		d := choice.DocType{ZoneGroup: c.Group == "zone", InOrder: c.Sequential, Agreed: c.Slo / 1000,
 			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -413,7 +413,7 @@
 	}
 }
 
-// Transmit, Reject, Abandon, CloseIdle, Wake, Watch and Log make this the choice.Host.
+// Transmit, Reject, Abandon, Recall, CloseIdle, Wake, Watch and Log make this the choice.Host.
 
 func (in *instance) Transmit(d *choice.Doc, t *choice.Target, timeout float64) {
 	w := &in.host.out
@@ -438,6 +438,9 @@
 	in.release(d)
 }
 
+// Recall has nothing to do: on this wire a call counts as sent when it is decided on.
+func (in *instance) Recall(*choice.Target) {}
+
 func (in *instance) CloseIdle(t *choice.Target) {
 	w := &in.host.out
 	w.record(6, in.number)
