--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,86 @@
+package http1
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+type seen struct{ text strings.Builder }
+
+func (s *seen) Status(code int)      { fmt.Fprintf(&s.text, "%d ", code) }
+func (s *seen) Field(name, v []byte) { fmt.Fprintf(&s.text, "%s=%s ", name, v) }
+func (s *seen) Body(b []byte) error  { s.text.Write(b); return nil }
+
+// read feeds text in pieces of a size until an answer is whole.
+func read(text string, size int) (got string, rest string, whole bool, err error) {
+	r, s := Reader{MostBody: 1000}, &seen{}
+	for len(text) > 0 && !whole && err == nil {
+		n := min(size, len(text))
+		var used int
+		used, whole, err = r.Feed([]byte(text[:n]), s)
+		if err == nil {
+			text = text[used:]
+		}
+	}
+	return s.text.String(), text, whole || r.Ended(), err
+}
+
+func TestAnswersAreTheSameHoweverTheyAreSplit(t *testing.T) {
+	for text, want := range map[string]string{
+		"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 5\r\n\r\nhello":                                        "200 A=b Content-Length=5 hello",
+		"HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nT: u\r\n\r\n":   "200 Transfer-Encoding=chunked hello",
+		"HTTP/1.1 100 Continue\r\nX: y\r\n\r\nHTTP/1.1 503 No\r\nX-Line-Busy:1\nContent-Length: 0\r\n\r\n": "503 X-Line-Busy=1 Content-Length=0 ",
+		"HTTP/1.0 500 No\r\n\r\nto the end":                                                                "500 to the end",
+		"HTTP/1.1 204 None\r\n\r\n":                                                                        "204 "} {
+		for size := 1; size <= len(text); size++ {
+			got, rest, whole, err := read(text, size)
+			require.NoError(t, err)
+			require.True(t, whole, "%q in pieces of %d", text, size)
+			require.Equal(t, want, got)
+			require.Empty(t, rest)
+		}
+	}
+}
+
+func TestNonsenseAndEndlessAnswersAreErrors(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n"
+	for text, want := range map[string]error{"SSH-2.0\r\n": ErrAnswer, "HTTP/1.1 two hundred\r\n": ErrAnswer,
+		head + "no colon\r\n": ErrAnswer, head + "Content-Length: -1\r\n": ErrAnswer,
+		head + "Content-Length: 3\r\nContent-Length: 4\r\n": ErrAnswer, head + "Transfer-Encoding: gzip\r\n": ErrAnswer,
+		head + "Transfer-Encoding: chunked\r\n\r\nxyz\r\n":                ErrAnswer,
+		head + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n":            ErrAnswer,
+		head + strings.Repeat("A: b\r\n", 200):                            ErrSize,
+		head + "A: " + strings.Repeat("x", 9000):                          ErrSize,
+		head + "Content-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000): ErrSize} {
+		_, _, _, err := read(text, 50)
+		require.ErrorIs(t, err, want, "%.60q", text)
+	}
+}
+
+func TestWhatFollowsAnAnswerIsNotTaken(t *testing.T) {
+	got, rest, whole, err := read("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP", 100)
+	require.NoError(t, err)
+	require.True(t, whole)
+	require.Equal(t, []string{"200 Content-Length=2 hi", "HTTP"}, []string{got, rest})
+}
+
+func TestARequestIsWritten(t *testing.T) {
+	b := End(Field(Begin(nil, "POST", "/hook", "a:1"), "X-Txn", "d1"), []byte("body"))
+	require.Equal(t, "POST /hook HTTP/1.1\r\nHost: a:1\r\nX-Txn: d1\r\nContent-Length: 4\r\n\r\nbody", string(b))
+}
+
+func FuzzFeed(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n0\r\n\r\n", 3)
+	f.Add("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 429 F\r\nRetry-After: 0.5\r\nContent-Length: 2\r\n\r\nab", 1)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		got, rest, whole, err := read(text, len(text)+1)
+		got2, rest2, whole2, err2 := read(text, max(1, size))
+		require.Equal(t, err == nil, err2 == nil)
+		if err == nil {
+			require.Equal(t, []any{got, rest, whole}, []any{got2, rest2, whole2})
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,192 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const limit = 1_000_000
+
+func open(t *testing.T, dir string) *Ledger {
+	l, err := Open(dir, limit)
+	require.NoError(t, err)
+	return l
+}
+
+func take(t *testing.T, l *Ledger, id string, body int) *Entry {
+	e := &Entry{Key: 5, Dest: 7, Type: "ticket", ID: id, Mark: "m", Expiry: 99, Body: make([]byte, body)}
+	require.NoError(t, l.Take(e))
+	return e
+}
+
+// owed is what a fresh reading of the folder finds, by ids.
+func owed(t *testing.T, dir string) []string {
+	l := open(t, dir)
+	defer l.Close()
+	ids := []string{}
+	for _, e := range l.Owed() {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+// last is the file that was written to.
+func last(t *testing.T, dir string) string {
+	names, err := filepath.Glob(filepath.Join(dir, "*"+suffix))
+	require.NoError(t, err)
+	return names[len(names)-1]
+}
+
+func TestAnEmptyFolderOwesNothing(t *testing.T) {
+	require.Empty(t, owed(t, t.TempDir()))
+}
+
+func TestWhatIsOwedComesBackWithAllThatIsKnownOfIt(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	a, b, c, d := take(t, l, "a", 3), take(t, l, "b", 3), take(t, l, "c", 3), take(t, l, "d", 3)
+	require.NoError(t, l.Out(a.Seq, 10, 1))
+	require.NoError(t, l.Back(a.Seq, true))
+	require.NoError(t, l.Out(a.Seq, 20, 2))
+	require.NoError(t, l.Out(b.Seq, 30, 1))
+	require.NoError(t, l.Back(b.Seq, false))
+	require.NoError(t, l.Over(c.Seq))
+	require.NoError(t, l.Answer(d.Seq, Returned, 700))
+	require.NoError(t, l.Close())
+	l = open(t, dir)
+	got := l.Owed()
+	require.Len(t, got, 3)
+	require.Equal(t, Entry{Seq: 1, Key: 5, Dest: 7, Type: "ticket", ID: "a", Mark: "m", Expiry: 99, Sent: 2, Ran: 10,
+		RanZone: 1, Out: 20, OutZone: 2, Body: make([]byte, 3), file: 1}, *got[0])
+	require.Equal(t, []any{1, int64(0), int64(0)}, []any{got[1].Sent, got[1].Ran, got[1].Out})
+	require.Equal(t, []any{Returned, 700}, []any{got[2].Answer, got[2].After})
+	require.Equal(t, uint64(5), take(t, l, "e", 3).Seq, "numbers are not used again")
+}
+
+func TestATornTailIsDropped(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	take(t, l, "a", 3)
+	take(t, l, "b", 3)
+	l.Close()
+	info, err := os.Stat(last(t, dir))
+	require.NoError(t, err)
+	require.NoError(t, os.Truncate(last(t, dir), info.Size()-1))
+	require.Equal(t, []string{"a"}, owed(t, dir))
+}
+
+func TestARecordWhoseChecksumFailsIsPassedOver(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	for _, id := range []string{"a", "bb", "c"} {
+		take(t, l, id, 3)
+	}
+	l.Close()
+	text, err := os.ReadFile(last(t, dir))
+	require.NoError(t, err)
+	text[bytes.Index(text, []byte("bb"))]++
+	require.NoError(t, os.WriteFile(last(t, dir), text, 0o600))
+	l = open(t, dir)
+	require.Equal(t, 1, l.Dropped)
+	require.Len(t, l.Owed(), 2)
+}
+
+func TestALedgerAtItsLimitTakesNothingMoreButGoesOnServing(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	var held []*Entry
+	for {
+		e := &Entry{Type: "ticket", ID: fmt.Sprint(len(held)), Body: make([]byte, 5000)}
+		if err := l.Take(e); err != nil {
+			require.ErrorIs(t, err, ErrFull)
+			break
+		}
+		held = append(held, e)
+	}
+	require.Greater(t, len(held)*5000, l.Room()*9/10)
+	for _, e := range held {
+		for at := range 20 {
+			require.NoError(t, l.Out(e.Seq, int64(at+1), 0))
+			require.NoError(t, l.Back(e.Seq, false))
+		}
+	}
+	for _, e := range held[1:] {
+		require.NoError(t, l.Over(e.Seq))
+	}
+	take(t, l, "new", 5000)
+	require.Equal(t, []string{"0", "new"}, owed(t, dir))
+}
+
+// Months of traffic, with what is owed changing all the time and the process killed now and then.
+func TestTheFolderStaysUnderItsLimitAndOwesWhatItShould(t *testing.T) {
+	dir := t.TempDir()
+	dice := rand.New(rand.NewPCG(1, 2))
+	l, want := open(t, dir), map[uint64]int{}
+	for i := range 30000 {
+		if e := (&Entry{Type: "ticket", ID: "x", Body: make([]byte, dice.IntN(8000))}); l.Take(e) == nil {
+			want[e.Seq] = 0
+		}
+		for seq := range want {
+			if dice.IntN(3) == 0 {
+				require.NoError(t, l.Out(seq, int64(i+1), 0))
+				want[seq]++
+			} else if dice.IntN(3) == 0 {
+				require.NoError(t, l.Over(seq))
+				delete(want, seq)
+			}
+			if dice.IntN(3) == 0 {
+				break
+			}
+		}
+		if i%100 == 0 {
+			size := int64(0)
+			files, err := os.ReadDir(dir)
+			require.NoError(t, err)
+			for _, f := range files {
+				info, err := f.Info()
+				require.NoError(t, err)
+				size += blocks(info.Size())
+			}
+			require.LessOrEqual(t, size, int64(limit))
+		}
+		if i%500 == 0 {
+			l.Close()
+			l = open(t, dir)
+			got := map[uint64]int{}
+			for _, e := range l.Owed() {
+				got[e.Seq] = e.Sent
+			}
+			require.Equal(t, want, got)
+		}
+	}
+}
+
+func TestAFolderThatCannotBeWrittenKeepsNothing(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	l.head.Close() // as if the disk had failed
+	require.Error(t, l.Take(&Entry{ID: "a"}))
+	require.Empty(t, l.Owed())
+}
+
+func FuzzReplay(f *testing.F) {
+	e := &Entry{Seq: 1, Type: "t", ID: "a", Body: []byte("b")}
+	f.Add(e.encode(make([]byte, header)))
+	f.Add([]byte{1, 0, 0, 0, 0, 0, 0, 0, kindOver, 0})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		dir := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(dir, "00000001"+suffix), text, 0o600))
+		l, err := Open(dir, limit)
+		require.NoError(t, err)
+		for kind := range byte(8) { // what a sound checksum lets through
+			l.apply(kind, text, 1)
+		}
+		require.NoError(t, l.Close())
+	})
+}
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,70 @@
+package resp
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// read feeds text in pieces of a size and returns the commands that came out.
+func read(text string, size int) ([]string, error) {
+	var r Reader
+	var got []string
+	for len(text) > 0 {
+		n := min(size, len(text))
+		err := r.Feed([]byte(text[:n]), func(args [][]byte) error {
+			got = append(got, fmt.Sprintf("%q", args))
+			return nil
+		})
+		if err != nil {
+			return got, err
+		}
+		text = text[n:]
+	}
+	return got, nil
+}
+
+func TestCommandsAreTheSameHoweverTheyAreSplit(t *testing.T) {
+	text := "*1\r\n$4\r\nPING\r\n*3\r\n$1\r\na\r\n$0\r\n\r\n$5\r\n\x00\r\n\r\n\r\n*0\r\n*1\r\n$4\r\nPING\r\n"
+	want := []string{`["PING"]`, `["a" "" "\x00\r\n\r\n"]`, `["PING"]`}
+	for size := 1; size <= len(text); size++ {
+		got, err := read(text, size)
+		require.NoError(t, err)
+		require.Equal(t, want, got, "pieces of %d", size)
+	}
+}
+
+func TestWhatIsNoCommandOrTooLargeIsToldApart(t *testing.T) {
+	for text, want := range map[string]error{"GET / HTTP/1.1\r\n": ErrFraming, "*x\r\n": ErrFraming, "*1\r\n:1\r\n": ErrFraming,
+		"*1\r\n$3\r\nabcd\r\n": ErrFraming, "*1\r\n$-1\r\n": ErrFraming, "*" + strings.Repeat("1", 40): ErrFraming,
+		"*99\r\n": ErrSize, "*1\r\n$70000\r\n": ErrSize} {
+		_, err := read(text, 7)
+		require.ErrorIs(t, err, want, text)
+	}
+}
+
+func TestAnUnfinishedCommandIsKeptAndNothingElse(t *testing.T) {
+	var r Reader
+	none := func([][]byte) error { return nil }
+	require.NoError(t, r.Feed([]byte("*1\r\n$4\r\nPI"), none))
+	require.Equal(t, 10, r.Waiting())
+	require.NoError(t, r.Feed([]byte("NG\r\n"), none))
+	require.Zero(t, r.Waiting())
+}
+
+func TestAnswers(t *testing.T) {
+	require.Equal(t, "+OK\r\n-BUSY\r\n-BUSY 70\r\n", string(Simple("OK"))+string(Busy(0))+string(Busy(70)))
+}
+
+func FuzzFeed(f *testing.F) {
+	f.Add("*1\r\n$4\r\nPING\r\n", 3)
+	f.Add("*2\r\n$1\r\na\r\n$3\r\n\r\n\r\r\n*", 1)
+	f.Fuzz(func(t *testing.T, text string, size int) {
+		whole, err := read(text, len(text)+1)
+		pieces, again := read(text, max(1, size))
+		require.Equal(t, err == nil, again == nil)
+		require.Equal(t, whole, pieces)
+	})
+}
