--- /dev/null
+++ b/choice/socket_test.go
@@ -0,0 +1,148 @@
+package choice
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Stories of what sockets add: the room at the door, restarts, stops, answers that must be heard.
+
+func onSockets() Terms {
+	t := terms
+	t.Keep, t.Clients, t.Confirmed = 1000, 5, true
+	return t
+}
+
+func admits(h *fake, size int, left float64, clients int) bool {
+	taken, back := h.Admit(size, left, clients)
+	if !taken {
+		h.back[nil] = back
+	}
+	return taken
+}
+
+func TestADocumentIsTakenOnWhileThereIsRoomAndTime(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	require.True(t, admits(h, 1000, 8, 5))
+	require.False(t, admits(h, 1001, 8, 5), "no room on disk")
+	require.Equal(t, 1.0, h.back[nil])
+	require.False(t, admits(h, 10, 0.01, 5), "no time")
+	require.False(t, admits(h, 10, 8, 6), "too many clients")
+	doc := &Doc{Dest: d, Size: 600}
+	h.Take(doc, status, 8)
+	require.False(t, admits(h, 600, 8, 5))
+	h.settle()
+	h.ends(doc, Delivered, 0)
+	require.True(t, admits(h, 600, 8, 5))
+	h.flood(d, status, h.terms.Room)
+	require.False(t, admits(h, 10, 8, 5), "no room")
+}
+
+func TestRoomOnDiskIsFreeOnceTheAnswerIsHeard(t *testing.T) {
+	h := start(onSockets())
+	doc := &Doc{Dest: h.NewDestination(1), Size: 600}
+	h.Take(doc, status, 1)
+	h.pass(1.1)
+	require.Equal(t, "rejected", h.done[doc])
+	require.False(t, admits(h, 600, 8, 5))
+	h.Told(doc)
+	require.True(t, doc.Over())
+	require.True(t, admits(h, 600, 8, 5))
+}
+
+func TestTheNextOfAKeyWaitsUntilAnAnswerIsHeard(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	first := &Doc{Dest: d, Key: 5}
+	h.Take(first, ticket, 0.5)
+	d.targets[0].standing = Draining
+	second := &Doc{Dest: d, Key: 5}
+	h.Take(second, ticket, 20)
+	h.pass(0.6)
+	require.Equal(t, "rejected", h.done[first])
+	d.targets[0].standing = Ready
+	h.pass(1)
+	require.Empty(t, h.sent)
+	h.Told(first)
+	h.pass(0.1)
+	require.Equal(t, second, h.sent[0].doc)
+}
+
+func TestWhatWasOutWhenTheProcessEndedIsTreatedAsIfItHadRun(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0, 0)
+	recover := func(typ int, left float64, past Past) *Doc {
+		doc := &Doc{Dest: d, Key: 5}
+		h.Recover(doc, typ, left, past)
+		return doc
+	}
+	binding := recover(payment, 10, Past{Sent: 1, Ran: h.now - 2})
+	unsent := recover(payment, 10, Past{Sent: 1})
+	numbered := recover(ticket, 20, Past{Sent: 1, Ran: h.now - 2})
+	behind := recover(ticket, 20, Past{})
+	forgotten := recover(ticket, 20, Past{Sent: 1, Ran: h.now - 16})
+	spent := recover(status, 10, Past{Sent: 6})
+	late := recover(status, -1, Past{})
+	h.settle()
+	require.Equal(t, map[*Doc]string{binding: "abandoned", forgotten: "abandoned", spent: "rejected", late: "rejected"}, h.done)
+	h.pass(0.1)
+	var sent []*Doc
+	for _, s := range h.sent {
+		sent = append(sent, s.doc)
+	}
+	require.ElementsMatch(t, []*Doc{unsent, numbered}, sent)
+	require.Equal(t, 2, numbered.sent)
+	h.ends(numbered, Delivered, 0)
+	h.pass(0.1)
+	require.Equal(t, behind, h.sent[len(h.sent)-1].doc)
+}
+
+func TestWhatWasAnsweredBeforeARestartIsOnlyWaitedFor(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	doc := &Doc{Dest: d, Key: 5, Size: 10}
+	h.Recover(doc, ticket, 20, Past{Sent: 1, Answered: true})
+	behind := &Doc{Dest: d, Key: 5}
+	h.Recover(behind, ticket, 20, Past{})
+	h.pass(1)
+	require.Empty(t, h.sent)
+	require.Empty(t, h.done)
+	h.Told(doc)
+	h.pass(0.1)
+	require.Equal(t, behind, h.sent[0].doc)
+}
+
+func TestAStopBeginsNoCallThatWouldBeCutOff(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	soon := h.take(d, status, 0)
+	h.settle()
+	h.Stop(3)
+	require.False(t, h.Done())
+	h.ends(soon, Delivered, 0)
+	require.True(t, h.Done())
+	h.take(d, status, 0)
+	h.pass(0.5)
+	require.Len(t, h.sent, 2, "there is time for a call")
+	h.answers(d, Delivered)
+	h.pass(2.2)
+	h.take(d, status, 0)
+	h.pass(0.2)
+	require.Len(t, h.sent, 2)
+	require.Empty(t, h.done, "it stays owed")
+}
+
+func TestCallsNotYetBegunAreTakenBackWhenAWaitIsToldOrATargetDrains(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0, 0)
+	first, other := h.take(d, status, 0), h.take(d, status, 0)
+	h.settle()
+	h.ends(first, Full, 1)
+	h.settle()
+	require.Equal(t, []*Target{other.call.target}, h.recalled)
+	h.List(false, []Listing{{Target: other.call.target, Dest: d, Standing: Draining}})
+	h.settle()
+	require.Len(t, h.recalled, 2)
+}
--- /dev/null
+++ b/internal/outlet/outlet_test.go
@@ -0,0 +1,177 @@
+package outlet
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/internal/dial"
+)
+
+func TestEveryEndHasItsOutcome(t *testing.T) {
+	type meaning struct {
+		outcome   choice.Outcome
+		over, ran bool
+	}
+	for end, want := range map[End]meaning{Took: {choice.Delivered, true, true}, Failed: {choice.Errored, false, true},
+		Waiting: {choice.Full, false, false}, TurnedAway: {choice.Full, false, false}, LineBusy: {choice.Moot, false, false},
+		Spent: {choice.Moot, false, false}, Gone: {choice.Moot, true, false}, Unread: {choice.Moot, false, false},
+		Refused: {choice.NoConnection, false, false}, NeverUp: {choice.NoConnection, false, false},
+		BrokenEarly: {choice.NoConnection, false, false}, GivenUpEarly: {choice.NoConnection, false, false},
+		Broken: {choice.Reset, false, true}, Garbled: {choice.Reset, false, true}, GivenUp: {choice.TimedOut, false, true},
+		Unsent: {choice.Moot, false, false}, Recalled: {choice.Moot, false, false}} {
+		outcome, over := end.Outcome()
+		require.Equal(t, want, meaning{outcome, over, end.Ran()}, end.String())
+	}
+	require.Len(t, names, int(Recalled)+1)
+}
+
+func TestAnswersMeanWhatTheProtocolSays(t *testing.T) {
+	one, two := &Call{Papers: make([]Paper, 1)}, &Call{Papers: []Paper{{ID: "a"}, {ID: "b"}}}
+	for code, want := range map[int]End{200: Took, 500: Failed, 502: Failed, 429: Waiting, 503: TurnedAway, 504: Spent, 410: Gone, 400: Unread, 413: Unread} {
+		require.Equal(t, []End{want}, (&answer{code: code}).ends(one))
+	}
+	require.Equal(t, []End{LineBusy}, (&answer{code: 503, busy: true}).ends(one))
+	require.Equal(t, []End{Waiting, Waiting}, (&answer{code: 429}).ends(two))
+	for body, want := range map[string][]End{
+		`[{"id":"b","state":"ok"},{"id":"a","state":"error"}]`:   {Failed, Took},
+		`[{"id":"a","state":"gone"},{"id":"b","state":"later"}]`: {Gone, TurnedAway},
+		`[{"id":"a","state":"exhausted"}]`:                       {Spent, Failed}, // b is not told: it may have run
+		`[{"id":`:                                                {Failed, Failed}} {
+		require.Equal(t, want, (&answer{code: 200, body: []byte(body)}).ends(two), body)
+	}
+}
+
+// desk hands a test the ends of its calls.
+type desk chan Ended
+
+func (d desk) CallEnded(e Ended) { d <- e }
+
+type scene struct {
+	*Outlet
+	t    *testing.T
+	desk desk
+	ln   net.Listener
+}
+
+func newScene(t *testing.T) *scene {
+	ln, err := net.Listen("tcp", "127.4.0.1:0")
+	require.NoError(t, err)
+	d, err := dial.New("test", 8)
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close(); d.Stop() })
+	s := &scene{t: t, desk: make(desk, 9), ln: ln}
+	s.Outlet = New(d, s.desk, Terms{Connect: 300 * time.Millisecond, KeepIdle: time.Minute})
+	return s
+}
+
+func (s *scene) send(allow time.Duration, body string) {
+	s.Send(&Call{Target: s.ln.Addr().String(), Papers: []Paper{{ID: "a", Body: []byte(body)}}, Allow: allow})
+}
+
+// accepts reads the head of a call on a new connection.
+func (s *scene) accepts() net.Conn {
+	c, err := s.ln.Accept()
+	require.NoError(s.t, err)
+	s.hears(c)
+	return c
+}
+
+func (s *scene) hears(c net.Conn) {
+	b := make([]byte, 1000)
+	n, err := c.Read(b)
+	require.NoError(s.t, err)
+	require.True(s.t, strings.HasPrefix(string(b[:n]), "POST /hook HTTP/1.1\r\n"))
+}
+
+func (s *scene) ends(want End) Ended {
+	s.t.Helper()
+	e := <-s.desk
+	require.Equal(s.t, []End{want}, e.Ends)
+	return e
+}
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+func TestAConnectionIsUsedAgainUntilItIsClosed(t *testing.T) {
+	s := newScene(t)
+	s.send(time.Minute, "b")
+	c := s.accepts()
+	c.Write([]byte("HTTP/1.1 429 Full\r\nRetry-After: 0.25\r\nX-Pressure: x0=0.4,x1=25\r\nContent-Length: 0\r\n\r\n"))
+	e := s.ends(Waiting)
+	require.Equal(t, []any{0.25, "x0=0.4,x1=25"}, []any{e.Wait, e.Report})
+	s.send(time.Minute, "b")
+	s.hears(c)
+	c.Write([]byte(ok))
+	require.Zero(t, s.ends(Took).Wait)
+	s.CloseIdle(s.ln.Addr().String())
+	s.send(time.Minute, "b")
+	s.accepts().Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"))
+	require.Zero(t, s.Idle())
+}
+
+func TestBrokenConnectionsAreToldApartByWhetherTheCallWasWrittenWhole(t *testing.T) {
+	s := newScene(t)
+	s.send(time.Minute, "b")
+	s.accepts().Close()
+	s.ends(Broken)
+	huge := strings.Repeat("x", 32<<20) // more than the sockets take
+	s.send(time.Minute, huge)
+	s.accepts().Close()
+	s.ends(BrokenEarly)
+	s.send(100*time.Millisecond, huge)
+	c := s.accepts()
+	s.ends(GivenUpEarly)
+	c.Close()
+	s.send(100*time.Millisecond, "b")
+	c = s.accepts()
+	s.ends(GivenUp)
+	_, err := c.Read(make([]byte, 1))
+	require.Error(t, err, "a call given up closes its connection")
+	s.send(time.Minute, "b")
+	s.accepts().Write([]byte("what is this\r\n"))
+	require.NotEmpty(t, s.ends(Garbled).Why)
+	s.ln.Close()
+	s.send(time.Minute, "b")
+	s.ends(Refused)
+}
+
+func TestAStatusHoldsFromItsLineOn(t *testing.T) {
+	s := newScene(t)
+	s.send(time.Minute, "b")
+	c := s.accepts()
+	c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Le"))
+	c.Close()
+	s.ends(Took)
+	s.send(time.Minute, strings.Repeat("x", 32<<20))
+	s.accepts().Write([]byte("HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")) // before the call was written whole
+	s.ends(Unread)
+	require.Zero(t, s.Idle())
+}
+
+func TestAConnectionThatNeverComesUp(t *testing.T) {
+	s := newScene(t)
+	full, err := net.Listen("tcp", "127.4.0.1:0")
+	require.NoError(t, err)
+	defer full.Close()
+	s.ln.Close()
+	s.ln = full
+	for range 5000 { // fill the line of those who wait to be accepted
+		c, err := net.DialTimeout("tcp", full.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	s.send(time.Minute, "b")
+	s.ends(NeverUp)
+	s.send(100*time.Millisecond, "b")
+	s.ends(GivenUpEarly)
+	s.send(time.Minute, "b")
+	s.Recall(full.Addr().String())
+	s.ends(Recalled)
+}
