--- a/cmd/spanflow/main.go
+++ b/cmd/spanflow/main.go
@@ -16,6 +16,7 @@
 	defer stop()
 	order, err := forward.FromEnvironment(os.Getenv)
 	if err == nil {
+		order.Confine()
 		err = forward.Run(ctx, order, os.Stderr, nil)
 	}
 	if err != nil {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -18,6 +18,7 @@
 	spare  []any
 	bytes  int // of documents that wait
 	oldest time.Time
+	closed bool // nobody takes news any more
 	bell   chan struct{}
 }
 
@@ -62,11 +63,18 @@
 	return news, x.oldest
 }
 
+func (x *Exchange) close() {
+	x.mu.Lock()
+	x.closed = true
+	x.mu.Unlock()
+	x.room.Broadcast()
+}
+
 // Ask is a client's command. It waits while too much lies here.
 func (x *Exchange) Ask(a intake.Asked) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for len(x.news) >= mostWaiting || x.bytes >= mostBytes {
+	for !x.closed && (len(x.news) >= mostWaiting || x.bytes >= mostBytes) {
 		x.room.Wait()
 	}
 	if a.Paper != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,4 +1,8 @@
-// Package forward is the forwarder as a library: Run serves until its context ends.
+// Package forward is the forwarder as a library: read an Order, then Run serves by it until its context ends.
+//
+// One goroutine, the owner, has the module of package choice to itself. Clients' side, targets' side and discovery's
+// side leave their news in the Exchange; the owner takes them in batches, lets the module settle once, and carries
+// out what it decides.
 package forward
 
 import (
@@ -31,14 +35,20 @@
 	connectAtMost = 30 * time.Second
 )
 
+// Confine makes the whole process keep to the order's limits and its log lines bear times a person can read. A program
+// with other work to do sets its own.
+func (o *Order) Confine() {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	runtime.GOMAXPROCS(max(1, int(o.Cores)))
+	debug.SetMemoryLimit(int64(o.MemoryMB) << 20 * 6 / 10)
+}
+
 // Run serves by an order until ctx ends, then finishes what it can in the time there is. ready, if not nil, is called
 // with the address once clients are served.
 func Run(ctx context.Context, order *Order, logTo io.Writer, ready func(addr string)) error {
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	own := *order
+	order = &own
 	log := zerolog.New(logTo).With().Timestamp().Str("forwarder", order.Name).Logger()
-	runtime.GOMAXPROCS(max(1, int(order.Cores)))
-	debug.SetMemoryLimit(int64(order.MemoryMB) << 20 * 6 / 10)
-
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
@@ -56,6 +66,7 @@
 	if err != nil {
 		return err
 	}
+	defer dialer.Stop()
 	order.Terms.Keep, order.Terms.Clients, order.Terms.Confirmed = led.Room(), room/2, true
 	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
 	x := newExchange()
@@ -68,21 +79,21 @@
 	o.outlet = outlet.New(dialer, x, outlet.Terms{Connect: connect,
 		KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second))})
 	o.dir = directory.New(dialer, order.Discovery, connect, x)
+	defer o.dir.Stop()
 	o.begin(o.epoch)
 	in, err := intake.Open(order.Listen, order.Terms.Clients, order.Terms.Clients+room/8, x)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	o.intake = in
+	defer in.Stop()
+	defer x.close()
 	log.Info().Str("listen", in.Addr()).Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).
 		Int("targets", len(o.targets)).Msg("ready")
 	if ready != nil {
 		ready(in.Addr())
 	}
 	o.serve(ctx, in, dialer)
-	o.dir.Stop()
-	in.Stop()
-	dialer.Stop()
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
