--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -383,3 +384,102 @@
 		require.Equal(t, 1, strings.Count(string(out), "\n"))
 	}
 }
+
+// witness is a target's memory: it answers by chance and notes what no forwarder may do.
+type witness struct {
+	mu     sync.Mutex
+	dice   *rand.Rand
+	over   map[string]bool // delivered, or told by a notice
+	mayRun map[string]bool
+	wrong  []string
+	calls  int
+}
+
+func (w *witness) call(c standin.Call) standin.Reply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	for _, id := range c.IDs { // an id is type, key and number
+		if id[0] == 'p' && w.mayRun[id] {
+			w.wrong = append(w.wrong, id+" may have run and must not run twice")
+		}
+		var key, number int
+		fmt.Sscanf(id[1:], "%d-%d", &key, &number)
+		for n := range number {
+			if before := fmt.Sprintf("t%d-%d", key, n); id[0] == 't' && !w.over[before] {
+				w.wrong = append(w.wrong, id+" before "+before)
+			}
+		}
+	}
+	switch w.dice.IntN(12) {
+	case 0:
+		return standin.Reply{Status: 429, Fields: map[string]string{"Retry-After": "0.05"}}
+	case 1:
+		w.ran(c, false)
+		return standin.Reply{Status: 500}
+	case 2:
+		w.ran(c, false)
+		return standin.Reply{Break: true}
+	}
+	w.ran(c, true)
+	return standin.Reply{}
+}
+
+func (w *witness) ran(c standin.Call, over bool) {
+	for _, id := range c.IDs {
+		w.mayRun[id] = true
+		w.over[id] = w.over[id] || over
+	}
+}
+
+func TestKilledAgainAndAgainEveryDocumentEndsOnceAndInOrder(t *testing.T) {
+	s := newStage(t, "several")
+	w := &witness{dice: rand.New(rand.NewPCG(3, 4)), over: map[string]bool{}, mayRun: map[string]bool{}}
+	s.target.Do(w.call)
+	s.discovery.Hear = func(n standin.Notice) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.over[n.ID] = true
+	}
+	var ids []string
+	for life := range 3 {
+		c := s.start()
+		for n := range 6 {
+			for key := range 3 {
+				id := fmt.Sprintf("t%d-%d", key, life*6+n)
+				s.put(c, fmt.Sprint(key+1), id, "c=ticket,d=20000,dest=7,k="+id, "+OK")
+				ids = append(ids, id)
+			}
+			id := fmt.Sprintf("p9-%d", life*6+n)
+			s.put(c, zero, id, "c=payment,d=20000,dest=7", "+OK")
+			ids = append(ids, id)
+		}
+		for range 3 {
+			s.call()
+		}
+		s.kill()
+	}
+	s.start()
+	late := time.After(25 * time.Second)
+	for open := true; open; {
+		w.mu.Lock()
+		open = false
+		for _, id := range ids {
+			open = open || !w.over[id]
+		}
+		w.mu.Unlock()
+		if open {
+			select {
+			case <-s.discovery.Notices:
+			case <-s.target.Calls:
+			case <-late:
+				t.Fatalf("not all has ended; log:\n%s", s.log.text.String())
+			}
+		}
+	}
+	s.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	require.Empty(t, w.wrong)
+	require.True(t, s.log.has(`"owed":0`), s.log.text.String())
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -35,6 +35,7 @@
 type Discovery struct {
 	Addr    string
 	Notices chan Notice
+	Hear    func(Notice) // if set, called with each notice before it is answered
 	mu      sync.Mutex
 	rev     int
 	list    []Entry
@@ -136,6 +137,9 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if d.Hear != nil {
+			d.Hear(n)
+		}
 		d.Notices <- n
 	}
 	w.WriteHeader(http.StatusNoContent)
