--- a/forward/owner.go
+++ b/forward/owner.go
@@ -188,13 +188,14 @@
 		return nil
 	}
 	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: index(o.order.Fronts.Tenants, in.Tenant), Type: in.Type, ID: in.ID,
-		Mark: in.Mark, Body: in.Body, Expiry: time.Now().UnixMicro() + micros(in.Left)}
+		Mark: in.Mark, Body: in.Body, Expiry: in.Came.UnixMicro() + micros(in.Left)}
+	left := in.Left - time.Since(in.Came).Seconds()
 	if in.Unknown != "" && !o.unknown[in.Unknown] && len(o.unknown) < mostNames {
 		o.unknown[in.Unknown] = true
 		o.log.Warn().Str("name", in.Unknown).Msg("unknown name with a document")
 	}
 	clients, _ := o.intake.Clients()
-	if taken, back := o.f.Admit(e.Size(), in.Left, clients); !taken {
+	if taken, back := o.f.Admit(e.Size(), left, clients); !taken {
 		o.counts.refused++
 		return resp.Busy(min(int(back*1000), refuseMost))
 	}
@@ -203,7 +204,7 @@
 		return resp.Busy(0)
 	}
 	p := o.paper(e, typ)
-	o.f.Take(p.doc, typ, in.Left)
+	o.f.Take(p.doc, typ, left)
 	o.counts.taken++
 	return resp.Simple("OK")
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -38,7 +38,8 @@
 	Type string
 	Mark string
 	Dest uint64
-	Left float64 // seconds
+	Left float64 // seconds, at the time of coming
+	Came time.Time
 	Body []byte
 
 	Tenant string // empty if none is told
@@ -248,7 +249,7 @@
 			return nil, errors.New("the id holds bytes that it may not")
 		}
 	}
-	p := &Paper{Key: key, ID: string(args[2]), Body: bytes.Clone(args[4]), Left: -1}
+	p := &Paper{Key: key, ID: string(args[2]), Body: bytes.Clone(args[4]), Left: -1, Came: time.Now()}
 	dest := false
 	for pair := range strings.SplitSeq(string(args[3]), ",") {
 		name, value, _ := strings.Cut(pair, "=")
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -47,6 +47,7 @@
 	answer answer
 	call   *Call
 	began  time.Time
+	rested time.Time   // since when it is idle
 	timer  *time.Timer // ends the call, or while idle the connection
 	turn   int         // counts calls and idle times, so that a late timer is known as one
 }
@@ -58,9 +59,11 @@
 	var t *trunk
 	if l := o.idle[c.Target]; len(l) > 0 {
 		t = l[len(l)-1]
-		o.idle[c.Target] = l[:len(l)-1]
-		t.timer.Stop()
+		o.drop(t)
 	} else {
+		if o.dialer.Full() {
+			o.shed()
+		}
 		t = &trunk{outlet: o, target: c.Target, reader: http1.Reader{MostBody: mostAnswer}}
 		t.line = o.dialer.Dial(c.Target, o.terms.Connect, t)
 		o.rising[t] = struct{}{}
@@ -96,6 +99,20 @@
 	delete(o.idle, target)
 }
 
+// shed closes the connection that has been idle for the longest, so that a call finds a descriptor.
+func (o *Outlet) shed() {
+	var oldest *trunk
+	for _, l := range o.idle {
+		if oldest == nil || l[0].rested.Before(oldest.rested) {
+			oldest = l[0]
+		}
+	}
+	if oldest != nil {
+		o.drop(oldest)
+		oldest.line.Close()
+	}
+}
+
 // Idle tells how many connections carry no call.
 func (o *Outlet) Idle() int {
 	o.mu.Lock()
@@ -222,7 +239,7 @@
 // rest keeps the connection for a later call; the lock is held.
 func (t *trunk) rest() {
 	o := t.outlet
-	o.idle[t.target] = append(o.idle[t.target], t)
+	o.idle[t.target], t.rested = append(o.idle[t.target], t), time.Now()
 	turn := t.turn
 	t.timer = time.AfterFunc(o.terms.KeepIdle, func() { t.giveUp(turn) })
 }
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -153,6 +153,29 @@
 	require.Zero(t, s.Idle())
 }
 
+func TestTheLongestIdleConnectionMakesRoomForACall(t *testing.T) {
+	s := newScene(t)
+	var lines []net.Conn
+	for range 8 { // as many as there may be
+		s.send(time.Minute, "b")
+		lines = append(lines, s.accepts())
+	}
+	for _, c := range lines {
+		c.Write([]byte(ok))
+		s.ends(Took)
+	}
+	other, err := net.Listen("tcp", "127.4.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
+	s.ln = other
+	s.send(time.Minute, "b")
+	s.accepts().Write([]byte(ok))
+	s.ends(Took)
+	_, err = lines[0].Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Equal(t, 8, s.Idle())
+}
+
 func TestAConnectionThatNeverComesUp(t *testing.T) {
 	s := newScene(t)
 	full, err := net.Listen("tcp", "127.4.0.1:0")
