--- a/choice/choice.go
+++ b/choice/choice.go
@@ -181,7 +181,7 @@
 		}
 	}
 	// What is on its way while a wait is told, but not sent, comes too late: connecting can take long.
-	if e.Outcome == Full && e.Wait > 0 { // each document of a call may be told its own
+	if e.Wait > 0 { // each document of a call may be told its own
 		for _, o := range t.dest.targets {
 			if o.route == t.route && len(o.calls) > 0 {
 				f.recall = append(f.recall, o)
--- a/choice/port.go
+++ b/choice/port.go
@@ -69,7 +69,7 @@
 type Ending struct {
 	Outcome    Outcome
 	Over       bool    // the document has its final answer
-	Took, Wait float64 // Wait: told to stay away so long; 0 if not told
+	Took, Wait float64 // Wait: told to stay away so long, whatever the outcome; 0 if not told
 	Most       float64 // the reported limit in calls a second; 0 if none
 }
 
--- a/choice/socket_test.go
+++ b/choice/socket_test.go
@@ -146,3 +146,16 @@
 	h.settle()
 	require.Len(t, h.recalled, 2)
 }
+
+func TestAWaitToldWithADeliveryBindsToo(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(1, 0)
+	doc := h.take(d, status, 0)
+	h.settle()
+	h.ends(doc, Delivered, 1)
+	h.take(d, status, 0)
+	h.pass(0.9)
+	require.Len(t, h.sent, 1)
+	h.pass(0.3)
+	require.Len(t, h.sent, 2)
+}
--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -58,6 +58,7 @@
 	listen    string
 	room      int
 	diskMB    int
+	sockets   int
 	cmd       *exec.Cmd
 	log       *logged
 	ended     chan error
@@ -99,7 +100,7 @@
 }
 
 func newStage(t *testing.T, kind string) *stage {
-	s := &stage{t: t, folder: t.TempDir(), room: 100, diskMB: 3}
+	s := &stage{t: t, folder: t.TempDir(), room: 100, diskMB: 3, sockets: 256}
 	var err error
 	s.target, err = standin.NewTarget("", nil)
 	require.NoError(t, err)
@@ -111,7 +112,7 @@
 // order writes the program's configuration and returns its environment.
 func (s *stage) order() []string {
 	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 256, "disk_mb": s.diskMB},
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": s.sockets, "disk_mb": s.diskMB},
 		"known":  json.RawMessage(s.discovery.Known()), "settings": json.RawMessage(fmt.Sprintf(settings, s.room))})
 	require.NoError(s.t, err)
 	path := filepath.Join(s.t.TempDir(), "config.json")
@@ -287,6 +288,20 @@
 	require.Less(t, size, int64(1_000_000))
 }
 
+func TestQuietClientsMakeRoomForNewOnes(t *testing.T) {
+	s := newStage(t, "single")
+	s.sockets = 64 // clients get half of what the program's own files leave
+	first := s.start()
+	var last *standin.Client
+	for range 40 {
+		last = s.client()
+	}
+	_, err := first.Hear()
+	require.Error(t, err)
+	s.put(last, zero, "d1", "c=status,d=8000,dest=7", "+OK")
+	require.Equal(t, "d1", s.call().ID)
+}
+
 // The process is killed with a document delivered, one out that may run again, one out that may not, and one held
 // behind another of its key; the next process ends each exactly once and in order.
 func TestAKilledForwarderOwesWhatItHadTakenOn(t *testing.T) {
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -171,21 +171,22 @@
 	case a.Ping:
 		a.Client.Answer(resp.Simple("PONG"), false)
 	case a.Paper != nil:
-		a.Client.Answer(o.handedIn(a.Client, a.Paper), false)
+		o.handedIn(a.Client, a.Paper)
 	default:
 		o.log.Warn().Str("answer", a.Error).Msg("bad command")
 		a.Client.Answer(resp.Failure(a.Error), a.Last)
 	}
 }
 
-// handedIn takes a document on, if the module will, and returns the answer for its client.
-func (o *owner) handedIn(c *intake.Client, in *intake.Paper) []byte {
+// handedIn takes a document on, if the module will, and answers its client.
+func (o *owner) handedIn(c *intake.Client, in *intake.Paper) {
 	typ, known := o.types[in.Type]
 	if !known {
-		return resp.Failure("ERR unknown type of document")
+		c.Answer(resp.Failure("ERR unknown type of document"), false)
+		return
 	}
 	if c.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
-		return nil
+		return
 	}
 	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: index(o.order.Fronts.Tenants, in.Tenant), Type: in.Type, ID: in.ID,
 		Mark: in.Mark, Body: in.Body, Expiry: in.Came.UnixMicro() + micros(in.Left)}
@@ -197,16 +198,23 @@
 	clients, _ := o.intake.Clients()
 	if taken, back := o.f.Admit(e.Size(), left, clients); !taken {
 		o.counts.refused++
-		return resp.Busy(min(int(back*1000), refuseMost))
+		c.Answer(resp.Busy(min(int(back*1000), refuseMost)), false)
+		return
 	}
 	if err := o.ledger.Take(e); err != nil {
 		o.log.Error().Err(err).Msg("ledger cannot be written")
-		return resp.Busy(0)
+		c.Answer(resp.Busy(0), false)
+		return
 	}
 	p := o.paper(e, typ)
 	o.f.Take(p.doc, typ, left)
+	if !c.Answer(resp.Simple("OK"), false) { // not heard: its client hands it in again under another id
+		o.f.Withdrawn(p.doc)
+		o.over(p)
+		o.forget(p)
+		return
+	}
 	o.counts.taken++
-	return resp.Simple("OK")
 }
 
 func (o *owner) ended(e outlet.Ended) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -157,7 +157,7 @@
 	if w.over {
 		return
 	}
-	w.await(2*blankEvery + blankEvery/2)
+	w.await(blankEvery + blankEvery/2)
 	_, whole, err := w.reader.Feed(b, w)
 	switch {
 	case err != nil:
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -82,3 +82,11 @@
 	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
 	require.Equal(t, []uint64{1, 2}, <-k.told)
 }
+
+func TestASilentWatchEnds(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Watch(1)
+	c, _ := accept()
+	c.Write([]byte(open + "1\r\n\n\r\n"))
+	require.Equal(t, "silent", <-k.ended)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,7 +43,6 @@
 	Body []byte
 
 	Tenant string // empty if none is told
-	Again  bool   // a forwarder that died or did not answer had it
 
 	Unknown string // a name among those with values that is not known here
 }
@@ -273,9 +272,7 @@
 			}
 		case "t":
 			p.Tenant = value
-		case "again":
-			p.Again = value == "1"
-		case "r", "":
+		case "r", "again", "":
 		default:
 			p.Unknown = name
 		}
