--- a/forward/forward.go
+++ b/forward/forward.go
@@ -72,7 +72,8 @@
 	x := newExchange()
 	o := &owner{order: order, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byUID: map[string]*target{}, types: map[string]int{},
-		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}}
+		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{},
+		said: map[string]time.Time{}}
 	for i, name := range order.Fronts.Types {
 		o.types[name] = i
 	}
--- a/forward/host.go
+++ b/forward/host.go
@@ -23,7 +23,7 @@
 func (o *owner) Transmit(d *choice.Doc, to *choice.Target, timeout float64) {
 	p, t := o.docs[d.Door], o.targets[to.Door]
 	if err := o.ledger.Out(d.Door, micros(o.clock(time.Now())), t.zone); err != nil {
-		o.log.Error().Err(err).Msg("ledger cannot be written")
+		o.unkept(err)
 		c := &outlet.Call{Target: t.addr, Papers: []outlet.Paper{p.Paper}}
 		o.exchange.CallEnded(outlet.Ended{Call: c, Ends: []outlet.End{outlet.Unsent}})
 		return
@@ -52,7 +52,7 @@
 // answer records a final answer and tells it.
 func (o *owner) answer(p *paper, a ledger.Answer, after int) {
 	if err := o.ledger.Answer(p.Door, a, after); err != nil {
-		o.log.Error().Err(err).Msg("ledger cannot be written")
+		o.unkept(err)
 	}
 	o.notify(p, a, after)
 }
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -37,7 +37,7 @@
 	intake   *intake.Intake
 	unknown  map[string]bool // names that came with documents
 	counts   counts
-	quiet    time.Time // no log line about delay before
+	said     map[string]time.Time // when lines that may come in floods were last written
 }
 
 // paper is a document that is owed or was until just now.
@@ -62,7 +62,7 @@
 
 const (
 	slowTurn   = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
-	slowPause  = time.Second            // between two such lines
+	floodPause = time.Second            // between two lines of a kind that may come in floods
 	refuseMost = 9_999_999              // milliseconds
 	mostNames  = 16                     // unknown names that get a line
 )
@@ -86,7 +86,7 @@
 		past := choice.Past{Sent: e.Sent, Ran: float64(e.Ran) / 1e6, Zone: e.RanZone}
 		if e.Out > 0 { // it was out when that process ended
 			if err := o.ledger.Back(e.Seq, true); err != nil {
-				o.log.Error().Err(err).Msg("ledger cannot be written")
+				o.unkept(err)
 			}
 			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
 		}
@@ -133,8 +133,7 @@
 	o.f.Settle()
 	o.flush()
 	end := time.Now()
-	if waited := start.Sub(since); (len(news) > 0 && waited > slowTurn || end.Sub(start) > slowTurn) && end.After(o.quiet) {
-		o.quiet = end.Add(slowPause)
+	if waited := start.Sub(since); (len(news) > 0 && waited > slowTurn || end.Sub(start) > slowTurn) && o.worth("late") {
 		o.log.Warn().Int("news", len(news)).Dur("waited_ms", waited).Dur("turn_ms", end.Sub(start)).Msg("late")
 	}
 	return o.f.Done()
@@ -149,7 +148,9 @@
 	case *directory.List:
 		o.listed(n, n.All)
 	case noticesLost:
-		o.log.Warn().Str("why", string(n)).Msg("notices not answered")
+		if o.worth("notices") {
+			o.log.Warn().Str("why", string(n)).Msg("notices not answered")
+		}
 	case watchEnded:
 		o.log.Warn().Str("why", string(n)).Msg("watch ended")
 		o.f.ListFailed()
@@ -166,6 +167,23 @@
 	}
 }
 
+// worth tells if a line of a kind is to be written, at most one a while.
+func (o *owner) worth(kind string) bool {
+	now := time.Now()
+	if now.Before(o.said[kind].Add(floodPause)) {
+		return false
+	}
+	o.said[kind] = now
+	return true
+}
+
+// unkept logs that the ledger could not be written.
+func (o *owner) unkept(err error) {
+	if o.worth("ledger") {
+		o.log.Error().Err(err).Msg("ledger cannot be written")
+	}
+}
+
 func (o *owner) asked(a intake.Asked) {
 	switch {
 	case a.Ping:
@@ -173,7 +191,9 @@
 	case a.Paper != nil:
 		o.handedIn(a.Client, a.Paper)
 	default:
-		o.log.Warn().Str("answer", a.Error).Msg("bad command")
+		if o.worth("bad command") {
+			o.log.Warn().Str("answer", a.Error).Msg("bad command")
+		}
 		a.Client.Answer(resp.Failure(a.Error), a.Last)
 	}
 }
@@ -202,7 +222,7 @@
 		return
 	}
 	if err := o.ledger.Take(e); err != nil {
-		o.log.Error().Err(err).Msg("ledger cannot be written")
+		o.unkept(err)
 		c.Answer(resp.Busy(0), false)
 		return
 	}
@@ -244,7 +264,7 @@
 			o.counts.delivered++
 		}
 	} else if err := o.ledger.Back(door, end.Ran()); err != nil {
-		o.log.Error().Err(err).Msg("ledger cannot be written")
+		o.unkept(err)
 	}
 	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait,
 		Most: o.limit(e.Report)})
@@ -266,7 +286,7 @@
 // over records that nothing more is owed for a document.
 func (o *owner) over(p *paper) {
 	if err := o.ledger.Over(p.Door); err != nil {
-		o.log.Error().Err(err).Msg("ledger cannot be written")
+		o.unkept(err)
 	}
 }
 
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -183,7 +184,11 @@
 	defer full.Close()
 	s.ln.Close()
 	s.ln = full
-	for range 5000 { // fill the line of those who wait to be accepted
+	raw, err := full.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	require.NoError(t, err)
+	for range 10 { // fill the short line of those who wait to be accepted
 		c, err := net.DialTimeout("tcp", full.Addr().String(), 50*time.Millisecond)
 		if err != nil {
 			break
