--- a/choice/socket_test.go
+++ b/choice/socket_test.go
@@ -159,3 +159,23 @@
 	h.pass(0.3)
 	require.Len(t, h.sent, 2)
 }
+
+func TestNeitherKeysNorNamesOfDestinationsPileUp(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	for key := range 500 {
+		doc := h.take(d, ticket, uint64(key+1))
+		h.settle()
+		h.Ended(doc, Ending{Outcome: Cancelled, Over: true}) // its key rests on
+		h.pass(0.2)
+	}
+	require.Less(t, len(h.chains), 70)
+	unheard := h.NewDestination(99)
+	doc := h.take(unheard, status, 0)
+	h.settle()
+	require.False(t, h.Forget(unheard))
+	h.Withdrawn(doc)
+	h.pass(0.1)
+	require.True(t, h.Forget(unheard))
+	require.False(t, h.Forget(d))
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -204,6 +204,16 @@
 	f.unchain(d)
 }
 
+// Forget lets go of a destination that no target is listed for and no document is held for, and tells if it did.
+// Clients may name any.
+func (f *Forwarder) Forget(d *Destination) bool {
+	if len(d.targets) > 0 || d.held > 0 || d.ringed || d.heard {
+		return false
+	}
+	f.dests = without(f.dests, d)
+	return true
+}
+
 // Told says that the final answer of a document has reached those whom it is for.
 func (f *Forwarder) Told(d *Doc) {
 	d.telling = false
@@ -280,6 +290,13 @@
 		return
 	}
 	if d.chain = f.chains[d.Key]; d.chain == nil {
+		if len(f.chains) > 2*len(f.held)+64 { // those that ended while their key rested
+			for key, c := range f.chains {
+				if len(c.docs) == 0 && c.rest <= f.now {
+					delete(f.chains, key)
+				}
+			}
+		}
 		d.chain = &chain{}
 		f.chains[d.Key] = d.chain
 	}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -28,6 +28,7 @@
 	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
 	docs     map[uint64]*paper
 	dests    map[uint64]*choice.Destination
+	sweepAt  int       // so many destinations are looked through for those that clients alone have named
 	targets  []*target // by number
 	byUID    map[string]*target
 	types    map[string]int
@@ -64,6 +65,7 @@
 	slowTurn   = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
 	floodPause = time.Second            // between two lines of a kind that may come in floods
 	refuseMost = 9_999_999              // milliseconds
+	leastSweep = 64                     // destinations
 	mostNames  = 16                     // unknown names that get a line
 )
 
@@ -112,6 +114,14 @@
 func (o *owner) dest(number uint64) *choice.Destination {
 	d := o.dests[number]
 	if d == nil {
+		if len(o.dests) >= o.sweepAt {
+			for n, d := range o.dests {
+				if o.f.Forget(d) {
+					delete(o.dests, n)
+				}
+			}
+			o.sweepAt = 2*len(o.dests) + leastSweep
+		}
 		d = o.f.NewDestination(number)
 		o.dests[number] = d
 	}
