Notices without an answer go on a new connection after 0.3 s

Seen by reading: a notice on a connection that has gone silent was sent again only after 3.5 s (connecting's time and two seconds), while a document must have its end 0.3 s after its time. Discovery answers notices at once, and one told twice does no harm.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	mostLine    = 4 << 20         // of a watch, in bytes
-	blankEvery  = 2 * time.Second // an empty line comes so often while nothing changes
-	mostNotices = 512             // in one call
-	answerIn    = 2 * time.Second // a notice call without an answer is made again after so long
+	mostLine    = 4 << 20                // of a watch, in bytes
+	blankEvery  = 2 * time.Second        // an empty line comes so often while nothing changes
+	mostNotices = 512                    // in one call
+	answerIn    = 2 * time.Second        // a watch that has not begun so long after its connection is over
+	noticeIn    = 300 * time.Millisecond // notices are answered at once: after so long they are sent on a new connection
 	againIn     = 50 * time.Millisecond
 )
 
@@ -253,7 +254,7 @@
 	}
 	r.reader.Reset()
 	r.line.Write(http1.End(http1.Begin(nil, "POST", "/v1/notices", d.addr), body))
-	r.timer = time.AfterFunc(d.connect+answerIn, func() { r.lost("no answer") })
+	r.timer = time.AfterFunc(noticeIn, func() { r.lost("no answer") })
 }
 
 // lost puts the notices of a call back and makes it again a little later. A notice told twice does no harm.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -83,6 +83,16 @@
 	require.Equal(t, []uint64{1, 2}, <-k.told)
 }
 
+func TestANoticeOnASilentConnectionIsSentOnANewOne(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Notify(Notice{Door: 1, ID: "a"})
+	accept() // and no word
+	require.Equal(t, "no answer", <-k.lost)
+	c, _ := accept()
+	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
+	require.Equal(t, []uint64{1}, <-k.told)
+}
+
 func TestASilentWatchEnds(t *testing.T) {
 	d, k, accept := scene(t)
 	d.Watch(1)
