--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -386,6 +387,25 @@
 	require.Equal(t, "d1", s.call().ID)
 }
 
+func TestWithDiscoveryDownTheKnownListServes(t *testing.T) {
+	s := newStage(t, "single")
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, down.Close())
+	up := s.discovery.Addr
+	s.discovery.Addr = down.Addr().String()
+	c := s.start()
+	s.await("watch ended")
+	s.put(c, zero, "d1", "c=status,d=8000,dest=7", "+OK")
+	require.Equal(t, "d1", s.call().ID)
+	s.put(c, zero, "d2", "c=status,d=200,dest=9", "+OK")
+	s.await("notices not answered")
+	s.kill()
+	s.discovery.Addr = up
+	s.start()
+	require.Equal(t, standin.Notice{ID: "d2", State: "returned", AfterMs: 1000}, s.notice())
+}
+
 func TestAWrongOrderIsOnePlainLineBeforeAnythingListens(t *testing.T) {
 	s := newStage(t, "single")
 	for _, c := range []struct{ env, says string }{{"PROXY_CONFIG=", "PROXY_CONFIG is not set"},
