SIGHUP moves discovery; spoilt answers may have run; bad and silent clients; gone targets

At fault: outlet's cut() believed any status line before a spoilt rest; handedIn() took on any destination and a second document under an id that is held; resp passed over *0 and *-1; Intake closed silent clients only at its bound; Admit refused usual clients while silent ones were many; owner.targets and byUID had no way out.

Now: a spoilt answer may have run (an error of the target, not a reset) but for one document's 200; an answer that began and never ended likewise; a connection is written to only 3 ms after its last answer and if nothing more came on it; connections belong to a target, not to an address; silent clients go after 2 s, quiet ones after 6 s, and first of all when room is short; a last answer lingers so that it is read.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,8 @@
 	manyLost   = 2.0  // losses on idle connections, a fifth of the calls on them, that end trust in them
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
 	blip       = 3.0  // seconds of silence that are no outage
+	KeepSilent = 2.0  // seconds that a client may be connected, or stop within a command, without a whole one
+	KeepQuiet  = 6.0  // seconds that it may be connected between two
 )
 
 // NewDestination is called by the adapter at the first mention of a destination.
@@ -79,6 +81,7 @@
 		for _, t := range f.dests[i].targets {
 			if !named[t] {
 				t.standing = Gone
+				f.hear(t.dest)
 			}
 		}
 	}
@@ -92,9 +95,8 @@
 }
 
 // Admit tells if a document is taken on, or when to come back with it.
-func (f *Forwarder) Admit(size int, left float64, clients int) (taken bool, comeBack float64) {
-	full := len(f.held) >= f.terms.Room || f.terms.Keep > 0 && f.kept+size > f.terms.Keep
-	if full || left <= lastCall || f.terms.Clients > 0 && clients > f.terms.Clients {
+func (f *Forwarder) Admit(size int, left float64) (taken bool, comeBack float64) {
+	if len(f.held) >= f.terms.Room || f.terms.Keep > 0 && f.kept+size > f.terms.Keep || left <= lastCall {
 		return false, f.comeBack()
 	}
 	return true, 0
@@ -285,8 +287,8 @@
 }
 
 // doubt shuts a route after three failures in a row, refusals counted after the first and one at least quick,
-// with no answer for a while before. Guards against many forwarders with few calls each that go on until each
-// is sure, and together push a destination over as it returns. Hurts after chance failures, calls being few.
+// with no answer for a while before. Guards against many forwarders with few calls that go on until each is
+// sure, and together push a destination over as it returns. Hurts after chance failures, calls being few.
 func (f *Forwarder) doubt(t *Target) {
 	r := t.route
 	for _, o := range t.dest.targets {
@@ -308,7 +310,7 @@
 }
 
 // cool begins or prolongs a target's sickness. Guards against pushing over a destination that returns cold,
-// and against feeding documents to one that is down, hung, shut or failing. Hurts after chance failures.
+// and feeding one that is down, hung, shut or failing. Hurts after chance failures.
 func (f *Forwarder) cool(t *Target) {
 	t.state, t.places = sick, 1
 	t.next = math.Max(t.next, math.Max(f.now, t.route.closed)+f.gap(t)*f.dice.unit())
@@ -376,9 +378,8 @@
 	} else {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	}
-	// Turned away again a second later, with nothing let in: two calls' time without one. Guards against many
-	// forwarders with a document each that knock on a hung or shut destination until it is back and push it
-	// over. Hurts at a limit that has room again sooner.
+	// Turned away again a second later, nothing let in: two calls' time without one. Guards against many with a
+	// document each that knock on a hung destination and push it over. Hurts at limits that soon have room.
 	if f.now > r.since+1 {
 		r.closed = math.Max(r.closed, f.now+f.rest(t)*(0.5+f.dice.unit()))
 	}
@@ -422,8 +423,7 @@
 
 // dark tells that no target of a destination answers.
 func (f *Forwarder) dark(d *Destination) bool {
-	answers := func(t *Target) bool { return t.standing == Ready && t.state != sick }
-	return !slices.ContainsFunc(d.targets, answers)
+	return !slices.ContainsFunc(d.targets, func(t *Target) bool { return t.standing == Ready && t.state != sick })
 }
 
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -12,6 +12,7 @@
 	asks int
 
 	recalled []*Target
+	released []*Target
 	log      []string
 }
 
@@ -96,6 +97,7 @@
 func (h *fake) Abandon(d *Doc)                  { h.done[d] += "abandoned" }
 func (h *fake) Recall(t *Target)                { h.recalled = append(h.recalled, t) }
 func (h *fake) CloseIdle(t *Target)             { h.log = append(h.log, fmt.Sprint("close ", t.Door)) }
+func (h *fake) Release(t *Target)               { h.released = append(h.released, t) }
 func (h *fake) Wake(float64)                    {}
 func (h *fake) Watch()                          { h.asks++ }
 func (h *fake) Log(line string)                 { h.log = append(h.log, line) }
--- a/choice/port.go
+++ b/choice/port.go
@@ -38,7 +38,6 @@
 	AskList       bool    // the list comes only after asking
 	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
 	Keep          int     // bytes of documents that can be kept beyond a restart; 0: no bound
-	Clients       int     // connections of clients with which documents are taken on; 0: no bound
 	Confirmed     bool    // an answer is given only once Told says so
 }
 
@@ -99,6 +98,7 @@
 	Abandon(d *Doc)
 	Recall(t *Target) // ends the calls to a target of which nothing has been sent, as Moot
 	CloseIdle(t *Target)
+	Release(t *Target) // it is gone and nothing is heard of it any more
 	Wake(in float64)
 	Watch()
 	Log(line string)
--- a/choice/state.go
+++ b/choice/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 // Forwarder is one instance of the module.
@@ -220,9 +221,20 @@
 	f.unchain(d)
 }
 
+// letGo ends the memory of targets that are gone, once no call to them is out: new ones come all day.
+func (f *Forwarder) letGo(d *Destination) {
+	for i := len(d.targets) - 1; i >= 0; i-- {
+		if t := d.targets[i]; t.standing == Gone && len(t.calls) == 0 {
+			d.targets = slices.Delete(d.targets, i, i+1)
+			f.host.Release(t)
+		}
+	}
+}
+
 // note logs the destinations that changed their mode.
 func (f *Forwarder) note() {
 	for _, d := range f.heard {
+		f.letGo(d)
 		worst := well
 		for _, t := range d.targets {
 			if t.standing == Ready && (t.state == sick || worst == well) {
--- a/forward/config.go
+++ b/forward/config.go
@@ -27,6 +27,9 @@
 	Known     directory.List
 	Terms     choice.Terms
 	Fronts    terms.Fronts
+
+	Reread func() (*Order, error) // the order as it is told by now; nil: it never changes
+	told   string                 // discovery as the text has it, whatever the variables say
 }
 
 // The least limits with which a forwarder runs.
@@ -36,17 +39,32 @@
 	leastDisk    = 1
 )
 
-// FromEnvironment reads the file that PROXY_CONFIG names; the other variables go before what it says.
+// FromEnvironment reads the file that PROXY_CONFIG names; the other variables go before what it says. Read again, the
+// file goes before PROXY_DISCOVERY, which cannot have changed.
 func FromEnvironment(getenv func(string) string) (*Order, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
 		return nil, errors.New("PROXY_CONFIG is not set")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	read := func(getenv func(string) string) (*Order, error) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+		}
+		return ReadOrder(text, getenv)
+	}
+	o, err := read(getenv)
+	if err == nil {
+		o.Reread = func() (*Order, error) {
+			return read(func(name string) string {
+				if name == "PROXY_DISCOVERY" {
+					return ""
+				}
+				return getenv(name)
+			})
+		}
 	}
-	return ReadOrder(text, getenv)
+	return o, err
 }
 
 // ReadOrder reads an order; variables that are set go before the text's fields.
@@ -74,7 +92,7 @@
 	o := &Order{Name: first("PROXY_NAME", c.Name), Listen: first("PROXY_LISTEN", c.Listen),
 		Discovery: first("PROXY_DISCOVERY", c.Discovery), Folder: first("PROXY_STATE", c.State),
 		MemoryMB: c.Limits.MemoryMB, Sockets: c.Limits.Sockets, DiskMB: c.Limits.DiskMB, Cores: c.Limits.Cores,
-		Known: c.Known}
+		Known: c.Known, told: c.Discovery}
 	for _, f := range []struct{ name, value string }{{"listen", o.Listen}, {"discovery", o.Discovery}} {
 		if i := strings.LastIndexByte(f.value, ':'); i < 0 {
 			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -43,11 +44,11 @@
 	debug.SetMemoryLimit(int64(o.MemoryMB) << 20 * 6 / 10)
 }
 
-// Run serves by an order until ctx ends, then finishes what it can in the time there is. ready, if not nil, is called
-// with the address once clients are served.
-func Run(ctx context.Context, order *Order, logTo io.Writer, ready func(addr string)) error {
+// Run serves by an order until ctx ends, then finishes what it can in the time there is. At each word on again the
+// order is read anew. ready, if not nil, is called with the address once clients are served.
+func Run(ctx context.Context, order *Order, again <-chan os.Signal, logTo io.Writer, ready func(addr string)) error {
 	own := *order
-	order = &own
+	order, asRead := &own, own.Terms
 	log := zerolog.New(logTo).With().Timestamp().Str("forwarder", order.Name).Logger()
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
@@ -67,11 +68,11 @@
 		return err
 	}
 	defer dialer.Stop()
-	order.Terms.Keep, order.Terms.Clients, order.Terms.Confirmed = led.Room(), room/2, true
+	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
 	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
 	x := newExchange()
-	o := &owner{order: order, log: log, exchange: x, ledger: led, epoch: time.Now(),
-		docs: map[uint64]*paper{}, byUID: map[string]*target{}, types: map[string]int{},
+	o := &owner{order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
+		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
 		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{},
 		said: map[string]time.Time{}}
 	for i, name := range order.Fronts.Types {
@@ -82,11 +83,11 @@
 	o.dir = directory.New(dialer, order.Discovery, connect, x)
 	defer o.dir.Stop()
 	o.begin(o.epoch)
-	in, err := intake.Open(order.Listen, order.Terms.Clients, order.Terms.Clients+room/8, x)
+	in, err := intake.Open(order.Listen, room/2, room/2+room/8,
+		intake.Patience{Silent: choice.KeepSilent, Quiet: choice.KeepQuiet}, x)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	o.intake = in
 	defer in.Stop()
 	defer x.close()
 	log.Info().Str("listen", in.Addr()).Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).
@@ -94,13 +95,13 @@
 	if ready != nil {
 		ready(in.Addr())
 	}
-	o.serve(ctx, in, dialer)
+	o.serve(ctx, again, in, dialer)
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
 
 // serve turns until the module lets the process end.
-func (o *owner) serve(ctx context.Context, in *intake.Intake, dialer *dial.Dialer) {
+func (o *owner) serve(ctx context.Context, again <-chan os.Signal, in *intake.Intake, dialer *dial.Dialer) {
 	timer := time.NewTimer(0)
 	report := time.NewTicker(countsEvery)
 	defer report.Stop()
@@ -120,6 +121,9 @@
 			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", clients).Int("most_clients", most).
 				Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", o.outlet.Idle()).Int64("disk", o.ledger.Used()).Msg("counts")
 			continue
+		case <-again:
+			o.reread()
+			continue
 		case <-asked:
 			asked = nil
 			o.log.Info().Int("held", len(o.docs)).Msg("stopping")
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -19,6 +19,7 @@
 // owner is what the one goroutine that owns the module works with.
 type owner struct {
 	order    *Order
+	asRead   choice.Terms // as the order has them
 	log      zerolog.Logger
 	exchange *Exchange
 	ledger   *ledger.Ledger
@@ -27,15 +28,18 @@
 	f        *choice.Forwarder
 	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
 	docs     map[uint64]*paper
+	byID     map[string]*paper // the same, by the clients' ids
+	past     recent            // ids of documents that were let go of
+	heard    bool              // discovery has told its list since the start
 	dests    map[uint64]*choice.Destination
-	sweepAt  int       // so many destinations are looked through for those that clients alone have named
-	targets  []*target // by number
+	sweepAt  int                // so many destinations are looked through for those that clients alone have named
+	targets  map[uint64]*target // by number
+	lastDoor uint64             // number of the latest target
 	byUID    map[string]*target
 	types    map[string]int
 	rev      int64
 	wakeAt   time.Time // zero: none set
 	calls    []*outlet.Call
-	intake   *intake.Intake
 	unknown  map[string]bool // names that came with documents
 	counts   counts
 	said     map[string]time.Time // when lines that may come in floods were last written
@@ -66,6 +70,7 @@
 	floodPause = time.Second            // between two lines of a kind that may come in floods
 	refuseMost = 9_999_999              // milliseconds
 	leastSweep = 64                     // destinations
+	lateList   = time.Second            // until discovery has told its list, most likely
 	mostNames  = 16                     // unknown names that get a line
 )
 
@@ -107,7 +112,7 @@
 func (o *owner) paper(e *ledger.Entry, typ int) *paper {
 	p := &paper{Paper: outlet.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ}
 	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size()}
-	o.docs[e.Seq] = p
+	o.docs[e.Seq], o.byID[e.ID] = p, p
 	return p
 }
 
@@ -156,6 +161,7 @@
 	case outlet.Ended:
 		o.ended(n)
 	case *directory.List:
+		o.heard = true
 		o.listed(n, n.All)
 	case noticesLost:
 		if o.worth("notices") {
@@ -215,6 +221,21 @@
 		c.Answer(resp.Failure("ERR unknown type of document"), false)
 		return
 	}
+	_, listed := o.dests[in.Dest]
+	switch {
+	case o.byID[in.ID] != nil || o.past.has(in.ID):
+		c.Answer(resp.Failure("ERR a document with this id was taken on"), false)
+		return
+	case o.order.Terms.Types[typ].Repeat == choice.Numbered && in.Mark == "":
+		c.Answer(resp.Failure("ERR k is missing, by which a repeat is known"), false)
+		return
+	case !listed && o.heard:
+		c.Answer(resp.Failure("ERR unknown destination"), false)
+		return
+	case !listed: // the list may be old
+		c.Answer(resp.Busy(int(lateList.Milliseconds())), false)
+		return
+	}
 	if c.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
 		return
 	}
@@ -225,8 +246,7 @@
 		o.unknown[in.Unknown] = true
 		o.log.Warn().Str("name", in.Unknown).Msg("unknown name with a document")
 	}
-	clients, _ := o.intake.Clients()
-	if taken, back := o.f.Admit(e.Size(), left, clients); !taken {
+	if taken, back := o.f.Admit(e.Size(), left); !taken {
 		o.counts.refused++
 		c.Answer(resp.Busy(min(int(back*1000), refuseMost)), false)
 		return
@@ -304,6 +324,10 @@
 func (o *owner) forget(p *paper) {
 	if p.doc.Over() {
 		delete(o.docs, p.Door)
+		if o.byID[p.ID] == p {
+			delete(o.byID, p.ID)
+			o.past.add(p.ID)
+		}
 	}
 }
 
@@ -313,9 +337,12 @@
 	for _, e := range l.Targets {
 		t := o.byUID[e.UID]
 		if t == nil {
-			t = &target{uid: e.UID, module: &choice.Target{Door: uint64(len(o.targets))}}
-			o.targets = append(o.targets, t)
-			o.byUID[e.UID] = t
+			if e.State == "left" {
+				continue // heard of only as it goes
+			}
+			o.lastDoor++
+			t = &target{uid: e.UID, module: &choice.Target{Door: o.lastDoor}}
+			o.targets[o.lastDoor], o.byUID[e.UID] = t, t
 		}
 		kind := index(o.order.Fronts.Kinds, e.Kind)
 		t.zone, t.batch = index(o.order.Fronts.Zones, e.Zone), 1
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -160,6 +160,18 @@
 	}
 }
 
+// Quiet tells that the line is up and nothing has come on it that was not told yet. It may be called only while
+// nothing is expected: what has come is lost.
+func (l *Line) Quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over || l.conn == nil {
+		return false
+	}
+	_, err := l.conn.Read(make([]byte, 1))
+	return errors.Is(err, syscall.EAGAIN)
+}
+
 // Sent tells if the socket took the last byte of all that was to be written.
 func (l *Line) Sent() bool {
 	l.mu.Lock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// Move leaves discovery's address for another: the list is watched there from a version on, and the notices without
+// an answer go there.
+func (d *Directory) Move(addr string, rev int64) {
+	d.mu.Lock()
+	d.addr = addr
+	if d.out != nil {
+		d.out.drop()
+	}
+	d.report()
+	d.mu.Unlock()
+	d.Watch(rev)
+}
+
 // watch is one connection with an open answer.
 type watch struct {
 	dir    *Directory
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -107,7 +107,7 @@
 // Ended tells if the end of the connection completes the answer.
 func (r *Reader) Ended() bool { return r.at == inOpen }
 
-// Begun tells if anything of an answer has come.
+// Begun tells if anything of an answer has come, interim ones aside.
 func (r *Reader) Begun() bool { return r.at != atStatus || len(r.line) > 0 }
 
 // take returns the next line without its end, nil while it is not complete.
@@ -203,6 +203,9 @@
 		if err != nil || len(value) > mostNumber || r.sized && int(n) != r.left {
 			return ErrAnswer
 		}
+		if r.MostBody > 0 && int(n) > r.MostBody {
+			return ErrSize
+		}
 		r.left, r.sized = int(n), true
 	case Is(name, "transfer-encoding"):
 		r.chunked = Is(value, "chunked")
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -29,6 +29,7 @@
 	Ping   bool
 	Error  string // what else came, as the answer that it gets
 	Last   bool   // after the answer the connection ends
+	Late   bool   // the rest of the command did not come in time
 }
 
 // Paper is a document handed in. It holds a copy of what was read: it outlives the buffer.
@@ -55,24 +56,37 @@
 	asked   atomic.Int32 // commands without an answer
 	partial atomic.Bool  // a command is read in part
 	gone    atomic.Bool
-	mute    bool  // what came could not be understood: nothing more is read
-	turn    int64 // of its latest command, under the intake's lock
+	mute    atomic.Bool // what came could not be understood: nothing more is read
+	spilled int         // bytes that came after that
+
+	// Under the intake's lock:
+	spoke bool      // a whole command has come
+	last  time.Time // when something came last, or the connection
+	since time.Time // when the command that is read in part began
+	ends  time.Time // told its last answer: closed from then on
 }
 
 // quiet tells that closing the connection takes no answer from anybody.
 func (c *Client) quiet() bool { return c.asked.Load() == 0 && !c.partial.Load() }
 
+// Patience is how long connections without an open command are kept, in seconds.
+type Patience struct {
+	Silent float64 // without a whole command, or with one that does not go on
+	Quiet  float64 // between commands
+}
+
 // Intake holds the clients' connections.
 type Intake struct {
-	engine  *nbio.Engine
-	desk    Desk
-	most    int // from here on the connection that has been quiet for the longest is closed for each new one
-	hard    int // from here on new ones are turned away unread, so that descriptors do not run out
-	mu      sync.Mutex
-	clients map[*Client]struct{}
-	clock   int64
-	leaving bool
-	peak    int
+	engine   *nbio.Engine
+	desk     Desk
+	patience Patience
+	most     int // from here on one without a command, else the longest quiet one, is closed for each new one
+	hard     int // from here on new ones are turned away unread, so that descriptors do not run out
+	mu       sync.Mutex
+	clients  map[*Client]struct{}
+	leaving  bool
+	peak     int
+	stop     chan struct{}
 }
 
 // door is the listener; it turns connections away before nbio knows of them.
@@ -84,6 +98,9 @@
 const (
 	acceptPause = 20 * time.Millisecond // after a failed accept, for want of descriptors say
 	stopWithin  = 200 * time.Millisecond
+	sweepEvery  = 100 * time.Millisecond
+	lingers     = 200 * time.Millisecond // after the last answer, so that it is read before the connection ends
+	mostSpilled = 1 << 20                // bytes that are passed over while it lingers
 )
 
 func (d door) Accept() (net.Conn, error) {
@@ -103,8 +120,9 @@
 }
 
 // Open listens at an address; most and hard bound the connections.
-func Open(addr string, most, hard int, desk Desk) (*Intake, error) {
-	in := &Intake{desk: desk, most: most, hard: hard, clients: map[*Client]struct{}{}}
+func Open(addr string, most, hard int, patience Patience, desk Desk) (*Intake, error) {
+	in := &Intake{desk: desk, patience: patience, most: most, hard: hard, clients: map[*Client]struct{}{},
+		stop: make(chan struct{})}
 	in.engine = nbio.NewEngine(nbio.Config{Name: "intake", Network: "tcp", Addrs: []string{addr}, NPoller: 1,
 		ReadBufferSize: 72 << 10, MaxWriteBufferSize: 256 << 10, MaxConnReadTimesPerEventLoop: 8,
 		Listen: func(network, addr string) (net.Listener, error) {
@@ -125,6 +143,7 @@
 	if err := in.engine.Start(); err != nil {
 		return nil, err
 	}
+	go in.watch()
 	return in, nil
 }
 
@@ -135,9 +154,62 @@
 func (in *Intake) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
+	close(in.stop)
 	in.engine.Shutdown(ctx)
 }
 
+func (in *Intake) watch() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-in.stop:
+			return
+		case now := <-tick.C:
+			in.sweep(now)
+		}
+	}
+}
+
+// sweep ends connections that have had their last answer or have been without an open command for too long, and says
+// so to those that stopped within one.
+func (in *Intake) sweep(now time.Time) {
+	var over, late []*Client
+	before := func(t time.Time, seconds float64) bool { return now.Sub(t).Seconds() > seconds }
+	in.mu.Lock()
+	for c := range in.clients {
+		switch {
+		case !c.ends.IsZero():
+			if now.After(c.ends) {
+				over = append(over, c)
+			}
+		case c.mute.Load() || c.asked.Load() > 0:
+		case c.partial.Load():
+			if before(c.since, in.patience.Silent) {
+				late = append(late, c)
+			}
+		case !c.spoke && before(c.last, in.patience.Silent), before(c.last, in.patience.Quiet):
+			over = append(over, c)
+		}
+	}
+	in.mu.Unlock()
+	for _, c := range over {
+		c.conn.Close()
+	}
+	for _, c := range late {
+		c.refuse(Asked{Error: "ERR the command did not go on in time", Late: true})
+	}
+}
+
+// refuse leaves a connection's last answer at the desk and reads nothing more.
+func (c *Client) refuse(a Asked) {
+	if c.mute.CompareAndSwap(false, true) {
+		c.asked.Add(1)
+		a.Client, a.Last = c, true
+		c.intake.desk.Ask(a)
+	}
+}
+
 // Leave closes each connection as soon as it has no command without an answer, so that clients go elsewhere.
 func (in *Intake) Leave() {
 	in.mu.Lock()
@@ -161,23 +233,22 @@
 	return len(in.clients), in.peak
 }
 
-// opened makes room for a connection over the bound by closing the one that has been quiet for the longest, which a
-// client takes for an idle connection's end.
+// opened makes room for a connection over the bound by closing the one that has been without a whole command for the
+// longest, else the one that has been quiet for the longest, which a client takes for an idle connection's end.
 func (in *Intake) opened(conn *nbio.Conn) {
-	c := &Client{intake: in, conn: conn}
+	c := &Client{intake: in, conn: conn, last: time.Now()}
 	conn.SetSession(c)
 	in.mu.Lock()
 	var oldest *Client
 	if len(in.clients) >= in.most {
 		for o := range in.clients {
-			if o.quiet() && (oldest == nil || o.turn < oldest.turn) {
+			if idle := o.asked.Load() == 0 && !(o.spoke && o.partial.Load()) || !o.ends.IsZero(); idle &&
+				(oldest == nil || !o.spoke && oldest.spoke || o.spoke == oldest.spoke && o.last.Before(oldest.last)) {
 				oldest = o
 			}
 		}
 		delete(in.clients, oldest)
 	}
-	in.clock++
-	c.turn = in.clock
 	in.clients[c] = struct{}{}
 	in.peak = max(in.peak, len(in.clients))
 	in.mu.Unlock()
@@ -194,23 +265,28 @@
 }
 
 func (in *Intake) data(c *Client, b []byte) {
-	in.mu.Lock()
-	in.clock++
-	c.turn = in.clock
-	in.mu.Unlock()
-	if c.mute {
+	if c.mute.Load() {
+		if c.spilled += len(b); c.spilled > mostSpilled {
+			c.conn.Close()
+		}
 		return
 	}
+	now, whole := time.Now(), false
 	err := c.reader.Feed(b, func(args [][]byte) error {
+		whole = true
 		c.asked.Add(1)
 		in.desk.Ask(command(c, args))
 		return nil
 	})
+	in.mu.Lock()
+	c.last, c.spoke = now, c.spoke || whole
+	if whole || !c.partial.Load() {
+		c.since = now
+	}
+	in.mu.Unlock()
 	c.partial.Store(c.reader.Waiting() > 0)
 	if err != nil {
-		c.mute = true
-		c.asked.Add(1)
-		in.desk.Ask(Asked{Client: c, Error: "ERR " + err.Error(), Last: true})
+		c.refuse(Asked{Error: "ERR " + err.Error()})
 	}
 }
 
@@ -230,6 +306,18 @@
 	return a
 }
 
+const mostLeft = 86_400_000 // milliseconds
+
+// plain tells that a word can travel in the head of a call.
+func plain(word string) bool {
+	for i := range len(word) {
+		if word[i] <= ' ' || word[i] >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 var errPut = errors.New("MSG.PUT takes a key, an id, names with values, and a body")
 
 func put(args [][]byte) (*Paper, error) {
@@ -243,10 +331,8 @@
 	if len(args[4]) > 64<<10 {
 		return nil, errors.New("the body is over 64 KiB")
 	}
-	for _, b := range args[2] {
-		if b <= ' ' || b >= 0x7f {
-			return nil, errors.New("the id holds bytes that it may not")
-		}
+	if !plain(string(args[2])) {
+		return nil, errors.New("the id holds bytes that it may not")
 	}
 	p := &Paper{Key: key, ID: string(args[2]), Body: bytes.Clone(args[4]), Left: -1, Came: time.Now()}
 	dest := false
@@ -257,7 +343,7 @@
 			p.Type = value
 		case "d":
 			ms, err := strconv.ParseFloat(value, 64)
-			if err != nil || !(ms >= 0 && ms < 1e12) {
+			if err != nil || !(ms >= 0 && ms < mostLeft) || strings.Trim(value, "0123456789.") != "" {
 				return nil, errors.New("d is not a time in milliseconds")
 			}
 			p.Left = ms / 1000
@@ -267,7 +353,7 @@
 			}
 			dest = true
 		case "k":
-			if p.Mark = value; strings.ContainsAny(value, "\r\n") || len(value) > 128 {
+			if p.Mark = value; !plain(value) || len(value) > 128 {
 				return nil, errors.New("k holds bytes that it may not")
 			}
 		case "t":
@@ -292,8 +378,11 @@
 	c.asked.Add(-1)
 	c.intake.mu.Lock()
 	leaving := c.intake.leaving
+	if last {
+		c.ends = time.Now().Add(lingers)
+	}
 	c.intake.mu.Unlock()
-	if last || leaving && c.quiet() {
+	if leaving && !last && c.quiet() {
 		c.conn.Close()
 	}
 	return err == nil
--- a/internal/outlet/call.go
+++ b/internal/outlet/call.go
@@ -19,7 +19,8 @@
 
 // Call is one call to a target with one paper or several.
 type Call struct {
-	Target string
+	Door   uint64 // the caller's number of the target: connections are its own, also where another had its address
+	Target string // its address
 	Papers []Paper
 	Allow  time.Duration
 }
--- a/internal/outlet/end.go
+++ b/internal/outlet/end.go
@@ -38,7 +38,7 @@
 	switch e {
 	case Took:
 		return choice.Delivered, true
-	case Failed:
+	case Failed, Garbled: // who answers nonsense is there, and has run the call
 		return choice.Errored, false
 	case Waiting, TurnedAway:
 		return choice.Full, false
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -29,19 +29,19 @@
 	desk   Desk
 	terms  Terms
 	mu     sync.Mutex
-	idle   map[string][]*trunk // the latest used last
+	idle   map[uint64][]*trunk // by the target's number; the latest used last
 	rising map[*trunk]struct{} // whose first call may not have begun to be sent
 }
 
 // New has no connections yet.
 func New(d *dial.Dialer, desk Desk, terms Terms) *Outlet {
-	return &Outlet{dialer: d, desk: desk, terms: terms, idle: map[string][]*trunk{}, rising: map[*trunk]struct{}{}}
+	return &Outlet{dialer: d, desk: desk, terms: terms, idle: map[uint64][]*trunk{}, rising: map[*trunk]struct{}{}}
 }
 
 // trunk is one connection to a target with at most one call on it.
 type trunk struct {
 	outlet *Outlet
-	target string
+	target uint64
 	line   *dial.Line
 	reader http1.Reader
 	answer answer
@@ -50,46 +50,114 @@
 	rested time.Time   // since when it is idle
 	timer  *time.Timer // ends the call, or while idle the connection
 	turn   int         // counts calls and idle times, so that a late timer is known as one
+	unsent bool        // the call waits for the connection to be proven clean
 }
 
+// proof is for how long a connection stays silent after an answer before a call is written to it. Guards against the
+// second copy of an answer, or noise behind it, being taken for the answer to the next call. It delays calls in a row.
+const proof = 3 * time.Millisecond
+
 // Send begins a call, on the idle connection used last if there is one.
 func (o *Outlet) Send(c *Call) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var t *trunk
-	if l := o.idle[c.Target]; len(l) > 0 {
-		t = l[len(l)-1]
-		o.drop(t)
-	} else {
-		if o.dialer.Full() {
-			o.shed()
-		}
-		t = &trunk{outlet: o, target: c.Target, reader: http1.Reader{MostBody: mostAnswer}}
-		t.line = o.dialer.Dial(c.Target, o.terms.Connect, t)
-		o.rising[t] = struct{}{}
+	t := o.rested(c.Door)
+	if t == nil {
+		t = o.fresh(c)
 	}
 	t.call, t.began = c, time.Now()
 	t.answer = answer{body: t.answer.body[:0], keep: len(c.Papers) > 1}
 	t.reader.Reset()
-	t.line.Write(c.request())
 	t.turn++
 	turn := t.turn
 	t.timer = time.AfterFunc(c.Allow, func() { t.giveUp(turn) })
+	if wait := proof - t.began.Sub(t.rested); wait > 0 {
+		t.unsent = true
+		o.rising[t] = struct{}{}
+		time.AfterFunc(wait, func() { t.write(turn) })
+		return
+	}
+	t.line.Write(c.request())
+}
+
+// rested takes the idle connection to a target that was used last, nil if there is none that can be used.
+func (o *Outlet) rested(target uint64) *trunk {
+	for {
+		l := o.idle[target]
+		if len(l) == 0 {
+			return nil
+		}
+		t := l[len(l)-1]
+		o.drop(t)
+		if t.line.Quiet() {
+			return t
+		}
+		t.line.Close()
+	}
+}
+
+// fresh begins a connection for a call.
+func (o *Outlet) fresh(c *Call) *trunk {
+	if o.dialer.Full() {
+		o.shed()
+	}
+	t := &trunk{outlet: o, target: c.Door, reader: http1.Reader{MostBody: mostAnswer}}
+	t.line = o.dialer.Dial(c.Target, o.terms.Connect, t)
+	o.rising[t] = struct{}{}
+	return t
+}
+
+// write sends the call that waited; on a connection that is not clean it changes to a new one.
+func (t *trunk) write(turn int) {
+	o := t.outlet
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t.turn != turn || !t.unsent {
+		return
+	}
+	if !t.line.Quiet() {
+		t.change()
+		return
+	}
+	t.unsent = false
+	delete(o.rising, t)
+	t.line.Write(t.call.request())
+}
+
+// change carries the call that waited over to a new connection.
+func (t *trunk) change() {
+	o := t.outlet
+	t.line.Close()
+	delete(o.rising, t)
+	n := o.fresh(t.call)
+	n.call, n.began, n.turn = t.call, t.began, 1
+	n.answer.keep = t.answer.keep
+	t.timer.Stop()
+	n.timer = time.AfterFunc(t.call.Allow-time.Since(t.began), func() { n.giveUp(1) })
+	t.call, t.unsent = nil, false
+	t.turn++
+	n.line.Write(n.call.request())
 }
 
 // Recall ends the calls to a target of which nothing has been sent because their connection is not up.
-func (o *Outlet) Recall(target string) {
+func (o *Outlet) Recall(target uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for t := range o.rising {
-		if t.target == target && t.line.CloseUnlessUp() {
-			t.finish(t.same(Recalled), "")
+		if t.target != target {
+			continue
+		}
+		if t.unsent {
+			t.line.Close()
+		} else if !t.line.CloseUnlessUp() {
+			continue
 		}
+		t.finish(t.same(Recalled), "")
 	}
 }
 
 // CloseIdle closes the connections to a target that carry no call.
-func (o *Outlet) CloseIdle(target string) {
+func (o *Outlet) CloseIdle(target uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, t := range o.idle[target] {
@@ -137,12 +205,15 @@
 		t.line.Close()
 		return
 	}
-	end := GivenUp
-	if !t.line.Sent() {
+	end, why := GivenUp, ""
+	switch {
+	case t.unsent || !t.line.Sent():
 		end = GivenUpEarly
+	case t.reader.Begun():
+		end, why = Garbled, "the answer never ended"
 	}
 	t.line.Close()
-	t.finish(t.cut(end), "")
+	t.finish(t.cut(end), why)
 }
 
 // Data takes what came from the target.
@@ -155,6 +226,10 @@
 		t.line.Close()
 		return
 	}
+	if t.unsent { // nor was it yet
+		t.change()
+		return
+	}
 	used, whole, err := t.reader.Feed(b, &t.answer)
 	switch {
 	case err != nil:
@@ -180,6 +255,8 @@
 	switch {
 	case t.call == nil:
 		o.drop(t)
+	case t.unsent:
+		t.change()
 	case t.reader.Ended():
 		t.finish(t.answer.ends(t.call), "")
 	case errors.Is(cause, dial.ErrNeverUp):
@@ -206,11 +283,11 @@
 	return t.cut(end)
 }
 
-// cut is end for each paper, unless the part of the answer that came tells more: a status holds from its line on,
-// but for the 200 of several papers, whose ends stand in the body.
+// cut is end for each paper, but for a single one whose answer began with 200: that holds from its line on. Any other
+// status counts only with the whole answer, as one that is spoilt or cut may stand for a document that has run.
 func (t *trunk) cut(end End) []End {
-	if a := &t.answer; a.code != 0 && (a.code != 200 || len(t.call.Papers) == 1) {
-		return a.ends(t.call)
+	if t.answer.code == 200 && len(t.call.Papers) == 1 {
+		end = Took
 	}
 	return t.same(end)
 }
@@ -227,10 +304,10 @@
 func (t *trunk) finish(ends []End, why string) {
 	t.timer.Stop()
 	e := Ended{Call: t.call, Ends: ends, Took: time.Since(t.began), Why: why}
-	if why == "" {
+	if ends[0] != Garbled { // a head that came before the connection broke holds
 		e.Wait, e.Report = t.answer.wait, t.answer.report
 	}
-	t.call = nil
+	t.call, t.unsent = nil, false
 	t.turn++
 	delete(t.outlet.rising, t)
 	t.outlet.desk.CallEnded(e)
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -39,10 +39,8 @@
 		if n == 0 {
 			break
 		}
-		if len(args) > 0 {
-			if err := each(args); err != nil {
-				return err
-			}
+		if err := each(args); err != nil {
+			return err
 		}
 		data = data[n:]
 	}
@@ -69,6 +67,9 @@
 	if count > MostArgs {
 		return nil, 0, ErrSize
 	}
+	if count < 1 {
+		return nil, 0, ErrFraming
+	}
 	for range count {
 		size, next, err := number(b, at, '$')
 		if err != nil || next == 0 {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -441,6 +441,8 @@
 // Recall has nothing to do: on this wire a call counts as sent when it is decided on.
 func (in *instance) Recall(*choice.Target) {}
 
+func (in *instance) Release(t *choice.Target) { delete(in.targets, t.Door) }
+
 func (in *instance) CloseIdle(t *choice.Target) {
 	w := &in.host.out
 	w.record(6, in.number)
