Documents short of time are answered; refusals of a sick target are no limit

Checked with a trace of every call to the largest one: after its return its oldest documents went out with 0.06 s left, each a time-out that made the target sick again (138 time-outs of 956 calls); and with those gone the route got 2 calls a second instead of 60, as eight refusals of its full queue during the hang had cut its pace to a tenth of the least, 0.05. Ruled out: slots (0 to 1 out), the target (0.07 s a call throughout), the list, connections.

At fault: review() held a document until 0.04 s before expiry; refusal() took refusals during an outage for a limit.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
 	overdue    = 0.01 // seconds after expiry: the call's end should have come
 	lookAgain  = 0.02 // seconds between looks at lines that wait
-	lastCall   = 0.04 // seconds before expiry: nothing is sent after, so that the answer comes in time
+	lastCall   = 0.04 // seconds before expiry: nothing is sent after, so that the end is told in time
 	firstGuess = 0.9  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
@@ -88,11 +88,7 @@
 }
 
 // ListFailed says that a question for the list went wrong or that the list stopped coming.
-func (f *Forwarder) ListFailed() {
-	if f.terms.AskList {
-		f.askAt = f.now + 0.3 + f.dice.unit()
-	}
-}
+func (f *Forwarder) ListFailed() { f.askAt = f.now + 0.3 + f.dice.unit() }
 
 // Admit tells if a document is taken on, or when to come back with it.
 func (f *Forwarder) Admit(size int, left float64) (taken bool, comeBack float64) {
@@ -125,7 +121,7 @@
 
 // Take accepts a document of a type, with so much time left.
 func (f *Forwarder) Take(d *Doc, typ int, left float64) {
-	d.typ, d.expiry = &f.terms.Types[typ], f.now+left
+	d.typ, d.expiry, d.time = &f.terms.Types[typ], f.now+left, left
 	f.held = append(f.held, d)
 	f.kept += d.Size
 	d.Dest.held++
@@ -368,15 +364,18 @@
 	}
 	if r.refused == 1 {
 		r.since = f.now
-		cut := r.rate
+		// No debt of earlier calls; and where calls are few, those refused together are not back together.
+		r.tokens = (2.75*f.dice.unit() - 2) * math.Min(1, 0.5/r.rate)
+	}
+	// What a sick target turns away says nothing of a limit: the ramp sees to its return. Guards against next to
+	// no pace after a hang; hurts where the limit itself is the sickness.
+	if cut := r.rate; t.state != sick && r.refused > 1 {
+		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
+	} else if t.state != sick {
 		if r.pace > 0 {
 			cut = math.Min(cut, r.pace)
 		}
 		r.pace = math.Max(0.7*cut, f.known(t))
-		// No debt of earlier calls; and where calls are few, those refused together are not back together.
-		r.tokens = (2.75*f.dice.unit() - 2) * math.Min(1, 0.5/r.rate)
-	} else {
-		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	}
 	// Turned away again a second later, nothing let in: two calls' time without one. Guards against many with a
 	// document each that knock on a hung destination and push it over. Hurts at limits that soon have room.
@@ -423,7 +422,8 @@
 
 // dark tells that no target of a destination answers.
 func (f *Forwarder) dark(d *Destination) bool {
-	return !slices.ContainsFunc(d.targets, func(t *Target) bool { return t.standing == Ready && t.state != sick })
+	alive := func(t *Target) bool { return t.standing == Ready && t.state != sick }
+	return !slices.ContainsFunc(d.targets, alive)
 }
 
 func share(slots int, part float64) int { return max(1, int(part*float64(slots))) }
@@ -598,6 +598,12 @@
 	}
 }
 
+// short tells that a document has less time left than calls to its destination mostly take. Guards against a
+// long line transmitted just too late, each a time-out that makes its target look sick. Hurts quick ones.
+func (f *Forwarder) short(d *Doc) bool {
+	return d.expiry-f.now < math.Max(lastCall, math.Min(d.Dest.took.slow, d.time/8))
+}
+
 // review answers the documents that have no way left to arrive.
 func (f *Forwarder) review() {
 	for i := 0; i < len(f.held); {
@@ -607,7 +613,7 @@
 		}
 		mayRun := d.ranFrom > 0 && d.typ.Repeat != Replayable
 		spent := f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions
-		late := f.now > d.expiry-lastCall
+		late := f.short(d)
 		lost := mayRun && (d.typ.Repeat == Binding || f.now > d.ranFrom+d.typ.Memory-0.05)
 		// While nothing answers, one whose mark is soon forgotten goes back; its client may still repeat it.
 		lost = lost || mayRun && !d.typ.ZoneGroup && f.now > d.ranFrom+d.typ.Memory*2/3 && f.dark(d.Dest)
@@ -662,12 +668,7 @@
 	f.changed = append(f.changed, d)
 }
 
-func (f *Forwarder) comeBack() float64 {
-	if !f.terms.ComeBack {
-		return 0
-	}
-	return math.Min(1, f.terms.ComeBackMost)
-}
+func (f *Forwarder) comeBack() float64 { return math.Min(1, f.terms.ComeBackMost) }
 
 // Settle decides all that follows from the news taken since the last time.
 func (f *Forwarder) Settle() {
--- a/choice/port.go
+++ b/choice/port.go
@@ -33,8 +33,7 @@
 	ColdFor       float64
 	IdleLife      float64 // how long an idle connection lasts
 	FallMultiple  float64
-	ComeBack      bool    // a rejection may name a time to come back
-	ComeBackMost  float64 // longer ones are not honoured
+	ComeBackMost  float64 // the longest time to come back that a rejection may name; 0: none
 	AskList       bool    // the list comes only after asking
 	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
 	Keep          int     // bytes of documents that can be kept beyond a restart; 0: no bound
--- a/choice/state.go
+++ b/choice/state.go
@@ -53,6 +53,7 @@
 
 	typ      *DocType
 	expiry   float64
+	time     float64 // that it had when it was taken
 	chain    *chain
 	lane     *lane
 	call     *call   // the call that carries it now
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -71,8 +71,11 @@
 	t := choice.Terms{KindBatch: s.Extra.KindBatch, KindApart: s.Extra.SeparateRoutes, Forwarders: s.NInstances,
 		Slots: s.Extra.CallsOut, Room: s.Limits.MaxOpen, Transmissions: s.Limits.AttemptsCap, Zone: s.MyZone,
 		KeyRest: s.Guarantees.KeyRest / 1000, ColdFrom: s.Guarantees.ColdFrom, ColdFor: s.Guarantees.Cold / 1000,
-		FallMultiple: s.Guarantees.FallMultiple, IdleLife: s.Limits.ConnIdle / 1000, ComeBack: s.Limits.RetryAfter,
-		ComeBackMost: s.Limits.MaxRetryAfter / 1000, AskList: s.Discovery == "ask"}
+		FallMultiple: s.Guarantees.FallMultiple, IdleLife: s.Limits.ConnIdle / 1000,
+		AskList: s.Discovery == "ask"}
+	if s.Limits.RetryAfter {
+		t.ComeBackMost = s.Limits.MaxRetryAfter / 1000
+	}
 	switch s.WeightKind {
 	case "nominal":
 		t.RoughRate = 1
