A reported absence of a limit and a return end the pace learned from refusals

Traced: a restarted forwarder met the hang as refusals of a target that it thought well, and cut the pace to 0.05.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -210,7 +210,7 @@
 
 func (f *Forwarder) observe(t *Target, c *call, e Ending) {
 	d, r := t.dest, t.route
-	if e.Most > 0 {
+	if e.Most != 0 {
 		r.most = e.Most
 	}
 	switch e.Outcome {
@@ -231,6 +231,9 @@
 		}
 		d.took.add(e.Took)
 		if t.state == sick {
+			if r.pace > 0 { // it was learned during the outage
+				r.pace = math.Max(r.pace, f.usual(t))
+			}
 			for _, o := range d.targets { // an outage mostly takes all of a route's targets, and ends for all
 				if o.route == r && o.state == sick {
 					o.state, o.since, o.failing = back, f.now, math.Min(o.failing, blame)
@@ -367,11 +370,12 @@
 		// No debt of earlier calls; and where calls are few, those refused together are not back together.
 		r.tokens = (2.75*f.dice.unit() - 2) * math.Min(1, 0.5/r.rate)
 	}
-	// What a sick target turns away says nothing of a limit: the ramp sees to its return. Guards against next to
-	// no pace after a hang; hurts where the limit itself is the sickness.
-	if cut := r.rate; t.state != sick && r.refused > 1 {
+	// What a sick target turns away, or one that reports no limit, tells of none: the ramp sees to its return.
+	// Guards against next to no pace after a hang; hurts where the limit itself is the sickness.
+	limited := t.state != sick && r.most >= 0
+	if cut := r.rate; limited && r.refused > 1 {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
-	} else if t.state != sick {
+	} else if limited {
 		if r.pace > 0 {
 			cut = math.Min(cut, r.pace)
 		}
@@ -434,10 +438,8 @@
 	if f.ill(d) {
 		part = capIll
 	}
-	if f.until > 0 && f.now+d.took.slow > f.until {
-		return nil
-	}
-	if f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, part) {
+	stops := f.until > 0 && f.now+d.took.slow > f.until
+	if stops || f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, part) {
 		return nil
 	}
 	// Departure: those that are slow or failed lately leave the last slots to the others, but for one call
@@ -484,10 +486,8 @@
 }
 
 func closing(d *Doc, now float64) bool {
-	if d.ranFrom > 0 && d.typ.Repeat == Numbered && now > d.ranFrom+d.typ.Memory/3 {
-		return true
-	}
-	return now > d.expiry-d.typ.Life/2
+	fades := d.ranFrom > 0 && d.typ.Repeat == Numbered
+	return fades && now > d.ranFrom+d.typ.Memory/3 || now > d.expiry-d.typ.Life/2
 }
 
 // pick takes up to n documents for a call to a target: fresh ones from the tenants' ring, or retries.
--- a/choice/port.go
+++ b/choice/port.go
@@ -68,7 +68,7 @@
 	Outcome    Outcome
 	Over       bool    // the document has its final answer
 	Took, Wait float64 // Wait: told to stay away so long, whatever the outcome; 0 if not told
-	Most       float64 // the reported limit in calls a second; 0 if none
+	Most       float64 // the reported limit in calls a second; 0 if nothing is told of it, under 0 if there is none
 }
 
 // Standing is what the list says of a target.
--- a/choice/state.go
+++ b/choice/state.go
@@ -176,6 +176,14 @@
 	rest float64 // nothing new before
 }
 
+// Limit is a reported limit in calls a second as Ending.Most has it: reports say 0 where there is none.
+func Limit(reported float64) float64 {
+	if reported == 0 {
+		return -1
+	}
+	return reported
+}
+
 // KnowsType tells if the terms state this document type.
 func (f *Forwarder) KnowsType(n int) bool { return n < len(f.terms.Types) }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -387,7 +387,7 @@
 	reason := r.u16()
 	for i := range int(r.u8()) {
 		if v := r.f32(); i == in.limitAt {
-			e.Most = v
+			e.Most = choice.Limit(v)
 		}
 	}
 	outcome, known := outcomes[reason]
