Of refusals that come together only the first cuts the pace

Traced: 13 calls that were out at once were turned away within 0.2 s, each cutting the pace by 0.7, to 0.01 of it. Ruled out: told waits (0.43 s), the ramp (not sick).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -281,7 +281,7 @@
 			r.amiss++
 			f.doubt(t)
 		}
-		f.refusal(t, e)
+		f.refusal(t, c, e)
 	}
 }
 
@@ -356,8 +356,14 @@
 }
 
 // refusal handles a call that was turned away unseen: above the limit, queue full, or shut.
-func (f *Forwarder) refusal(t *Target, e Ending) {
+func (f *Forwarder) refusal(t *Target, c *call, e Ending) {
 	r := t.route
+	// Calls that were out when the last one was turned away tell nothing new. Guards against a dozen refusals at
+	// once being taken for a dozen in a row; hurts where those that follow are turned away again.
+	if c.began < r.heard {
+		return
+	}
+	r.heard = f.now
 	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
 		r.turned = f.now
 	}
@@ -649,16 +655,10 @@
 
 // answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
 func (f *Forwarder) answer(d *Doc) {
-	d.want = wantRejected
-	if d.ranFrom > 0 || d.call != nil {
-		switch d.typ.Repeat {
-		case Binding:
-			d.want = wantAbandoned
-		case Numbered:
-			if d.typ.ZoneGroup || f.now > d.ranFrom+d.typ.Memory {
-				d.want = wantAbandoned
-			}
-		}
+	ran := d.ranFrom > 0 || d.call != nil
+	forgotten := d.typ.ZoneGroup || f.now > d.ranFrom+d.typ.Memory
+	if d.want = wantRejected; ran && (d.typ.Repeat == Binding || d.typ.Repeat == Numbered && forgotten) {
+		d.want = wantAbandoned
 	}
 	if d.ranFrom == 0 { // else its mark is soon forgotten
 		d.back = f.comeBack()
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -555,3 +555,20 @@
 	}
 	require.Greater(t, len(h.sent), sent+15)
 }
+
+// A clump above a limit is turned away all at once; that is one sign of the limit, not a dozen in a row.
+func TestRefusalsThatComeTogetherCutThePaceOnce(t *testing.T) {
+	pace := func(n int) float64 {
+		h := start(terms)
+		d := h.receiver(0, 0)
+		for range 100 {
+			h.ends(h.out1(d), Delivered, 0)
+		}
+		d.targets[0].places = 8
+		h.flood(d, status, n)
+		h.pass(0.02)
+		h.answers(d, Full)
+		return d.shared.pace
+	}
+	require.InDelta(t, pace(1), pace(5), pace(1)/2)
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -126,6 +126,7 @@
 	quick    bool    // an error or a failed connect is among these
 	lastGood float64
 	refused  int     // refusals since a call was let in
+	heard    float64 // when one was last taken as news
 	since    float64 // when the first of these was
 	turned   float64 // since when calls are refused without a short wait
 	most     float64 // the limit as reported
