A load report that says there is no limit is read so on sockets too

Found by tracing the pace of a restarted forwarder: 1 call a second to a destination without a limit, growing 8% a second.

--- a/forward/config_test.go
+++ b/forward/config_test.go
@@ -43,3 +43,12 @@
 		require.ErrorContains(t, err, c.says)
 	}
 }
+
+func TestTheLimitIsReadFromAReport(t *testing.T) {
+	o := &owner{order: &Order{}}
+	o.order.Fronts.Limit = "x1"
+	for report, want := range map[string]float64{"x0=0.4, x1=25": 25, "x0=0,x1=0": -1, "x0=1": 0, "x1=many": 0, "x1=-3": 0,
+		"x1=NaN": 0, "\x00=,": 0, "": 0} {
+		require.Equal(t, want, o.limit(report), report)
+	}
+}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -301,12 +301,12 @@
 	o.forget(p)
 }
 
-// limit finds the limit in a load report, 0 if it tells none.
+// limit finds the limit in a load report, 0 if it tells nothing of one, under 0 if it says that there is none.
 func (o *owner) limit(report string) float64 {
 	for pair := range strings.SplitSeq(report, ",") {
 		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == o.order.Fronts.Limit {
-			if v, err := strconv.ParseFloat(value, 64); err == nil && v > 0 && v < 1e9 {
-				return v
+			if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v < 1e9 {
+				return choice.Limit(v)
 			}
 		}
 	}
