To make room, connections that were served close before those that have not asked yet

Traced: 320 connections without a command were closed for room in 10 s while 40 that had been served stayed. The log counts what becomes of clients' connections.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,7 +38,7 @@
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
 	blip       = 3.0  // seconds of silence that are no outage
 	KeepSilent = 2.0  // seconds that a client may be connected, or stop within a command, without a whole one
-	KeepQuiet  = 6.0  // seconds that it may be connected between two
+	KeepQuiet  = 3.0  // seconds that it may be connected between two
 )
 
 // NewDestination is called by the adapter at the first mention of a destination.
--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -241,10 +241,32 @@
 	require.Empty(t, s.target.Calls)
 }
 
-// Connections that say nothing or stop within a command come by hundreds; the usual client's stays and is served.
+// All places are taken by clients that asked once and stay; the first commands of others are slow to come.
+func TestAClientThatIsSlowToAskIsNotClosedForOnesThatWereServed(t *testing.T) {
+	s := newStage(t, "single")
+	s.sockets = 64 // a third of it for clients
+	s.start()
+	for range 30 {
+		s.client()
+	}
+	var fresh []*standin.Client
+	for range 3 {
+		c, err := standin.NewClient(s.listen)
+		require.NoError(t, err)
+		fresh = append(fresh, c)
+	}
+	for range 30 {
+		s.client()
+	}
+	for i, c := range fresh {
+		s.put(c, zero, fmt.Sprint("d", i), "c=status,d=8000,dest=7", "+OK")
+	}
+}
+
+// Connections that say nothing or stop within a command come by hundreds; usual clients find room and are served.
 func TestThoseWhoSayNothingAreClosedAndLeaveRoom(t *testing.T) {
 	s := newStage(t, "single")
-	c := s.start()
+	s.start()
 	var silent []*standin.Client
 	for i := range 150 {
 		q, err := standin.NewClient(s.listen)
@@ -254,8 +276,9 @@
 		}
 		silent = append(silent, q)
 	}
+	c := s.client()
 	s.put(c, zero, "d1", "c=status,d=8000,dest=7", "+OK")
-	s.put(s.client(), zero, "d2", "c=status,d=8000,dest=7", "+OK")
+	s.put(c, zero, "d2", "c=status,d=8000,dest=7", "+OK")
 	began := time.Now()
 	for i, q := range silent {
 		said, err := q.Hear()
@@ -372,7 +395,7 @@
 
 func TestQuietClientsMakeRoomForNewOnes(t *testing.T) {
 	s := newStage(t, "single")
-	s.sockets = 64 // clients get half of what the program's own files leave
+	s.sockets = 64 // clients get two thirds of what the program's own files leave
 	first := s.start()
 	var last *standin.Client
 	for range 40 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -33,6 +33,7 @@
 	lookEvery     = 20 * time.Millisecond
 	countsEvery   = 10 * time.Second
 	descriptors   = 32 // for files, pollers and the like
+	spareClients  = 4  // connections that are closed to make room while as many come
 	connectAtMost = 30 * time.Second
 )
 
@@ -83,7 +84,7 @@
 	o.dir = directory.New(dialer, order.Discovery, connect, x)
 	defer o.dir.Stop()
 	o.begin(o.epoch)
-	in, err := intake.Open(order.Listen, room/2, room/2+room/8,
+	in, err := intake.Open(order.Listen, room-room/3-spareClients, room-room/3,
 		intake.Patience{Silent: choice.KeepSilent, Quiet: choice.KeepQuiet}, x)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -117,8 +118,10 @@
 		case <-o.exchange.bell:
 		case <-timer.C:
 		case <-report.C:
-			clients, most := in.Clients()
-			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", clients).Int("most_clients", most).
+			c := in.Counts()
+			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", c.Now).Int("most_clients", c.Most).
+				Int("clients_came", c.Came).Int("clients_turned_away", c.Turned).Ints("clients_closed_for_room", c.ForRoom[:]).
+				Int("clients_silent", c.Silent).Int("clients_quiet", c.Quiet).Int("clients_stuck", c.Stuck).
 				Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", o.outlet.Idle()).Int64("disk", o.ledger.Used()).Msg("counts")
 			continue
 		case <-again:
@@ -138,7 +141,7 @@
 			o.turn()
 			return
 		}
-		if clients, _ := in.Clients(); o.turn() && coming == nil && clients == 0 {
+		if clients := in.Clients(); o.turn() && coming == nil && clients == 0 {
 			return
 		}
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,6 +2,8 @@
 package intake
 
 import (
+	"fmt"
+	"os"
 	"bytes"
 	"context"
 	"errors"
@@ -57,6 +59,7 @@
 	partial atomic.Bool  // a command is read in part
 	gone    atomic.Bool
 	mute    atomic.Bool // what came could not be understood: nothing more is read
+	born time.Time
 	spilled int         // bytes that came after that
 
 	// Under the intake's lock:
@@ -85,8 +88,16 @@
 	mu       sync.Mutex
 	clients  map[*Client]struct{}
 	leaving  bool
-	peak     int
 	stop     chan struct{}
+	counts   Counts
+}
+
+// Counts tell what became of connections since the start.
+type Counts struct {
+	Now, Most, Came      int
+	Turned               int       // away unread, for want of room
+	ForRoom              [busy]int // closed to make room, by rank
+	Silent, Quiet, Stuck int       // closed after waiting: without a command, between two, within one
 }
 
 // door is the listener; it turns connections away before nbio knows of them.
@@ -112,7 +123,7 @@
 			}
 			return nil, err
 		}
-		if n, _ := d.intake.Clients(); n < d.intake.hard {
+		if d.intake.welcome() {
 			return c, nil
 		}
 		c.Close()
@@ -187,8 +198,13 @@
 		case c.partial.Load():
 			if before(c.since, in.patience.Silent) {
 				late = append(late, c)
+				in.counts.Stuck++
 			}
-		case !c.spoke && before(c.last, in.patience.Silent), before(c.last, in.patience.Quiet):
+		case !c.spoke && before(c.last, in.patience.Silent):
+			in.counts.Silent++
+			over = append(over, c)
+		case before(c.last, in.patience.Quiet):
+			in.counts.Quiet++
 			over = append(over, c)
 		}
 	}
@@ -226,31 +242,77 @@
 	}
 }
 
-// Clients tells how many connections there are, and how many there were at most.
-func (in *Intake) Clients() (now, peak int) {
+// Clients tells how many connections there are.
+func (in *Intake) Clients() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return len(in.clients)
+}
+
+// Counts tells what became of connections.
+func (in *Intake) Counts() Counts {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return len(in.clients), in.peak
+	in.counts.Now = len(in.clients)
+	return in.counts
 }
 
-// opened makes room for a connection over the bound by closing the one that has been without a whole command for the
-// longest, else the one that has been quiet for the longest, which a client takes for an idle connection's end.
+// welcome counts a connection that comes and tells if there is room for it.
+func (in *Intake) welcome() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.counts.Came++
+	if len(in.clients) < in.hard {
+		return true
+	}
+	in.counts.Turned++
+	return false
+}
+
+// What closes first to make room. One that was served comes before one that was not yet: its client takes the end of an
+// idle connection as such, while the first command of the other, which may be slow to come, would be lost.
+const (
+	told   = iota // it has had its last answer
+	quiet         // between commands
+	silent        // no whole command since it came
+	busy          // never
+)
+
+func (c *Client) rank() int {
+	switch {
+	case !c.ends.IsZero():
+		return told
+	case c.asked.Load() > 0 || c.spoke && c.partial.Load():
+		return busy
+	case c.spoke:
+		return quiet
+	}
+	return silent
+}
+
+// opened makes room for a connection over the bound by closing another: the one first by rank, then the one from which
+// nothing has come for the longest.
 func (in *Intake) opened(conn *nbio.Conn) {
-	c := &Client{intake: in, conn: conn, last: time.Now()}
+	c := &Client{intake: in, conn: conn, last: time.Now(), born: time.Now()}
 	conn.SetSession(c)
 	in.mu.Lock()
 	var oldest *Client
 	if len(in.clients) >= in.most {
 		for o := range in.clients {
-			if idle := o.asked.Load() == 0 && !(o.spoke && o.partial.Load()) || !o.ends.IsZero(); idle &&
-				(oldest == nil || !o.spoke && oldest.spoke || o.spoke == oldest.spoke && o.last.Before(oldest.last)) {
+			if oldest == nil || o.rank() < oldest.rank() ||
+				o.rank() == oldest.rank() && o.last.Before(oldest.last) {
 				oldest = o
 			}
 		}
-		delete(in.clients, oldest)
+		if rank := oldest.rank(); rank == busy {
+			oldest = nil
+		} else {
+			in.counts.ForRoom[rank]++
+			delete(in.clients, oldest)
+		}
 	}
 	in.clients[c] = struct{}{}
-	in.peak = max(in.peak, len(in.clients))
+	in.counts.Most = max(in.counts.Most, len(in.clients))
 	in.mu.Unlock()
 	if oldest != nil {
 		oldest.conn.Close()
@@ -259,6 +321,7 @@
 
 func (in *Intake) closed(c *Client) {
 	c.gone.Store(true)
+	fmt.Fprintf(os.Stderr, "CC c=%p life=%.3f rank=%d\n", c, time.Since(c.born).Seconds(), c.rank())
 	in.mu.Lock()
 	delete(in.clients, c)
 	in.mu.Unlock()
