--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,8 +2,6 @@
 package intake
 
 import (
-	"fmt"
-	"os"
 	"bytes"
 	"context"
 	"errors"
@@ -59,7 +57,6 @@
 	partial atomic.Bool  // a command is read in part
 	gone    atomic.Bool
 	mute    atomic.Bool // what came could not be understood: nothing more is read
-	born time.Time
 	spilled int         // bytes that came after that
 
 	// Under the intake's lock:
@@ -293,7 +290,7 @@
 // opened makes room for a connection over the bound by closing another: the one first by rank, then the one from which
 // nothing has come for the longest.
 func (in *Intake) opened(conn *nbio.Conn) {
-	c := &Client{intake: in, conn: conn, last: time.Now(), born: time.Now()}
+	c := &Client{intake: in, conn: conn, last: time.Now()}
 	conn.SetSession(c)
 	in.mu.Lock()
 	var oldest *Client
@@ -321,7 +318,6 @@
 
 func (in *Intake) closed(c *Client) {
 	c.gone.Store(true)
-	fmt.Fprintf(os.Stderr, "CC c=%p life=%.3f rank=%d\n", c, time.Since(c.born).Seconds(), c.rank())
 	in.mu.Lock()
 	delete(in.clients, c)
 	in.mu.Unlock()
