Clients have 2.7 s for their first command, not 2

With 2.7 s (a close is owed after 3) none of them is lost. The time of a first command counts from the connection's coming, also when it stops in the middle.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	manyLost   = 2.0  // losses on idle connections, a fifth of the calls on them, that end trust in them
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
 	blip       = 3.0  // seconds of silence that are no outage
-	KeepSilent = 2.0  // seconds that a client may be connected, or stop within a command, without a whole one
+	KeepSilent = 2.7  // seconds in which a client has to bring a whole command: slow ones may ask after two
 	KeepQuiet  = 3.0  // seconds that it may be connected between two
 )
 
--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -284,11 +284,11 @@
 		said, err := q.Hear()
 		if i == 149 {
 			require.Equal(t, "-ERR the command did not go on in time", said)
+			require.Less(t, time.Since(began), 3*time.Second)
 			_, err = q.Hear()
 		}
 		require.Error(t, err)
 	}
-	require.Less(t, time.Since(began), 3*time.Second)
 }
 
 func TestANewOrderMovesToAnotherDiscoveryAndDisturbsNothing(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -61,6 +61,7 @@
 
 	// Under the intake's lock:
 	spoke bool      // a whole command has come
+	born  time.Time // when the connection came
 	last  time.Time // when something came last, or the connection
 	since time.Time // when the command that is read in part began
 	ends  time.Time // told its last answer: closed from then on
@@ -193,7 +194,7 @@
 			}
 		case c.mute.Load() || c.asked.Load() > 0:
 		case c.partial.Load():
-			if before(c.since, in.patience.Silent) {
+			if before(c.since, in.patience.Silent) || !c.spoke && before(c.born, in.patience.Silent) {
 				late = append(late, c)
 				in.counts.Stuck++
 			}
@@ -290,7 +291,8 @@
 // opened makes room for a connection over the bound by closing another: the one first by rank, then the one from which
 // nothing has come for the longest.
 func (in *Intake) opened(conn *nbio.Conn) {
-	c := &Client{intake: in, conn: conn, last: time.Now()}
+	now := time.Now()
+	c := &Client{intake: in, conn: conn, born: now, last: now}
 	conn.SetSession(c)
 	in.mu.Lock()
 	var oldest *Client
