--- a/forward/config.go
+++ b/forward/config.go
@@ -8,25 +8,38 @@
 	"strconv"
 	"strings"
 
+	"github.com/rs/zerolog"
+
 	"spanflow/choice"
-	"spanflow/internal/directory"
 	"spanflow/internal/terms"
+	"spanflow/seam"
 )
 
 // Order is what a forwarder is told before it starts.
 type Order struct {
 	Name      string
-	Listen    string // where clients connect
-	Discovery string
-	Folder    string // the folder that lasts
+	Fronts    []Front
+	Discovery string     // its address; empty: the list is Static
+	Notices   string     // where final answers go that no caller waits for; empty: into the log alone
+	Static    *seam.List // a list of the order's own
+	Folder    string     // the folder that lasts
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
 	DiskMB    int
 	Cores     float64
-	Known     directory.List
+	Known     seam.List // the list as last known
 	Terms     choice.Terms
-	Fronts    terms.Fronts
+	Names     terms.Names
+
+	KindOutlet map[string]string // by which carriage targets of a kind are reached, if not by the usual
+	Log        Log
+	Metrics    string // where metrics are served; empty: nowhere
+
+	Protocols map[string]Protocol // of a program's own, beside those that come with this one
+	Carriages map[string]Carriage
+
+	Movable bool // fronts, targets and logs may change while it runs
 
 	Reread func() (*Order, error) // the order as it is told by now; nil: it never changes
 	told   string                 // discovery as the text has it, whatever the variables say
@@ -77,7 +90,7 @@
 			Sockets  int
 			DiskMB   int `json:"disk_mb"`
 		}
-		Known    directory.List
+		Known    seam.List
 		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &c); err != nil {
@@ -89,14 +102,14 @@
 		}
 		return other
 	}
-	o := &Order{Name: first("PROXY_NAME", c.Name), Listen: first("PROXY_LISTEN", c.Listen),
+	o := &Order{Name: first("PROXY_NAME", c.Name),
+		Fronts:    []Front{{Name: "resp", Protocol: "resp", Listen: first("PROXY_LISTEN", c.Listen)}},
 		Discovery: first("PROXY_DISCOVERY", c.Discovery), Folder: first("PROXY_STATE", c.State),
 		MemoryMB: c.Limits.MemoryMB, Sockets: c.Limits.Sockets, DiskMB: c.Limits.DiskMB, Cores: c.Limits.Cores,
-		Known: c.Known, told: c.Discovery}
-	for _, f := range []struct{ name, value string }{{"listen", o.Listen}, {"discovery", o.Discovery}} {
-		if i := strings.LastIndexByte(f.value, ':'); i < 0 {
-			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
-		} else if _, err := strconv.ParseUint(f.value[i+1:], 10, 16); err != nil {
+		Known: c.Known, told: c.Discovery, Log: Log{Level: zerolog.TraceLevel}}
+	o.Notices = o.Discovery
+	for _, f := range []struct{ name, value string }{{"listen", o.Fronts[0].Listen}, {"discovery", o.Discovery}} {
+		if !IsAddress(f.value) {
 			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
 		}
 	}
@@ -124,8 +137,18 @@
 	if len(c.Settings) == 0 {
 		return nil, errors.New("settings: missing")
 	}
-	if o.Terms, o.Fronts, err = terms.Read(c.Settings); err != nil {
+	if o.Terms, o.Names, err = terms.Read(c.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return o, nil
 }
+
+// IsAddress tells if a text names a host, or none, and a port.
+func IsAddress(text string) bool {
+	i := strings.LastIndexByte(text, ':')
+	if i < 0 {
+		return false
+	}
+	_, err := strconv.ParseUint(text[i+1:], 10, 16)
+	return err == nil
+}
--- a/forward/config_test.go
+++ b/forward/config_test.go
@@ -18,9 +18,9 @@
 	})
 	require.NoError(t, err)
 	require.Equal(t, []any{"n3", "127.0.0.9:1", "127.0.0.5:8500", ".", uint64(0x8c1f30d27a5be964), 192, 1024, 3},
-		[]any{o.Name, o.Listen, o.Discovery, o.Folder, o.Seed, o.MemoryMB, o.Sockets, o.DiskMB})
+		[]any{o.Name, o.Fronts[0].Listen, o.Discovery, o.Folder, o.Seed, o.MemoryMB, o.Sockets, o.DiskMB})
 	require.Equal(t, uint64(3), o.Known.Targets[0].Dest)
-	require.Equal(t, []string{"x"}, o.Fronts.Tenants)
+	require.Equal(t, []string{"x"}, o.Names.Tenants)
 }
 
 func TestWhatIsWrongWithAnOrderIsNamed(t *testing.T) {
@@ -43,12 +43,3 @@
 		require.ErrorContains(t, err, c.says)
 	}
 }
-
-func TestTheLimitIsReadFromAReport(t *testing.T) {
-	o := &owner{order: &Order{}}
-	o.order.Fronts.Limit = "x1"
-	for report, want := range map[string]float64{"x0=0.4, x1=25": 25, "x0=0,x1=0": -1, "x0=1": 0, "x1=many": 0, "x1=-3": 0,
-		"x1=NaN": 0, "\x00=,": 0, "": 0} {
-		require.Equal(t, want, o.limit(report), report)
-	}
-}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -4,90 +4,189 @@
 	"sync"
 	"time"
 
-	"spanflow/internal/directory"
-	"spanflow/internal/intake"
-	"spanflow/internal/outlet"
+	"spanflow/seam"
 )
 
-// Exchange is where clients' side, targets' side and discovery's side leave their news for the one goroutine that
-// owns the module. They know nothing of each other.
+// Exchange is where fronts, outlets and sources leave their news for the one goroutine that owns the module. They
+// know nothing of each other.
 type Exchange struct {
 	mu     sync.Mutex
-	room   sync.Cond
 	news   []any
 	spare  []any
-	bytes  int // of documents that wait
+	gates  []*gate
 	oldest time.Time
 	closed bool // nobody takes news any more
 	bell   chan struct{}
 }
 
-// Documents handed in wait here up to so much; then reading from clients pauses until some are taken.
+// Documents handed in by a front wait here up to so much; then reading from its callers pauses until some are taken.
 const (
-	mostWaiting = 4096
-	mostBytes   = 4 << 20
+	mostWaiting  = 4096
+	waitingBytes = 4 << 20
+	turnShare    = 256 // of each front a turn, while several have something waiting
 )
 
-func newExchange() *Exchange {
-	x := &Exchange{bell: make(chan struct{}, 1)}
-	x.room.L = &x.mu
-	return x
+// gate is a front's own way in, with bounds of its own. Guards against a front that floods: it waits at its own gate,
+// and the others' documents do not wait behind its own.
+type gate struct {
+	x         *Exchange
+	name      string // as the ledger has it
+	room      sync.Cond
+	waiting   []asked
+	most      int
+	bytes     int
+	mostBytes int
+	shut      bool // the front has ended
 }
 
-func (x *Exchange) put(n any) {
-	if len(x.news) == 0 {
+// asked is what a front's caller wants, with the front's name.
+type asked struct {
+	seam.Asked
+	front *gate
+}
+
+func newExchange() *Exchange { return &Exchange{bell: make(chan struct{}, 1)} }
+
+// gate makes a front's way in; it takes the default where a bound is 0.
+func (x *Exchange) gate(name string, most, mostBytes int) *gate {
+	g := &gate{x: x, name: name, most: most, mostBytes: mostBytes}
+	if g.most <= 0 {
+		g.most = mostWaiting
+	}
+	if g.mostBytes <= 0 {
+		g.mostBytes = waitingBytes
+	}
+	g.room.L = &x.mu
+	x.mu.Lock()
+	x.gates = append(x.gates, g)
+	x.mu.Unlock()
+	return g
+}
+
+// shutGate lets go of the way in of a front that has ended.
+func (x *Exchange) shutGate(g *gate) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	g.shut = true
+	for i, other := range x.gates {
+		if other == g {
+			x.gates = append(x.gates[:i:i], x.gates[i+1:]...)
+		}
+	}
+	g.room.Broadcast()
+}
+
+// ring wakes the owner; the lock is held.
+func (x *Exchange) ring(nothing bool) {
+	if nothing {
 		x.oldest = time.Now()
 	}
-	x.news = append(x.news, n)
 	select {
 	case x.bell <- struct{}{}:
 	default:
 	}
 }
 
+// empty tells that nothing waits; the lock is held.
+func (x *Exchange) empty() bool {
+	for _, g := range x.gates {
+		if len(g.waiting) > 0 {
+			return false
+		}
+	}
+	return len(x.news) == 0
+}
+
 func (x *Exchange) leave(n any) {
 	x.mu.Lock()
-	x.put(n)
+	x.ring(x.empty())
+	x.news = append(x.news, n)
 	x.mu.Unlock()
 }
 
-// take returns all news in the order of their coming, and since when the first has waited. The slice is good until
-// the next call.
+// take returns the news, and since when the first has waited: what came from targets and discovery in the order of its
+// coming, then what came by fronts, each front's in its order. While several fronts have something waiting, each gets
+// its share of the turn and the rest stays for the next. The slice is good until the next call.
 func (x *Exchange) take() ([]any, time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	clear(x.spare)
-	news := x.news
-	x.news, x.spare, x.bytes = x.spare[:0], news, 0
-	x.room.Broadcast()
-	return news, x.oldest
+	news, oldest := x.news, x.oldest
+	busy := 0
+	for _, g := range x.gates {
+		if len(g.waiting) > 0 {
+			busy++
+		}
+	}
+	left := false
+	for _, g := range x.gates {
+		n := len(g.waiting)
+		if busy > 1 {
+			n = min(n, turnShare)
+		}
+		for i := range g.waiting[:n] {
+			news = append(news, &g.waiting[i])
+		}
+		if n == len(g.waiting) {
+			g.waiting, g.bytes = nil, 0
+		} else {
+			for i := range g.waiting[:n] {
+				g.bytes -= size(&g.waiting[i])
+			}
+			g.waiting, left = g.waiting[n:], true
+		}
+		if n > 0 {
+			g.room.Broadcast()
+		}
+	}
+	x.news, x.spare = x.spare[:0], news
+	if left {
+		x.ring(true)
+	}
+	return news, oldest
 }
 
 func (x *Exchange) close() {
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.closed = true
-	x.mu.Unlock()
-	x.room.Broadcast()
+	for _, g := range x.gates {
+		g.room.Broadcast()
+	}
 }
 
-// Ask is a client's command. It waits while too much lies here.
-func (x *Exchange) Ask(a intake.Asked) {
+func size(a *asked) int {
+	if a.Paper == nil {
+		return 0
+	}
+	return len(a.Paper.Body)
+}
+
+// Ask is what a caller wants. It waits while too much of its front lies here.
+func (g *gate) Ask(a seam.Asked) {
+	x := g.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for !x.closed && (len(x.news) >= mostWaiting || x.bytes >= mostBytes) {
-		x.room.Wait()
+	for !x.closed && !g.shut && (len(g.waiting) >= g.most || g.bytes >= g.mostBytes) {
+		g.room.Wait()
 	}
-	if a.Paper != nil {
-		x.bytes += len(a.Paper.Body)
+	if g.shut {
+		return
 	}
-	x.put(a)
+	x.ring(x.empty())
+	n := asked{a, g}
+	g.bytes += size(&n)
+	g.waiting = append(g.waiting, n)
 }
 
+// Withdraw says that the caller that waited for a document has gone.
+func (g *gate) Withdraw(id string) { g.x.leave(withdrawn(id)) }
+
 // CallEnded is the end of a call.
-func (x *Exchange) CallEnded(e outlet.Ended) { x.leave(e) }
+func (x *Exchange) CallEnded(e seam.Ended) { x.leave(e) }
 
 // Listed is news of the list.
-func (x *Exchange) Listed(l *directory.List) { x.leave(l) }
+func (x *Exchange) Listed(l *seam.List) { x.leave(l) }
 
 // WatchEnded says that the list stopped coming.
 func (x *Exchange) WatchEnded(why string) { x.leave(watchEnded(why)) }
@@ -99,9 +198,9 @@
 func (x *Exchange) Told(doors []uint64) { x.leave(told(doors)) }
 
 type (
-	watchEnded string
-	told       []uint64
-
+	watchEnded  string
 	noticesLost string
+	told        []uint64
+	withdrawn   string
 	stopping    time.Duration
 )
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,8 +1,8 @@
 // Package forward is the forwarder as a library: read an Order, then Run serves by it until its context ends.
 //
-// One goroutine, the owner, has the module of package choice to itself. Clients' side, targets' side and discovery's
-// side leave their news in the Exchange; the owner takes them in batches, lets the module settle once, and carries
-// out what it decides.
+// One goroutine, the owner, has the module of package choice to itself. Fronts, outlets and the list's source (package
+// seam says what each is) leave their news in the Exchange; the owner takes them in batches, lets the module settle
+// once, and carries out what it decides. It knows no wire.
 package forward
 
 import (
@@ -21,9 +21,9 @@
 	"spanflow/choice"
 	"spanflow/internal/dial"
 	"spanflow/internal/directory"
-	"spanflow/internal/intake"
 	"spanflow/internal/ledger"
-	"spanflow/internal/outlet"
+	"spanflow/internal/meter"
+	"spanflow/seam"
 )
 
 const (
@@ -35,6 +35,7 @@
 	descriptors   = 32 // for files, pollers and the like
 	spareClients  = 4  // connections that are closed to make room while as many come
 	connectAtMost = 30 * time.Second
+	usualCarriage = "http"
 )
 
 // Confine makes the whole process keep to the order's limits and its log lines bear times a person can read. A program
@@ -50,7 +51,7 @@
 func Run(ctx context.Context, order *Order, again <-chan os.Signal, logTo io.Writer, ready func(addr string)) error {
 	own := *order
 	order, asRead := &own, own.Terms
-	log := zerolog.New(logTo).With().Timestamp().Str("forwarder", order.Name).Logger()
+	log := order.Log.to(logTo).With().Timestamp().Str("forwarder", order.Name).Logger()
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
@@ -59,10 +60,6 @@
 		return fmt.Errorf("PROXY_STATE: %w", err)
 	}
 	defer led.Close()
-	connect := time.Duration(order.Fronts.Connect * float64(time.Second))
-	if connect <= 0 {
-		connect = connectAtMost
-	}
 	room := order.Sockets - descriptors
 	dialer, err := dial.New("outlet", room/3)
 	if err != nil {
@@ -74,35 +71,109 @@
 	x := newExchange()
 	o := &owner{order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
-		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{},
+		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log),
 		said: map[string]time.Time{}}
-	for i, name := range order.Fronts.Types {
+	for i, name := range order.Names.Types {
 		o.types[name] = i
 	}
-	o.outlet = outlet.New(dialer, x, outlet.Terms{Connect: connect,
-		KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second))})
-	o.dir = directory.New(dialer, order.Discovery, connect, x)
-	defer o.dir.Stop()
+	if err := o.connect(dialer); err != nil {
+		return err
+	}
+	defer o.source.Stop()
+	if order.Metrics != "" {
+		o.meter = meter.New(order.Name, o.levels(dialer)...)
+		if err := o.meter.Serve(order.Metrics); err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+		defer o.meter.Stop()
+	}
 	o.begin(o.epoch)
-	in, err := intake.Open(order.Listen, room-room/3-spareClients, room-room/3,
-		intake.Patience{Silent: choice.KeepSilent, Quiet: choice.KeepQuiet}, x)
+	most, err := shares(order.Fronts, Clients(order.Sockets))
+	if err == nil {
+		o.fronts, err = o.open(order.Fronts, most)
+	}
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
 	}
-	defer in.Stop()
+	defer func() {
+		for _, l := range append(o.fronts, o.leaving...) {
+			o.close(l)
+		}
+	}()
 	defer x.close()
-	log.Info().Str("listen", in.Addr()).Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).
-		Int("targets", len(o.targets)).Msg("ready")
+	said := log.Info()
+	for i, l := range o.fronts {
+		name := "listen"
+		if i > 0 {
+			name += "_" + l.terms.Name
+		}
+		said = said.Str(name, l.Addr())
+	}
+	if o.meter != nil {
+		said = said.Str("metrics", o.meter.Addr())
+	}
+	said.Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).Int("targets", len(o.targets)).Msg("ready")
 	if ready != nil {
-		ready(in.Addr())
+		ready(o.fronts[0].Addr())
 	}
-	o.serve(ctx, again, in, dialer)
+	o.serve(ctx, again, dialer)
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
 
+// connect makes the outlets, the list's source and the teller that the order asks for.
+func (o *owner) connect(dialer *dial.Dialer) error {
+	order, x := o.order, o.exchange
+	connect := time.Duration(order.Names.Connect * float64(time.Second))
+	if connect <= 0 {
+		connect = connectAtMost
+	}
+	terms := Carrier{Connect: connect, KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second)), Limit: order.Names.Limit}
+	o.outlets = map[string]seam.Outlet{usualCarriage: order.carriage(usualCarriage)(dialer, terms, x)}
+	for kind, name := range order.KindOutlet {
+		if o.outlets[name] != nil {
+			continue
+		}
+		c := order.carriage(name)
+		if c == nil {
+			return fmt.Errorf("kinds: %s: unknown outlet %q", kind, name)
+		}
+		o.outlets[name] = c(dialer, terms, x)
+	}
+	if order.Discovery != "" {
+		o.dir = directory.New(dialer, order.Discovery, connect, x)
+		o.source = o.dir
+	} else {
+		o.own = &static{board: x}
+		if order.Static != nil {
+			o.own.list = *order.Static
+		}
+		order.Known = o.own.list
+		o.source = o.own
+	}
+	switch {
+	case order.Notices == "":
+	case o.dir != nil && order.Notices == order.Discovery:
+		o.teller = o.dir
+	default:
+		o.notices = directory.New(dialer, order.Notices, connect, x)
+		o.teller = o.notices
+	}
+	return nil
+}
+
+// levels are the figures that are read when they are asked for.
+func (o *owner) levels(dialer *dial.Dialer) []meter.Level {
+	return []meter.Level{
+		{Name: "held_documents", Help: "Documents that the forwarder has taken on and that have not got their final answer.",
+			Read: func() float64 { return float64(o.held.Load()) }},
+		{Name: "ledger_bytes", Help: "Space that the ledger takes on disk.", Read: func() float64 { return float64(o.onDisk.Load()) }},
+		{Name: "outgoing_connections", Help: "Connections to targets and discovery.", Read: func() float64 { return float64(dialer.Open()) }},
+	}
+}
+
 // serve turns until the module lets the process end.
-func (o *owner) serve(ctx context.Context, again <-chan os.Signal, in *intake.Intake, dialer *dial.Dialer) {
+func (o *owner) serve(ctx context.Context, again <-chan os.Signal, dialer *dial.Dialer) {
 	timer := time.NewTimer(0)
 	report := time.NewTicker(countsEvery)
 	defer report.Stop()
@@ -118,11 +189,7 @@
 		case <-o.exchange.bell:
 		case <-timer.C:
 		case <-report.C:
-			c := in.Counts()
-			o.counts.write(o.log.Info()).Int("held", len(o.docs)).Int("clients", c.Now).Int("most_clients", c.Most).
-				Int("clients_came", c.Came).Int("clients_turned_away", c.Turned).Ints("clients_closed_for_room", c.ForRoom[:]).
-				Int("clients_silent", c.Silent).Int("clients_quiet", c.Quiet).Int("clients_stuck", c.Stuck).
-				Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", o.outlet.Idle()).Int64("disk", o.ledger.Used()).Msg("counts")
+			o.report(dialer)
 			continue
 		case <-again:
 			o.reread()
@@ -134,15 +201,43 @@
 			o.exchange.leave(stopping(killAfter - killMargin))
 		case <-coming:
 			coming = nil
-			in.Leave()
+			for _, l := range o.fronts {
+				l.Leave()
+			}
 			look = time.Tick(lookEvery)
 		case <-look: // if the clients have gone
 		case <-end:
 			o.turn()
 			return
 		}
-		if clients := in.Clients(); o.turn() && coming == nil && clients == 0 {
+		clients := 0
+		for _, l := range o.fronts {
+			clients += l.Clients()
+		}
+		if len(o.leaving) > 0 {
+			o.gone()
+		}
+		if o.turn() && coming == nil && clients == 0 {
 			return
 		}
 	}
 }
+
+// report writes the counts, the first front's with the forwarder's own.
+func (o *owner) report(dialer *dial.Dialer) {
+	idle := 0
+	for _, by := range o.outlets {
+		idle += by.Idle()
+	}
+	e := tally(o.counts.write(o.log.Info()).Int("held", len(o.docs)), o.fronts[0].Tally())
+	e.Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", idle).Int64("disk", o.ledger.Used()).Msg("counts")
+	for _, l := range o.fronts[1:] {
+		tally(o.log.Info().Str("front", l.terms.Name), l.Tally()).Msg("counts of a front")
+	}
+}
+
+func tally(e *zerolog.Event, c seam.Tally) *zerolog.Event {
+	return e.Int("clients", c.Now).Int("most_clients", c.Most).
+		Int("clients_came", c.Came).Int("clients_turned_away", c.Turned).Ints("clients_closed_for_room", c.ForRoom[:]).
+		Int("clients_silent", c.Silent).Int("clients_quiet", c.Quiet).Int("clients_stuck", c.Stuck)
+}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -2,18 +2,17 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"spanflow/choice"
 	"spanflow/internal/directory"
-	"spanflow/internal/intake"
 	"spanflow/internal/ledger"
-	"spanflow/internal/outlet"
-	"spanflow/internal/resp"
+	"spanflow/internal/meter"
+	"spanflow/seam"
 )
 
 // owner is what the one goroutine that owns the module works with.
@@ -23,8 +22,16 @@
 	log      zerolog.Logger
 	exchange *Exchange
 	ledger   *ledger.Ledger
-	outlet   *outlet.Outlet
-	dir      *directory.Directory
+	fronts   []*listener
+	leaving  []*listener // that have gone from the order, until their callers have
+	outlets  map[string]seam.Outlet
+	source   seam.Source
+	teller   seam.Teller          // nil: the log alone
+	dir      *directory.Directory // the source, if it is discovery
+	notices  *directory.Directory // the teller, if it is not the same
+	own      *static              // the source, if it is the order's own list
+	meter    *meter.Meter         // nil: nothing is exposed
+	trace    trace
 	f        *choice.Forwarder
 	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
 	docs     map[uint64]*paper
@@ -39,30 +46,38 @@
 	types    map[string]int
 	rev      int64
 	wakeAt   time.Time // zero: none set
-	calls    []*outlet.Call
+	calls    []pending
 	unknown  map[string]bool // names that came with documents
 	counts   counts
+	held     atomic.Int64         // documents, for the meter
+	onDisk   atomic.Int64         // the ledger's bytes, for the meter
 	said     map[string]time.Time // when lines that may come in floods were last written
 }
 
 // paper is a document that is owed or was until just now.
 type paper struct {
-	outlet.Paper
-	doc *choice.Doc
-	typ int
+	seam.Paper
+	doc       *choice.Doc
+	typ       int
+	holder    seam.Holder // whom the final answer is for; nil: the teller
+	came      time.Time
+	traced    bool
+	withdrawn bool // its holder has gone: nothing is owed, though a transmission may be out
 }
 
 // target is what the list says of one, as far as carrying out needs it.
 type target struct {
 	uid, addr   string
+	dest        uint64
 	zone, batch int
+	outlet      seam.Outlet
 	module      *choice.Target
 }
 
 // counts are for the log.
 type counts struct {
-	taken, refused, delivered, returned, abandoned, recovered int
-	ends                                                      [outlet.Recalled + 1]int
+	taken, refused, delivered, returned, abandoned, recovered, withdrawn int
+	ends                                                                 [seam.Recalled + 1]int
 }
 
 const (
@@ -98,8 +113,14 @@
 			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
 		}
 		p := o.paper(e, typ)
-		if past.Answered = e.Answer != ledger.None; past.Answered {
-			o.notify(p, e.Answer, e.After)
+		switch past.Answered = e.Answer != ledger.None; {
+		case e.Held: // its caller's connection died with that process: told to nobody, and sent no more
+			o.withdrawHeld(p, past)
+			past.Answered = true
+		case e.Answer == ledger.Returned:
+			o.tell(p, seam.Returned, e.After)
+		case e.Answer == ledger.Abandoned:
+			o.tell(p, seam.Abandoned, 0)
 		}
 		o.f.Recover(p.doc, typ, float64(e.Expiry)/1e6-o.clock(now), past)
 		o.counts.recovered++
@@ -108,9 +129,34 @@
 	o.flush()
 }
 
+// withdrawHeld ends a recovered document whose caller waited for its final answer. Its caller saw its call break and
+// may have come again with another document for the same effect, so that a transmission now could be a second one. It
+// stays in front of its key's later documents for the key's rest, as one of its transmissions may still run.
+func (o *owner) withdrawHeld(p *paper, past choice.Past) {
+	o.counts.withdrawn++
+	told := func() { o.exchange.Told([]uint64{p.Door}) }
+	if past.Sent == 0 {
+		told()
+		return
+	}
+	time.AfterFunc(time.Duration(o.order.Terms.KeyRest*float64(time.Second)), told)
+}
+
+// withdraw ends a document whose caller waited for its final answer and has gone.
+func (o *owner) withdraw(id string) {
+	p := o.byID[id]
+	if p == nil || p.holder == nil || p.withdrawn {
+		return
+	}
+	o.counts.withdrawn++
+	p.withdrawn = true
+	o.f.Withdrawn(p.doc)
+	o.forget(p)
+}
+
 // paper makes the module's document of an entry.
 func (o *owner) paper(e *ledger.Entry, typ int) *paper {
-	p := &paper{Paper: outlet.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ}
+	p := &paper{Paper: seam.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ, came: time.Now(), traced: o.trace.picks(e.ID, e.Key)}
 	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size()}
 	o.docs[e.Seq], o.byID[e.ID] = p, p
 	return p
@@ -148,6 +194,11 @@
 	o.f.Settle()
 	o.flush()
 	end := time.Now()
+	if o.meter != nil {
+		o.meter.Turn(len(news), end.Sub(start))
+		o.held.Store(int64(len(o.docs)))
+		o.onDisk.Store(o.ledger.Used())
+	}
 	if waited := start.Sub(since); (len(news) > 0 && waited > slowTurn || end.Sub(start) > slowTurn) && o.worth("late") {
 		o.log.Warn().Int("news", len(news)).Dur("waited_ms", waited).Dur("turn_ms", end.Sub(start)).Msg("late")
 	}
@@ -156,11 +207,13 @@
 
 func (o *owner) hear(n any) {
 	switch n := n.(type) {
-	case intake.Asked:
+	case *asked:
 		o.asked(n)
-	case outlet.Ended:
+	case withdrawn:
+		o.withdraw(string(n))
+	case seam.Ended:
 		o.ended(n)
-	case *directory.List:
+	case *seam.List:
 		o.heard = true
 		o.listed(n, n.All)
 	case noticesLost:
@@ -200,47 +253,49 @@
 	}
 }
 
-func (o *owner) asked(a intake.Asked) {
+func (o *owner) asked(a *asked) {
 	switch {
-	case a.Ping:
-		a.Client.Answer(resp.Simple("PONG"), false)
+	case a.Alive:
+		a.From.Answer(seam.Reply{Word: seam.Alive})
 	case a.Paper != nil:
-		o.handedIn(a.Client, a.Paper)
+		reply := o.handedIn(a)
+		o.meter.Asked(a.front.name, reply.Word)
+		if reply.Word != seam.Taken && !a.From.Gone() {
+			a.From.Answer(reply)
+		}
 	default:
 		if o.worth("bad command") {
-			o.log.Warn().Str("answer", a.Error).Msg("bad command")
+			o.log.Warn().Str("answer", a.Why).Msg("bad command")
 		}
-		a.Client.Answer(resp.Failure(a.Error), a.Last)
+		a.From.Answer(seam.Reply{Word: seam.Malformed, Why: a.Why, Last: a.Last})
 	}
 }
 
-// handedIn takes a document on, if the module will, and answers its client.
-func (o *owner) handedIn(c *intake.Client, in *intake.Paper) {
+// handedIn takes a document on, if the module will, and answers its caller then; any other answer it returns.
+func (o *owner) handedIn(a *asked) seam.Reply {
+	in := a.Paper
+	declined := func(why string) seam.Reply { return seam.Reply{Word: seam.Declined, Why: why} }
 	typ, known := o.types[in.Type]
 	if !known {
-		c.Answer(resp.Failure("ERR unknown type of document"), false)
-		return
+		return declined("unknown type of document")
 	}
 	_, listed := o.dests[in.Dest]
 	switch {
 	case o.byID[in.ID] != nil || o.past.has(in.ID):
-		c.Answer(resp.Failure("ERR a document with this id was taken on"), false)
-		return
+		return declined("a document with this id was taken on")
 	case o.order.Terms.Types[typ].Repeat == choice.Numbered && in.Mark == "":
-		c.Answer(resp.Failure("ERR k is missing, by which a repeat is known"), false)
-		return
+		return declined("k is missing, by which a repeat is known")
 	case !listed && o.heard:
-		c.Answer(resp.Failure("ERR unknown destination"), false)
-		return
+		return declined("unknown destination")
 	case !listed: // the list may be old
-		c.Answer(resp.Busy(int(lateList.Milliseconds())), false)
-		return
+		return seam.Reply{Word: seam.Busy, Wait: int(lateList.Milliseconds())}
 	}
-	if c.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
-		return
+	if a.From.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
+		return seam.Reply{Word: seam.Busy}
 	}
-	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: index(o.order.Fronts.Tenants, in.Tenant), Type: in.Type, ID: in.ID,
-		Mark: in.Mark, Body: in.Body, Expiry: in.Came.UnixMicro() + micros(in.Left)}
+	holder, held := a.From.(seam.Holder)
+	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: index(o.order.Names.Tenants, in.Tenant), Type: in.Type, ID: in.ID,
+		Mark: in.Mark, Body: in.Body, Expiry: in.Came.UnixMicro() + micros(in.Left), Front: a.front.name, Held: held}
 	left := in.Left - time.Since(in.Came).Seconds()
 	if in.Unknown != "" && !o.unknown[in.Unknown] && len(o.unknown) < mostNames {
 		o.unknown[in.Unknown] = true
@@ -248,29 +303,32 @@
 	}
 	if taken, back := o.f.Admit(e.Size(), left); !taken {
 		o.counts.refused++
-		c.Answer(resp.Busy(min(int(back*1000), refuseMost)), false)
-		return
+		return seam.Reply{Word: seam.Busy, Wait: min(int(back*1000), refuseMost)}
 	}
 	if err := o.ledger.Take(e); err != nil {
 		o.unkept(err)
-		c.Answer(resp.Busy(0), false)
-		return
+		return seam.Reply{Word: seam.Busy}
 	}
 	p := o.paper(e, typ)
+	p.holder, p.came = holder, in.Came
 	o.f.Take(p.doc, typ, left)
-	if !c.Answer(resp.Simple("OK"), false) { // not heard: its client hands it in again under another id
+	if !a.From.Answer(seam.Reply{Word: seam.Taken}) { // not heard: its caller hands it in again under another id
 		o.f.Withdrawn(p.doc)
 		o.over(p)
 		o.forget(p)
-		return
+		return seam.Reply{Word: seam.Taken}
+	}
+	if p.traced {
+		o.log.Info().Str("id", p.ID).Uint64("dest", in.Dest).Str("type", in.Type).Float64("left_s", left).Msg("trace: taken")
 	}
 	o.counts.taken++
+	return seam.Reply{Word: seam.Taken}
 }
 
-func (o *owner) ended(e outlet.Ended) {
+func (o *owner) ended(e seam.Ended) {
 	for pass := range 2 { // delivered ones first: the module judges a call by the first end
 		for i, p := range e.Call.Papers {
-			if (e.Ends[i] == outlet.Took) == (pass == 0) {
+			if (e.Ends[i] == seam.Took) == (pass == 0) {
 				o.end(p.Door, e.Ends[i], &e)
 			}
 		}
@@ -281,38 +339,35 @@
 	}
 }
 
-func (o *owner) end(door uint64, end outlet.End, e *outlet.Ended) {
+func (o *owner) end(door uint64, end seam.End, e *seam.Ended) {
 	o.counts.ends[end]++
+	o.meter.End(end, e.Took)
 	p := o.docs[door]
 	if p == nil {
 		return
 	}
+	if p.traced {
+		o.log.Info().Str("id", p.ID).Stringer("end", end).Dur("took_ms", e.Took).Msg("trace: end of a transmission")
+	}
 	outcome, over := end.Outcome()
 	if over {
 		o.over(p)
+		final := seam.Abandoned
 		if outcome == choice.Delivered {
+			final = seam.Delivered
 			o.counts.delivered++
+			o.meter.Final(final, time.Since(p.came))
+		}
+		if p.holder != nil && !p.withdrawn {
+			p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
 		}
 	} else if err := o.ledger.Back(door, end.Ran()); err != nil {
 		o.unkept(err)
 	}
-	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait,
-		Most: o.limit(e.Report)})
+	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait, Most: e.Most})
 	o.forget(p)
 }
 
-// limit finds the limit in a load report, 0 if it tells nothing of one, under 0 if it says that there is none.
-func (o *owner) limit(report string) float64 {
-	for pair := range strings.SplitSeq(report, ",") {
-		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == o.order.Fronts.Limit {
-			if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v < 1e9 {
-				return choice.Limit(v)
-			}
-		}
-	}
-	return 0
-}
-
 // over records that nothing more is owed for a document.
 func (o *owner) over(p *paper) {
 	if err := o.ledger.Over(p.Door); err != nil {
@@ -323,6 +378,9 @@
 // forget lets go of a document of which nothing more can be heard.
 func (o *owner) forget(p *paper) {
 	if p.doc.Over() {
+		if p.withdrawn {
+			o.over(p)
+		}
 		delete(o.docs, p.Door)
 		if o.byID[p.ID] == p {
 			delete(o.byID, p.ID)
@@ -331,7 +389,7 @@
 	}
 }
 
-func (o *owner) listed(l *directory.List, whole bool) {
+func (o *owner) listed(l *seam.List, whole bool) {
 	o.rev = l.Rev
 	lines := make([]choice.Listing, 0, len(l.Targets))
 	for _, e := range l.Targets {
@@ -341,11 +399,11 @@
 				continue // heard of only as it goes
 			}
 			o.lastDoor++
-			t = &target{uid: e.UID, module: &choice.Target{Door: o.lastDoor}}
+			t = &target{uid: e.UID, dest: e.Dest, outlet: o.outletOf(e.Kind), module: &choice.Target{Door: o.lastDoor}}
 			o.targets[o.lastDoor], o.byUID[e.UID] = t, t
 		}
-		kind := index(o.order.Fronts.Kinds, e.Kind)
-		t.zone, t.batch = index(o.order.Fronts.Zones, e.Zone), 1
+		kind := index(o.order.Names.Kinds, e.Kind)
+		t.zone, t.batch = index(o.order.Names.Zones, e.Zone), 1
 		if e.Endpoint != "" {
 			t.addr = e.Endpoint
 		}
@@ -369,6 +427,14 @@
 	o.f.List(whole, lines)
 }
 
+// outletOf is the outlet by which targets of a kind are reached.
+func (o *owner) outletOf(kind string) seam.Outlet {
+	if by := o.outlets[o.order.KindOutlet[kind]]; by != nil {
+		return by
+	}
+	return o.outlets[usualCarriage]
+}
+
 // index is a name's number; one that the settings do not have gets a number beyond them.
 func index(names []string, name string) int {
 	for i, n := range names {
@@ -382,9 +448,12 @@
 func (c *counts) write(e *zerolog.Event) *zerolog.Event {
 	e = e.Int("taken", c.taken).Int("recovered", c.recovered).Int("refused", c.refused).Int("delivered", c.delivered).
 		Int("returned", c.returned).Int("abandoned", c.abandoned)
+	if c.withdrawn > 0 {
+		e = e.Int("withdrawn", c.withdrawn)
+	}
 	for i, n := range c.ends {
 		if n > 0 {
-			e = e.Int(fmt.Sprintf("end_%s", strings.ReplaceAll(outlet.End(i).String(), " ", "_")), n)
+			e = e.Int(fmt.Sprintf("end_%s", strings.ReplaceAll(seam.End(i).String(), " ", "_")), n)
 		}
 	}
 	return e
--- a/forward/reread.go
+++ b/forward/reread.go
@@ -1,36 +1,181 @@
 package forward
 
 import (
+	"fmt"
 	"reflect"
+	"slices"
 )
 
-// reread takes up what may change while the forwarder runs: where discovery is. What an order that cannot be read says
-// counts for nothing; what else it changes waits for the next start.
+// Change tells when a changed part of an order is taken up.
+type Change uint8
+
+const (
+	AtOnce  Change = iota // by a running forwarder, when it reads its order again
+	AtStart               // at the next start
+)
+
+func (c Change) String() string { return [...]string{"reload", "restart"}[c] }
+
+// Part is a part of an order as far as a change of it goes. The reload goes by Parts, and so does what the commands
+// tell of it.
+type Part struct {
+	Name string
+	Keys []string // of the configuration, whole sections or single keys
+	When Change
+	of   func(o *Order) any
+}
+
+// Parts are all parts of an order. Two of them are taken up at once only where the order's form has them so (Movable):
+// the platform's form changes nothing but discovery.
+var Parts = []Part{
+	{"name", []string{"name"}, AtStart, func(o *Order) any { return o.Name }},
+	{"listen", []string{"fronts"}, AtOnce, func(o *Order) any { return o.Fronts }},
+	{"discovery", []string{"discovery"}, AtOnce, func(o *Order) any { return [2]string{o.told, o.Notices} }},
+	{"targets", []string{"targets"}, AtOnce, func(o *Order) any { return o.Static }},
+	{"log", []string{"log"}, AtOnce, func(o *Order) any { return o.Log }},
+	{"metrics", []string{"metrics"}, AtStart, func(o *Order) any { return o.Metrics }},
+	{"state", []string{"ledger.folder"}, AtStart, func(o *Order) any { return o.Folder }},
+	{"limits", []string{"limits", "ledger.disk"}, AtStart, func(o *Order) any {
+		return [4]float64{float64(o.MemoryMB), float64(o.Sockets), float64(o.DiskMB), o.Cores}
+	}},
+	{"settings", []string{"types", "kinds", "tenants", "zones", "zone", "dispatch", "outlets"}, AtStart, func(o *Order) any {
+		return []any{o.Terms, o.Names, o.KindOutlet}
+	}},
+}
+
+// when tells when a change of the part is taken up, in an order at hand.
+func (p *Part) when(o *Order) Change {
+	if p.Name != "discovery" && !o.Movable {
+		return AtStart
+	}
+	return p.When
+}
+
+// reread takes up what may change while the forwarder runs, all of it or nothing. What an order that cannot be read or
+// carried out says counts for nothing; what else it changes waits for the next start.
 func (o *owner) reread() {
 	if o.order.Reread == nil {
 		return
 	}
 	next, err := o.order.Reread()
+	if err == nil {
+		err = o.takeUp(next)
+	}
 	if err != nil {
 		o.log.Error().Str("why", err.Error()).Msg("order not taken up")
-		return
 	}
+}
+
+func (o *owner) takeUp(next *Order) error {
 	was := o.order
+	asked := *next // as read: what the owner has added to its own terms does not count as a change
+	now := *was
+	now.Terms = o.asRead
+	changed := map[string]bool{}
 	var later []string
-	for _, f := range []struct {
-		name     string
-		old, new any
-	}{{"name", was.Name, next.Name}, {"listen", was.Listen, next.Listen}, {"state", was.Folder, next.Folder},
-		{"limits", [4]float64{float64(was.MemoryMB), float64(was.Sockets), float64(was.DiskMB), was.Cores},
-			[4]float64{float64(next.MemoryMB), float64(next.Sockets), float64(next.DiskMB), next.Cores}},
-		{"settings", [2]any{o.asRead, was.Fronts}, [2]any{next.Terms, next.Fronts}}} {
-		if !reflect.DeepEqual(f.old, f.new) {
-			later = append(later, f.name)
-		}
-	}
-	if next.told != was.told { // else a variable at the start may have gone before it
-		was.told, was.Discovery = next.told, next.told
-		o.dir.Move(was.Discovery, o.rev)
-	}
-	o.log.Info().Str("discovery", was.Discovery).Strs("at_next_start", later).Msg("order taken up")
+	for _, p := range Parts {
+		if reflect.DeepEqual(p.of(&now), p.of(&asked)) {
+			continue
+		}
+		if changed[p.Name] = p.when(was) == AtOnce; !changed[p.Name] {
+			later = append(later, p.Name)
+		}
+	}
+	if changed["discovery"] && (was.told == "") != (next.told == "") {
+		return fmt.Errorf("discovery: a list of the order's own and one that discovery tells take each other's place only at a start")
+	}
+	if changed["listen"] { // first of all, as it alone can fail
+		if err := o.move(next.Fronts); err != nil {
+			return err
+		}
+		was.Fronts = next.Fronts
+	}
+	if changed["discovery"] { // else a variable at the start may have gone before it
+		was.told, was.Discovery, was.Notices = next.told, next.told, next.Notices
+		if o.dir != nil && was.Discovery != "" {
+			o.dir.Move(was.Discovery, o.rev)
+		}
+		if o.notices != nil && was.Notices != "" {
+			o.notices.Move(was.Notices, 0)
+		}
+	}
+	if changed["targets"] && o.own != nil {
+		was.Static = next.Static
+		o.own.list = *next.Static
+		o.own.list.Rev = o.rev + 1
+		o.own.Watch(0)
+	}
+	if changed["log"] {
+		was.Log = next.Log
+		o.log = o.log.Level(was.Log.Level)
+		o.trace = newTrace(was.Log)
+	}
+	e := o.log.Info().Str("discovery", was.Discovery).Strs("at_next_start", later)
+	if changed["listen"] {
+		e = e.Strs("listen", o.addresses())
+	}
+	e.Msg("order taken up")
+	return nil
+}
+
+// move puts other fronts in the place of those that there are. A front that stays as it was is left alone; one that
+// goes takes no new connections, and each of its callers is answered before its connection ends. The new ones open
+// first: if one cannot, nothing has changed.
+func (o *owner) move(fronts []Front) error {
+	most, err := shares(fronts, Clients(o.order.Sockets))
+	if err != nil {
+		return err
+	}
+	var stay, leave []*listener
+	for _, l := range o.fronts {
+		if slices.Contains(fronts, l.terms) {
+			stay = append(stay, l)
+		} else {
+			leave = append(leave, l)
+		}
+	}
+	var fresh []Front
+	var bounds []int
+	for i, f := range fronts {
+		if slices.ContainsFunc(stay, func(l *listener) bool { return l.terms == f }) {
+			continue
+		}
+		for _, l := range leave {
+			if l.terms.Listen == f.Listen && l.Addr() == f.Listen {
+				return fmt.Errorf("fronts: %s: what else is said of a front changes only with its address, or at a start", f.Name)
+			}
+		}
+		fresh, bounds = append(fresh, f), append(bounds, most[i])
+	}
+	opened, err := o.open(fresh, bounds)
+	if err != nil {
+		return err
+	}
+	for _, l := range leave {
+		l.Shut()
+		l.Leave()
+	}
+	o.fronts, o.leaving = append(stay, opened...), append(o.leaving, leave...)
+	return nil
+}
+
+// gone ends the fronts that have gone from the order once their callers have.
+func (o *owner) gone() {
+	kept := o.leaving[:0]
+	for _, l := range o.leaving {
+		if l.Clients() > 0 {
+			kept = append(kept, l)
+			continue
+		}
+		o.close(l)
+	}
+	o.leaving = kept
+}
+
+func (o *owner) addresses() []string {
+	var all []string
+	for _, l := range o.fronts {
+		all = append(all, l.Addr())
+	}
+	return all
 }
--- /dev/null
+++ b/forward/wiring.go
@@ -0,0 +1,146 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"spanflow/choice"
+	"spanflow/internal/dial"
+	"spanflow/internal/intake"
+	"spanflow/internal/outlet"
+	"spanflow/seam"
+)
+
+// Front is what an order says of one front.
+type Front struct {
+	Name         string // as the ledger and the log have it; "resp" and "" are the platform's own
+	Protocol     string
+	Listen       string
+	Connections  int // at most; 0: an even part of what the descriptors leave
+	Waiting      int // requests that may wait for the owner; 0: the usual
+	WaitingBytes int // of documents among them; 0: the usual
+}
+
+// Protocol opens a front that leaves what its callers want at the desk. most is the bound of its connections.
+type Protocol func(f Front, most int, desk seam.Desk) (seam.Front, error)
+
+// Carriage makes an outlet that reports to the counter.
+type Carriage func(d *dial.Dialer, t Carrier, counter seam.Counter) seam.Outlet
+
+// Carrier is what an outlet is told.
+type Carrier struct {
+	Connect  time.Duration // a connection that takes longer never comes up
+	KeepIdle time.Duration // an idle connection is closed after so long
+	Limit    string        // the field of a load report that tells a limit
+}
+
+// The protocols and carriages that come with the program. A further one is a package of its own and a line here, or,
+// for a program that embeds this one, in its Order.
+var (
+	protocols = map[string]Protocol{"resp": openRESP}
+	carriages = map[string]Carriage{"http": newHTTP}
+)
+
+func openRESP(f Front, most int, desk seam.Desk) (seam.Front, error) {
+	return intake.Open(f.Listen, most-spareClients, most, intake.Patience{Silent: choice.KeepSilent, Quiet: choice.KeepQuiet}, desk)
+}
+
+func newHTTP(d *dial.Dialer, t Carrier, counter seam.Counter) seam.Outlet {
+	return outlet.New(d, counter, outlet.Terms{Connect: t.Connect, KeepIdle: t.KeepIdle, Limit: t.Limit})
+}
+
+// Protocols and Carriages name what an order may ask for.
+func (o *Order) protocol(name string) Protocol {
+	if p := o.Protocols[name]; p != nil {
+		return p
+	}
+	return protocols[name]
+}
+
+func (o *Order) carriage(name string) Carriage {
+	if c := o.Carriages[name]; c != nil {
+		return c
+	}
+	return carriages[name]
+}
+
+// KnowsProtocol tells if an order may name a front's protocol, KnowsCarriage an outlet's.
+func KnowsProtocol(name string) bool { return protocols[name] != nil }
+func KnowsCarriage(name string) bool { return carriages[name] != nil }
+
+// Clients is how many connections of clients an order's descriptors allow, all fronts together.
+func Clients(descriptorsInAll int) int { room := descriptorsInAll - descriptors; return room - room/3 }
+
+// shares is how many connections each front gets.
+func shares(fronts []Front, total int) ([]int, error) {
+	even, left := 0, total
+	for _, f := range fronts {
+		if left -= f.Connections; f.Connections == 0 {
+			even++
+		}
+	}
+	if left < even*2*spareClients {
+		return nil, fmt.Errorf("fronts: their connections are more than the %d that the descriptors allow", total)
+	}
+	most := make([]int, len(fronts))
+	for i, f := range fronts {
+		if most[i] = f.Connections; most[i] == 0 {
+			most[i] = left / even
+		} else if most[i] <= spareClients {
+			return nil, fmt.Errorf("fronts: %s: %d connections are under the least, %d", f.Name, most[i], spareClients+1)
+		}
+	}
+	return most, nil
+}
+
+// listener is an open front with its way in.
+type listener struct {
+	terms Front
+	seam.Front
+	gate *gate
+}
+
+// label is how the ledger names a front. The platform's own has no name there, as in folders of earlier programs.
+func (f Front) label() string {
+	if f.Name == "resp" {
+		return ""
+	}
+	return f.Name
+}
+
+// open opens fronts with so many connections at most each, all or none.
+func (o *owner) open(fronts []Front, most []int) ([]*listener, error) {
+	var open []*listener
+	for i, f := range fronts {
+		g := o.exchange.gate(f.label(), f.Waiting, f.WaitingBytes)
+		front, err := o.order.protocol(f.Protocol)(f, most[i], g)
+		if err != nil {
+			o.exchange.shutGate(g)
+			for _, l := range open {
+				o.close(l)
+			}
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		open = append(open, &listener{f, front, g})
+	}
+	return open, nil
+}
+
+func (o *owner) close(l *listener) {
+	l.Stop()
+	o.exchange.shutGate(l.gate)
+}
+
+// static is a list that an order has itself: nothing is watched.
+type static struct {
+	board seam.Board
+	list  seam.List
+}
+
+// Watch tells the whole list.
+func (s *static) Watch(int64) {
+	list := s.list
+	s.board.Listed(&list)
+}
+
+func (s *static) Stop() {}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 
 	"spanflow/internal/dial"
 	"spanflow/internal/http1"
+	"spanflow/seam"
 )
 
 const (
@@ -25,36 +26,8 @@
 
 // Desk is where the directory's news go.
 type Desk interface {
-	Listed(*List)
-	WatchEnded(why string)
-	NoticesLost(why string)
-	Told(doors []uint64)
-}
-
-// List is what the list says, whole or of its changes.
-type List struct {
-	Rev     int64   `json:"rev"`
-	All     bool    `json:"all"`
-	Targets []Entry `json:"targets"`
-}
-
-// Entry is one line of the list.
-type Entry struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Kind     string  `json:"model"`
-	Dest     uint64  `json:"pod_group"`
-	State    string  `json:"state"`
-	Rate     float64 `json:"capacity_hint"`
-}
-
-// Notice ends a document that was not delivered.
-type Notice struct {
-	Door     uint64
-	ID       string
-	Returned bool
-	AfterMs  int // until the client may come again; 0 if not told
+	seam.Board
+	seam.Ear
 }
 
 // Directory holds the connections to discovery.
@@ -66,7 +39,7 @@
 	mu      sync.Mutex
 	watch   *watch
 	out     *report
-	waiting []Notice // not in a call
+	waiting []seam.Final // not in a call
 	stopped bool
 }
 
@@ -207,7 +180,7 @@
 			line = w.rest
 		}
 		if line = bytes.TrimSpace(line); len(line) > 0 {
-			l := &List{}
+			l := &seam.List{}
 			if err := json.Unmarshal(line, l); err != nil {
 				return fmt.Errorf("a line of the list cannot be read: %w", err)
 			}
@@ -219,7 +192,7 @@
 }
 
 // Notify sends a notice, again and again until it is answered.
-func (d *Directory) Notify(n Notice) {
+func (d *Directory) Notify(n seam.Final) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.waiting = append(d.waiting, n)
@@ -232,7 +205,7 @@
 	line   *dial.Line
 	reader http1.Reader
 	code   int
-	out    []Notice
+	out    []seam.Final
 	timer  *time.Timer
 }
 
@@ -255,7 +228,7 @@
 		id, _ := json.Marshal(n.ID)
 		body = append(append(body, `{"id":`...), id...)
 		switch {
-		case !n.Returned:
+		case n.Outcome != seam.Returned:
 			body = append(body, `,"state":"failed"`...)
 		case n.AfterMs > 0:
 			body = append(body, `,"state":"returned","after_ms":`...)
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -8,16 +8,17 @@
 	"github.com/stretchr/testify/require"
 
 	"spanflow/internal/dial"
+	"spanflow/seam"
 )
 
 type desk struct {
-	lists chan *List
+	lists chan *seam.List
 	ended chan string
 	lost  chan string
 	told  chan []uint64
 }
 
-func (d *desk) Listed(l *List)         { d.lists <- l }
+func (d *desk) Listed(l *seam.List)    { d.lists <- l }
 func (d *desk) WatchEnded(why string)  { d.ended <- why }
 func (d *desk) NoticesLost(why string) { d.lost <- why }
 func (d *desk) Told(doors []uint64)    { d.told <- doors }
@@ -28,7 +29,7 @@
 	dialer, err := dial.New("test", 8)
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close(); dialer.Stop() })
-	k := &desk{make(chan *List, 9), make(chan string, 9), make(chan string, 9), make(chan []uint64, 9)}
+	k := &desk{make(chan *seam.List, 9), make(chan string, 9), make(chan string, 9), make(chan []uint64, 9)}
 	d := New(dialer, ln.Addr().String(), time.Second, k)
 	t.Cleanup(d.Stop)
 	return d, k, func() (net.Conn, string) {
@@ -51,7 +52,7 @@
 	c.Write([]byte(open + "1\r\n\n\r\n" + "1a\r\n{\"rev\":43,\"all\":false,\"tar\r\n"))
 	c.Write([]byte("2d\r\ngets\":[{\"uid\":\"s1\",\"state\":\"left\"}]}\n{\"rev\":\r\n"))
 	l := <-k.lists
-	require.Equal(t, List{Rev: 43, Targets: []Entry{{UID: "s1", State: "left"}}}, *l)
+	require.Equal(t, seam.List{Rev: 43, Targets: []seam.Target{{UID: "s1", State: "left"}}}, *l)
 	c.Close()
 	<-k.ended
 }
@@ -71,10 +72,10 @@
 
 func TestNoticesAreSentAgainUntilAnswered(t *testing.T) {
 	d, k, accept := scene(t)
-	d.Notify(Notice{Door: 1, ID: "a", Returned: true, AfterMs: 500})
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Returned, AfterMs: 500})
 	c, said := accept()
 	require.Contains(t, said, `{"id":"a","state":"returned","after_ms":500}`+"\n")
-	d.Notify(Notice{Door: 2, ID: "b"}) // while a call is out
+	d.Notify(seam.Final{Door: 2, ID: "b", Outcome: seam.Abandoned}) // while a call is out
 	c.Close()
 	<-k.lost
 	c, said = accept()
@@ -85,7 +86,7 @@
 
 func TestANoticeOnASilentConnectionIsSentOnANewOne(t *testing.T) {
 	d, k, accept := scene(t)
-	d.Notify(Notice{Door: 1, ID: "a"})
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
 	accept() // and no word
 	require.Equal(t, "no answer", <-k.lost)
 	c, _ := accept()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -15,39 +15,9 @@
 	"github.com/lesismal/nbio"
 
 	"spanflow/internal/resp"
+	"spanflow/seam"
 )
 
-// Desk is where clients' commands go, in the order of each connection. It may block while too much waits there.
-type Desk interface {
-	Ask(Asked)
-}
-
-// Asked is one command of a client.
-type Asked struct {
-	Client *Client
-	Paper  *Paper // a document handed in
-	Ping   bool
-	Error  string // what else came, as the answer that it gets
-	Last   bool   // after the answer the connection ends
-	Late   bool   // the rest of the command did not come in time
-}
-
-// Paper is a document handed in. It holds a copy of what was read: it outlives the buffer.
-type Paper struct {
-	Key  uint64
-	ID   string
-	Type string
-	Mark string
-	Dest uint64
-	Left float64 // seconds, at the time of coming
-	Came time.Time
-	Body []byte
-
-	Tenant string // empty if none is told
-
-	Unknown string // a name among those with values that is not known here
-}
-
 // Client is one connection.
 type Client struct {
 	intake  *Intake
@@ -79,7 +49,7 @@
 // Intake holds the clients' connections.
 type Intake struct {
 	engine   *nbio.Engine
-	desk     Desk
+	desk     seam.Desk
 	patience Patience
 	most     int // from here on one without a command, else the longest quiet one, is closed for each new one
 	hard     int // from here on new ones are turned away unread, so that descriptors do not run out
@@ -87,15 +57,8 @@
 	clients  map[*Client]struct{}
 	leaving  bool
 	stop     chan struct{}
-	counts   Counts
-}
-
-// Counts tell what became of connections since the start.
-type Counts struct {
-	Now, Most, Came      int
-	Turned               int       // away unread, for want of room
-	ForRoom              [busy]int // closed to make room, by rank
-	Silent, Quiet, Stuck int       // closed after waiting: without a command, between two, within one
+	counts   seam.Tally
+	ln       net.Listener
 }
 
 // door is the listener; it turns connections away before nbio knows of them.
@@ -116,9 +79,10 @@
 	for {
 		c, err := d.Listener.Accept()
 		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				time.Sleep(acceptPause)
+			if errors.Is(err, net.ErrClosed) {
+				<-d.intake.stop // shut: the connections that there are go on
 			}
+			time.Sleep(acceptPause)
 			return nil, err
 		}
 		if d.intake.welcome() {
@@ -129,13 +93,14 @@
 }
 
 // Open listens at an address; most and hard bound the connections.
-func Open(addr string, most, hard int, patience Patience, desk Desk) (*Intake, error) {
+func Open(addr string, most, hard int, patience Patience, desk seam.Desk) (*Intake, error) {
 	in := &Intake{desk: desk, patience: patience, most: most, hard: hard, clients: map[*Client]struct{}{},
 		stop: make(chan struct{})}
 	in.engine = nbio.NewEngine(nbio.Config{Name: "intake", Network: "tcp", Addrs: []string{addr}, NPoller: 1,
 		ReadBufferSize: 72 << 10, MaxWriteBufferSize: 256 << 10, MaxConnReadTimesPerEventLoop: 8,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := net.Listen(network, addr)
+			in.ln = l
 			return door{l, in}, err
 		}})
 	in.engine.OnOpen(in.opened)
@@ -159,6 +124,9 @@
 // Addr is where the intake listens.
 func (in *Intake) Addr() string { return in.engine.Addrs[0] }
 
+// Shut takes no new connections; those that there are go on.
+func (in *Intake) Shut() { in.ln.Close() }
+
 // Stop ends all connections and stops listening.
 func (in *Intake) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
@@ -211,16 +179,15 @@
 		c.conn.Close()
 	}
 	for _, c := range late {
-		c.refuse(Asked{Error: "ERR the command did not go on in time", Late: true})
+		c.refuse("ERR the command did not go on in time")
 	}
 }
 
 // refuse leaves a connection's last answer at the desk and reads nothing more.
-func (c *Client) refuse(a Asked) {
+func (c *Client) refuse(why string) {
 	if c.mute.CompareAndSwap(false, true) {
 		c.asked.Add(1)
-		a.Client, a.Last = c, true
-		c.intake.desk.Ask(a)
+		c.intake.desk.Ask(seam.Asked{From: c, Why: why, Last: true})
 	}
 }
 
@@ -247,8 +214,8 @@
 	return len(in.clients)
 }
 
-// Counts tells what became of connections.
-func (in *Intake) Counts() Counts {
+// Tally tells what became of connections.
+func (in *Intake) Tally() seam.Tally {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.counts.Now = len(in.clients)
@@ -347,22 +314,22 @@
 	in.mu.Unlock()
 	c.partial.Store(c.reader.Waiting() > 0)
 	if err != nil {
-		c.refuse(Asked{Error: "ERR " + err.Error()})
+		c.refuse("ERR " + err.Error())
 	}
 }
 
-func command(c *Client, args [][]byte) Asked {
-	a := Asked{Client: c}
+func command(c *Client, args [][]byte) seam.Asked {
+	a := seam.Asked{From: c}
 	switch name := strings.ToUpper(string(args[0])); name {
 	case "PING":
-		a.Ping = true
+		a.Alive = true
 	case "MSG.PUT":
 		p, err := put(args)
 		if a.Paper = p; err != nil {
-			a.Paper, a.Error = nil, "ERR "+err.Error()
+			a.Paper, a.Why = nil, "ERR "+err.Error()
 		}
 	default:
-		a.Error = "ERR unknown command"
+		a.Why = "ERR unknown command"
 	}
 	return a
 }
@@ -381,7 +348,7 @@
 
 var errPut = errors.New("MSG.PUT takes a key, an id, names with values, and a body")
 
-func put(args [][]byte) (*Paper, error) {
+func put(args [][]byte) (*seam.Handed, error) {
 	if len(args) != 5 || len(args[2]) == 0 || len(args[2]) > 128 {
 		return nil, errPut
 	}
@@ -395,7 +362,7 @@
 	if !plain(string(args[2])) {
 		return nil, errors.New("the id holds bytes that it may not")
 	}
-	p := &Paper{Key: key, ID: string(args[2]), Body: bytes.Clone(args[4]), Left: -1, Came: time.Now()}
+	p := &seam.Handed{Key: key, ID: string(args[2]), Body: bytes.Clone(args[4]), Left: -1, Came: time.Now()}
 	dest := false
 	for pair := range strings.SplitSeq(string(args[3]), ",") {
 		name, value, _ := strings.Cut(pair, "=")
@@ -434,17 +401,38 @@
 func (c *Client) Gone() bool { return c.gone.Load() }
 
 // Answer writes the answer to the oldest command without one. It tells if the connection stood.
-func (c *Client) Answer(b []byte, last bool) bool {
-	_, err := c.conn.Write(b)
+func (c *Client) Answer(r seam.Reply) bool {
+	_, err := c.conn.Write(line(r))
 	c.asked.Add(-1)
 	c.intake.mu.Lock()
 	leaving := c.intake.leaving
-	if last {
+	if r.Last {
 		c.ends = time.Now().Add(lingers)
 	}
 	c.intake.mu.Unlock()
-	if leaving && !last && c.quiet() {
+	if leaving && !r.Last && c.quiet() {
 		c.conn.Close()
 	}
 	return err == nil
 }
+
+var (
+	taken = resp.Simple("OK")
+	alive = resp.Simple("PONG")
+)
+
+// line is an answer as it goes over the wire.
+func line(r seam.Reply) []byte {
+	switch r.Word {
+	case seam.Taken:
+		return taken
+	case seam.Alive:
+		return alive
+	case seam.Busy:
+		return resp.Busy(r.Wait)
+	case seam.Declined:
+		return resp.Failure("ERR " + r.Why)
+	default:
+		return resp.Failure(r.Why)
+	}
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -5,9 +5,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"spanflow/seam"
 )
 
-func ask(args ...string) Asked {
+func ask(args ...string) seam.Asked {
 	var b [][]byte
 	for _, a := range args {
 		b = append(b, []byte(a))
@@ -20,7 +22,7 @@
 	require.NotNil(t, p)
 	require.Equal(t, []any{uint64(0x7f3a9c21e0b4d655), "9b1f", "notice", 8.0005, "5c0f", uint64(7), "x", "q", "\x00body"},
 		[]any{p.Key, p.ID, p.Type, p.Left, p.Mark, p.Dest, p.Tenant, p.Unknown, string(p.Body)})
-	require.True(t, ask("ping").Ping)
+	require.True(t, ask("ping").Alive)
 }
 
 func TestWhatIsNoDocumentIsToldSo(t *testing.T) {
@@ -33,7 +35,7 @@
 		{"MSG.PUT", "0", "a", names, strings.Repeat("x", 64<<10+1)}} {
 		a := ask(args...)
 		require.Nil(t, a.Paper, "%.80q", args)
-		require.True(t, strings.HasPrefix(a.Error, "ERR "), "%.80q", args)
+		require.True(t, strings.HasPrefix(a.Why, "ERR "), "%.80q", args)
 		require.False(t, a.Last)
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,6 +21,7 @@
 	mostEntry = 72 << 10 // the largest record
 	overhead  = 104      // bytes that a document takes beside its body, mark and id
 	header    = 9        // length, checksum, kind
+	mostFront = 64       // bytes of a front's name
 	suffix    = ".ledger"
 )
 
@@ -30,6 +31,7 @@
 	kindBack              // a transmission has ended, the document has not
 	kindOver              // nothing more is owed
 	kindAnswer            // the final answer is about to be told
+	kindFrom              // as kindEntry, with the front by which it came before it
 )
 
 // ErrFull says that the ledger holds as much as it may.
@@ -53,6 +55,8 @@
 	Answer  Answer
 	After   int // with Returned: milliseconds until the client may come again
 	Body    []byte
+	Front   string // by which it came; empty for the platform's own
+	Held    bool   // its caller waited for the final answer
 
 	file int // number of the file with its record
 }
@@ -67,7 +71,16 @@
 )
 
 // Size is what an entry takes of the ledger's room.
-func (e *Entry) Size() int { return len(e.Body) + len(e.Mark) + len(e.ID) + len(e.Type) + overhead }
+func (e *Entry) Size() int {
+	n := len(e.Body) + len(e.Mark) + len(e.ID) + len(e.Type) + overhead
+	if e.from() {
+		n += 2 + len(e.Front)
+	}
+	return n
+}
+
+// from tells that an entry's record says by which front it came.
+func (e *Entry) from() bool { return e.Front != "" || e.Held }
 
 // Ledger is open until Close. It is not safe for use by several goroutines.
 type Ledger struct {
@@ -80,6 +93,7 @@
 	next    uint64
 	Dropped int // records that could not be read at the start
 	buf     []byte
+	lock    *os.File // nil where the folder cannot be locked
 }
 
 type file struct {
@@ -95,23 +109,22 @@
 	if l.Room() <= 0 {
 		return nil, fmt.Errorf("a ledger of %d bytes is too small", limit)
 	}
-	names, err := os.ReadDir(dir)
+	var err error
+	if l.lock, err = own(dir); err != nil {
+		return nil, err
+	}
+	numbers, err := numbers(dir)
 	if err != nil {
+		l.Close()
 		return nil, err
 	}
-	for _, n := range names {
-		var number int
-		if base, ok := strings.CutSuffix(n.Name(), suffix); !ok || !n.Type().IsRegular() {
-			continue
-		} else if _, err := fmt.Sscanf(base, "%d", &number); err != nil {
-			continue
-		}
-		l.files = append(l.files, file{number: number})
+	for _, n := range numbers {
+		l.files = append(l.files, file{number: n})
 	}
-	slices.SortFunc(l.files, func(a, b file) int { return cmp.Compare(a.number, b.number) })
 	for i := range l.files {
-		text, err := os.ReadFile(l.path(l.files[i].number))
+		text, err := os.ReadFile(path(dir, l.files[i].number))
 		if err != nil {
+			l.Close()
 			return nil, err
 		}
 		l.files[i].size = int64(len(text))
@@ -124,8 +137,28 @@
 	return l, nil
 }
 
-func (l *Ledger) path(number int) string {
-	return filepath.Join(l.dir, fmt.Sprintf("%08d%s", number, suffix))
+// numbers are those of a folder's files, in order.
+func numbers(dir string) ([]int, error) {
+	names, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var numbers []int
+	for _, n := range names {
+		var number int
+		if base, ok := strings.CutSuffix(n.Name(), suffix); !ok || !n.Type().IsRegular() {
+			continue
+		} else if _, err := fmt.Sscanf(base, "%d", &number); err != nil {
+			continue
+		}
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+func path(dir string, number int) string {
+	return filepath.Join(dir, fmt.Sprintf("%08d%s", number, suffix))
 }
 
 // Room is how many bytes of entries the ledger holds at most: half of the space beside what compacting needs, so
@@ -144,6 +177,9 @@
 
 // Close ends the writing.
 func (l *Ledger) Close() error {
+	if l.lock != nil {
+		defer l.lock.Close()
+	}
 	if l.head == nil {
 		return nil
 	}
@@ -153,6 +189,9 @@
 // Used is the space that the files take.
 func (l *Ledger) Used() int64 {
 	n := int64(0)
+	if l.lock != nil {
+		n = block
+	}
 	for _, f := range l.files {
 		n += blocks(f.size)
 	}
@@ -161,7 +200,7 @@
 
 // Take records a document and gives it its number.
 func (l *Ledger) Take(e *Entry) error {
-	if l.live+e.Size() > l.Room() || e.Size() > mostEntry {
+	if l.live+e.Size() > l.Room() || e.Size() > mostEntry || len(e.Front) > mostFront {
 		return ErrFull
 	}
 	e.Seq = l.next
@@ -241,9 +280,22 @@
 	return append(l.buf[:0], 0, 0, 0, 0, 0, 0, 0, 0, kind)
 }
 
+// whole begins the record of an entry.
+func (l *Ledger) whole(e *Entry) []byte {
+	if !e.from() {
+		return e.encode(l.begin(kindEntry))
+	}
+	held := byte(0)
+	if e.Held {
+		held = 1
+	}
+	b := append(l.begin(kindFrom), held, byte(len(e.Front)))
+	return e.encode(append(b, e.Front...))
+}
+
 // write records an entry whole in the present file.
 func (l *Ledger) write(e *Entry) error {
-	if err := l.append(e.encode(l.begin(kindEntry))); err != nil {
+	if err := l.append(l.whole(e)); err != nil {
 		return err
 	}
 	e.file = l.files[len(l.files)-1].number
@@ -301,7 +353,7 @@
 		if e.file != old.number {
 			continue
 		}
-		b := e.encode(l.begin(kindEntry))
+		b := l.whole(e)
 		l.buf = b
 		binary.LittleEndian.PutUint32(b, uint32(len(b)-header))
 		binary.LittleEndian.PutUint32(b[4:], crc32.ChecksumIEEE(b[8:]))
@@ -315,7 +367,7 @@
 		}
 		e.file = l.files[len(l.files)-1].number
 	}
-	if err := os.Remove(l.path(old.number)); err != nil {
+	if err := os.Remove(path(l.dir, old.number)); err != nil {
 		return err
 	}
 	l.files = l.files[1:]
@@ -328,7 +380,7 @@
 	if n := len(l.files); n > 0 {
 		number = l.files[n-1].number + 1
 	}
-	f, err := os.OpenFile(l.path(number), os.O_CREATE|os.O_WRONLY|os.O_APPEND|os.O_EXCL, 0o600)
+	f, err := os.OpenFile(path(l.dir, number), os.O_CREATE|os.O_WRONLY|os.O_APPEND|os.O_EXCL, 0o600)
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -120,6 +120,7 @@
 		require.NoError(t, l.Over(e.Seq))
 	}
 	take(t, l, "new", 5000)
+	l.Close()
 	require.Equal(t, []string{"0", "new"}, owed(t, dir))
 }
 
@@ -190,3 +191,99 @@
 		require.NoError(t, l.Close())
 	})
 }
+
+func TestAnEntryKeepsTheFrontByWhichItCame(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	require.NoError(t, l.Take(&Entry{ID: "a", Type: "ticket", Front: "proxy", Held: true, Body: []byte("b")}))
+	require.NoError(t, l.Take(&Entry{ID: "b", Type: "ticket"}))
+	require.ErrorIs(t, l.Take(&Entry{ID: "c", Front: string(make([]byte, mostFront+1))}), ErrFull)
+	l.Close()
+	l = open(t, dir)
+	defer l.Close()
+	require.Equal(t, []any{"proxy", true, "", false}, []any{l.Owed()[0].Front, l.Owed()[0].Held, l.Owed()[1].Front, l.Owed()[1].Held})
+}
+
+func TestAFolderOfARunningProcessIsRefusedWithItsPid(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	require.Equal(t, os.Getpid(), Owner(dir))
+	_, err := Open(dir, limit)
+	var owned *Owned
+	require.ErrorAs(t, err, &owned)
+	require.Equal(t, Owned{dir, os.Getpid()}, *owned)
+	l.Close()
+	require.Zero(t, Owner(dir))
+	open(t, dir).Close()
+}
+
+func TestALookAltersNothingAndTellsATornEndFromDamage(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	for _, id := range []string{"a", "b", "c"} {
+		take(t, l, id, 100)
+	}
+	require.NoError(t, l.Out(1, 5, 0))
+	v, err := Look(dir) // in use
+	require.NoError(t, err)
+	require.Equal(t, []any{os.Getpid(), 3, 0, "out", "held"}, []any{v.Owner, len(v.Owed), len(v.Faults), v.Owed[0].State(), v.Owed[1].State()})
+	l.Close()
+	whole, err := os.ReadFile(last(t, dir))
+	require.NoError(t, err)
+	looked := func(text []byte) *View {
+		require.NoError(t, os.WriteFile(last(t, dir), text, 0o600))
+		v, err := Look(dir)
+		require.NoError(t, err)
+		after, _ := os.ReadFile(last(t, dir))
+		require.Equal(t, text, after)
+		return v
+	}
+	v = looked(whole[:len(whole)-40])
+	require.True(t, len(v.Faults) == 1 && v.Faults[0].Torn && !v.Damaged(), v.Faults)
+	spoilt := bytes.Clone(whole)
+	spoilt[60] ^= 1 // the first document
+	v = looked(spoilt)
+	require.True(t, v.Damaged(), v.Faults)
+	require.Equal(t, []any{1, int64(0), 2}, []any{len(v.Faults), v.Faults[0].At, len(v.Owed)})
+	spoilt[2] = 0xff                                           // its length: what follows cannot be found by it
+	require.NoError(t, os.WriteFile(path(dir, 9), nil, 0o600)) // a later file shows that this one was ended in peace
+	spoiltFirst, err := func() (*View, error) {
+		require.NoError(t, os.WriteFile(path(dir, 1), spoilt, 0o600))
+		return Look(dir)
+	}()
+	require.NoError(t, err)
+	require.True(t, spoiltFirst.Damaged(), spoiltFirst.Faults)
+}
+
+func TestALookFindsAllThatIsOwedWhileFilesAreFreed(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	defer l.Close()
+	take(t, l, "stays", 100)
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-end:
+				return
+			default:
+				e := &Entry{ID: "goes", Type: "ticket", Body: make([]byte, 20_000)}
+				if l.Take(e) == nil {
+					l.Over(e.Seq)
+				}
+			}
+		}
+	}()
+	for range 200 {
+		v, err := Look(dir)
+		if err != nil { // freed faster than it can be read, and said so
+			require.ErrorContains(t, err, "faster")
+			continue
+		}
+		require.Equal(t, "stays", v.Owed[0].ID)
+		require.False(t, v.Damaged(), v.Faults)
+	}
+	close(end)
+	<-ended
+}
--- /dev/null
+++ b/internal/ledger/look.go
@@ -0,0 +1,179 @@
+package ledger
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+)
+
+// View is what a folder holds, read without altering it or hindering the process that has it.
+type View struct {
+	Dir    string
+	Owner  int // the process that has it, 0 if none
+	Files  []FileView
+	Owed   []*Entry // in the order of taking
+	Faults []Fault
+	Bytes  int64 // that the files take on disk
+}
+
+// FileView tells of one file.
+type FileView struct {
+	Number  int
+	Bytes   int64
+	Records map[string]int // by kind
+	Owed    int            // entries whose latest whole record is here
+}
+
+// Fault is a place that cannot be read.
+type Fault struct {
+	File  int
+	At    int64 // bytes from the file's begin
+	Bytes int64 // that cannot be read from there on
+	Torn  bool  // the end of a file that was being written when its process ended, or is still: no damage
+	What  string
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%08d%s: byte %d: %s, %d bytes", f.File, suffix, f.At, f.What, f.Bytes)
+}
+
+// Damaged tells if anything is wrong beyond torn ends.
+func (v *View) Damaged() bool {
+	return slices.ContainsFunc(v.Faults, func(f Fault) bool { return !f.Torn })
+}
+
+var kindNames = [...]string{kindEntry: "document", kindOut: "transmission", kindBack: "end", kindOver: "over",
+	kindAnswer: "answer", kindFrom: "document with front"}
+
+const mostLooks = 20 // files may be freed while they are read
+
+// Look reads a folder, in use or not. If files are freed meanwhile it begins anew, as what they owed has been written
+// to later ones.
+func Look(dir string) (*View, error) {
+	for range mostLooks {
+		v, err := look(dir)
+		if !errors.Is(err, fs.ErrNotExist) {
+			return v, err
+		}
+		if _, err := os.Stat(dir); err != nil {
+			return nil, err
+		}
+	}
+	return nil, fmt.Errorf("%s: files are freed faster than they can be read", dir)
+}
+
+func look(dir string) (*View, error) {
+	all, err := numbers(dir)
+	if err != nil {
+		return nil, err
+	}
+	v := &View{Dir: dir, Owner: Owner(dir)}
+	l := &Ledger{dir: dir, entries: map[uint64]*Entry{}, next: 1}
+	for i, n := range all {
+		text, err := os.ReadFile(path(dir, n))
+		if err != nil {
+			return nil, err
+		}
+		f := FileView{Number: n, Bytes: int64(len(text)), Records: map[string]int{}}
+		v.Bytes += blocks(f.Bytes)
+		v.read(l, &f, text, i == len(all)-1)
+		v.Files = append(v.Files, f)
+	}
+	again, err := numbers(dir)
+	if err != nil {
+		return nil, err
+	}
+	if len(all) > 0 && (len(again) == 0 || again[0] != all[0]) {
+		return nil, fs.ErrNotExist // some were freed: an entry may have moved to a file that was read before
+	}
+	v.Owed = slices.SortedFunc(maps.Values(l.entries), func(a, b *Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+	for _, e := range v.Owed {
+		i := slices.IndexFunc(v.Files, func(f FileView) bool { return f.Number == e.file })
+		v.Files[i].Owed++
+	}
+	return v, nil
+}
+
+// read applies a file's records as replay does and notes each fault.
+func (v *View) read(l *Ledger, f *FileView, text []byte, last bool) {
+	for rest := text; len(rest) > 0; {
+		at := int64(len(text) - len(rest))
+		kind, body, after, ok := record(rest)
+		if !ok {
+			fault := Fault{File: f.Number, At: at, Bytes: int64(len(rest) - len(after)), What: "a record fails its checksum"}
+			_, _, _, follows := record(after)
+			if !follows {
+				fault.Bytes, fault.What = int64(len(rest)), "what follows is no record"
+				if last || !anyRecord(rest[1:]) {
+					fault.Torn, fault.What = true, "a torn end"
+				}
+				v.Faults = append(v.Faults, fault)
+				return
+			}
+			v.Faults = append(v.Faults, fault)
+			rest = after
+			continue
+		}
+		if dropped := l.Dropped; int(kind) < len(kindNames) && kindNames[kind] != "" {
+			f.Records[kindNames[kind]]++
+			if l.apply(kind, body, f.Number); l.Dropped > dropped {
+				v.Faults = append(v.Faults, Fault{File: f.Number, At: at, Bytes: int64(len(body)), What: "a record of a wrong form"})
+			}
+		} else {
+			v.Faults = append(v.Faults, Fault{File: f.Number, At: at, Bytes: int64(len(body)),
+				What: fmt.Sprintf("a record of the unknown kind %d", kind)})
+		}
+		rest = after
+	}
+}
+
+// anyRecord tells if a whole record lies anywhere in b: then what comes before it is damage, not a torn end.
+func anyRecord(b []byte) bool {
+	for i := range min(len(b), mostEntry+header) {
+		if _, body, _, ok := record(b[i:]); ok && len(body) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Filter picks entries; empty fields pick all.
+type Filter struct {
+	ID     string
+	Dest   *uint64
+	Tenant *int
+	Key    *uint64
+	Front  *string
+	Type   string
+	Older  int64 // microseconds of the wall clock: expiry before it
+	State  string
+}
+
+// Picks tells if an entry passes.
+func (f *Filter) Picks(e *Entry) bool {
+	return (f.ID == "" || e.ID == f.ID) && (f.Dest == nil || e.Dest == *f.Dest) && (f.Tenant == nil || e.Tenant == *f.Tenant) &&
+		(f.Key == nil || e.Key == *f.Key) && (f.Front == nil || e.Front == *f.Front) && (f.Type == "" || e.Type == f.Type) &&
+		(f.Older == 0 || e.Expiry < f.Older) && (f.State == "" || strings.EqualFold(e.State(), f.State))
+}
+
+// State is what an entry waits for, in a word.
+func (e *Entry) State() string {
+	switch {
+	case e.Answer == Returned:
+		return "returned"
+	case e.Answer == Abandoned:
+		return "abandoned"
+	case e.Out > 0:
+		return "out"
+	case e.Ran > 0:
+		return "may-have-run"
+	case e.Sent > 0:
+		return "tried"
+	}
+	return "held"
+}
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -42,6 +42,21 @@
 	return e
 }
 
+// entry reads an entry's record of either kind, nil if it is none.
+func entry(kind byte, b []byte) *Entry {
+	if kind == kindEntry {
+		return decode(b)
+	}
+	if len(b) < 2 || int(b[1]) > len(b)-2 || b[1] > mostFront {
+		return nil
+	}
+	e := decode(b[2+b[1]:])
+	if e != nil {
+		e.Held, e.Front = b[0] == 1, string(b[2:2+b[1]])
+	}
+	return e
+}
+
 // record cuts the first record off a file's text; ok is false where none can be read.
 func record(b []byte) (kind byte, body, rest []byte, ok bool) {
 	if len(b) < header {
@@ -75,8 +90,8 @@
 }
 
 func (l *Ledger) apply(kind byte, b []byte, number int) {
-	if kind == kindEntry {
-		if e := decode(b); e != nil {
+	if kind == kindEntry || kind == kindFrom {
+		if e := entry(kind, b); e != nil {
 			e.file = number
 			l.entries[e.Seq] = e
 			l.next = max(l.next, e.Seq+1)
--- a/internal/outlet/call.go
+++ b/internal/outlet/call.go
@@ -4,39 +4,15 @@
 	"encoding/base64"
 	"encoding/json"
 	"strconv"
-	"time"
+	"strings"
 
+	"spanflow/choice"
 	"spanflow/internal/http1"
+	"spanflow/seam"
 )
 
-// Paper is a document as it travels. Its parts are not copied; they must last until the call has ended.
-type Paper struct {
-	Door uint64 // the caller's number
-	ID   string
-	Mark string // by which a repeat is known
-	Body []byte
-}
-
-// Call is one call to a target with one paper or several.
-type Call struct {
-	Door   uint64 // the caller's number of the target: connections are its own, also where another had its address
-	Target string // its address
-	Papers []Paper
-	Allow  time.Duration
-}
-
-// Ended is the news of a call's end, one end for each paper.
-type Ended struct {
-	Call   *Call
-	Ends   []End
-	Took   time.Duration
-	Wait   float64 // seconds to stay away; 0 if not told
-	Report string  // what the target says of its load
-	Why    string  // for the log: what could not be read, or why a connection failed
-}
-
-// request writes the call in its form of HTTP.
-func (c *Call) request() []byte {
+// request writes a call in its form of HTTP.
+func request(c *seam.Call) []byte {
 	left := strconv.FormatInt(c.Allow.Milliseconds(), 10)
 	if len(c.Papers) == 1 {
 		p := &c.Papers[0]
@@ -110,8 +86,8 @@
 }
 
 // ends tells what an answer means for each paper of a call.
-func (a *answer) ends(c *Call) []End {
-	ends := make([]End, len(c.Papers))
+func (a *answer) ends(c *seam.Call) []seam.End {
+	ends := make([]seam.End, len(c.Papers))
 	for i := range ends {
 		ends[i] = a.end()
 	}
@@ -129,42 +105,54 @@
 	for i, p := range c.Papers {
 		switch told[p.ID] {
 		case "ok":
-			ends[i] = Took
+			ends[i] = seam.Took
 		case "later":
-			ends[i] = TurnedAway
+			ends[i] = seam.TurnedAway
 			if a.wait > 0 {
-				ends[i] = Waiting
+				ends[i] = seam.Waiting
 			}
 		case "gone":
-			ends[i] = Gone
+			ends[i] = seam.Gone
 		case "exhausted":
-			ends[i] = Spent
+			ends[i] = seam.Spent
 		default: // not told, or told in a word unknown here: it may have run
-			ends[i] = Failed
+			ends[i] = seam.Failed
 		}
 	}
 	return ends
 }
 
 // end tells what the status alone means.
-func (a *answer) end() End {
+func (a *answer) end() seam.End {
 	switch a.code {
 	case 200:
-		return Took
+		return seam.Took
 	case 429:
-		return Waiting
+		return seam.Waiting
 	case 503:
 		if a.busy {
-			return LineBusy
+			return seam.LineBusy
 		}
-		return TurnedAway
+		return seam.TurnedAway
 	case 504:
-		return Spent
+		return seam.Spent
 	case 410:
-		return Gone
+		return seam.Gone
 	case 400, 413:
-		return Unread
+		return seam.Unread
 	default:
-		return Failed
+		return seam.Failed
+	}
+}
+
+// limit finds the limit in a load report, 0 if it tells nothing of one, under 0 if it says that there is none.
+func limit(report, field string) float64 {
+	for pair := range strings.SplitSeq(report, ",") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == field {
+			if v, err := strconv.ParseFloat(value, 64); err == nil && v >= 0 && v < 1e9 {
+				return choice.Limit(v)
+			}
+		}
 	}
+	return 0
 }
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -8,25 +8,22 @@
 
 	"spanflow/internal/dial"
 	"spanflow/internal/http1"
+	"spanflow/seam"
 )
 
 const mostAnswer = 64 << 10
 
-// Desk is where news of calls go.
-type Desk interface {
-	CallEnded(Ended)
-}
-
 // Terms are the outlet's bounds.
 type Terms struct {
 	Connect  time.Duration // a connection that takes longer never comes up
 	KeepIdle time.Duration // an idle connection is closed after so long
+	Limit    string        // the field of a load report that tells a limit
 }
 
 // Outlet holds the connections to all targets.
 type Outlet struct {
 	dialer *dial.Dialer
-	desk   Desk
+	desk   seam.Counter
 	terms  Terms
 	mu     sync.Mutex
 	idle   map[uint64][]*trunk // by the target's number; the latest used last
@@ -34,7 +31,7 @@
 }
 
 // New has no connections yet.
-func New(d *dial.Dialer, desk Desk, terms Terms) *Outlet {
+func New(d *dial.Dialer, desk seam.Counter, terms Terms) *Outlet {
 	return &Outlet{dialer: d, desk: desk, terms: terms, idle: map[uint64][]*trunk{}, rising: map[*trunk]struct{}{}}
 }
 
@@ -45,7 +42,7 @@
 	line   *dial.Line
 	reader http1.Reader
 	answer answer
-	call   *Call
+	call   *seam.Call
 	began  time.Time
 	rested time.Time   // since when it is idle
 	timer  *time.Timer // ends the call, or while idle the connection
@@ -58,7 +55,7 @@
 const proof = 3 * time.Millisecond
 
 // Send begins a call, on the idle connection used last if there is one.
-func (o *Outlet) Send(c *Call) {
+func (o *Outlet) Send(c *seam.Call) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.rested(c.Door)
@@ -77,7 +74,7 @@
 		time.AfterFunc(wait, func() { t.write(turn) })
 		return
 	}
-	t.line.Write(c.request())
+	t.line.Write(request(c))
 }
 
 // rested takes the idle connection to a target that was used last, nil if there is none that can be used.
@@ -97,7 +94,7 @@
 }
 
 // fresh begins a connection for a call.
-func (o *Outlet) fresh(c *Call) *trunk {
+func (o *Outlet) fresh(c *seam.Call) *trunk {
 	if o.dialer.Full() {
 		o.shed()
 	}
@@ -121,7 +118,7 @@
 	}
 	t.unsent = false
 	delete(o.rising, t)
-	t.line.Write(t.call.request())
+	t.line.Write(request(t.call))
 }
 
 // change carries the call that waited over to a new connection.
@@ -136,7 +133,7 @@
 	n.timer = time.AfterFunc(t.call.Allow-time.Since(t.began), func() { n.giveUp(1) })
 	t.call, t.unsent = nil, false
 	t.turn++
-	n.line.Write(n.call.request())
+	n.line.Write(request(n.call))
 }
 
 // Recall ends the calls to a target of which nothing has been sent because their connection is not up.
@@ -152,7 +149,7 @@
 		} else if !t.line.CloseUnlessUp() {
 			continue
 		}
-		t.finish(t.same(Recalled), "")
+		t.finish(t.same(seam.Recalled), "")
 	}
 }
 
@@ -205,12 +202,12 @@
 		t.line.Close()
 		return
 	}
-	end, why := GivenUp, ""
+	end, why := seam.GivenUp, ""
 	switch {
 	case t.unsent || !t.line.Sent():
-		end = GivenUpEarly
+		end = seam.GivenUpEarly
 	case t.reader.Begun():
-		end, why = Garbled, "the answer never ended"
+		end, why = seam.Garbled, "the answer never ended"
 	}
 	t.line.Close()
 	t.finish(t.cut(end), why)
@@ -234,7 +231,7 @@
 	switch {
 	case err != nil:
 		t.line.Close()
-		t.finish(t.broken(Garbled), err.Error())
+		t.finish(t.broken(seam.Garbled), err.Error())
 	case whole:
 		keep := !t.reader.Close && used == len(b) && t.line.Sent()
 		if !keep {
@@ -260,11 +257,11 @@
 	case t.reader.Ended():
 		t.finish(t.answer.ends(t.call), "")
 	case errors.Is(cause, dial.ErrNeverUp):
-		t.finish(t.same(NeverUp), "")
+		t.finish(t.same(seam.NeverUp), "")
 	case !t.line.Up():
-		t.finish(t.same(Refused), text(cause))
+		t.finish(t.same(seam.Refused), text(cause))
 	default:
-		t.finish(t.broken(Broken), text(cause))
+		t.finish(t.broken(seam.Broken), text(cause))
 	}
 }
 
@@ -276,24 +273,24 @@
 }
 
 // broken is end if the call was written whole, else that it was cut before.
-func (t *trunk) broken(end End) []End {
+func (t *trunk) broken(end seam.End) []seam.End {
 	if !t.line.Sent() {
-		end = BrokenEarly
+		end = seam.BrokenEarly
 	}
 	return t.cut(end)
 }
 
 // cut is end for each paper, but for a single one whose answer began with 200: that holds from its line on. Any other
 // status counts only with the whole answer, as one that is spoilt or cut may stand for a document that has run.
-func (t *trunk) cut(end End) []End {
+func (t *trunk) cut(end seam.End) []seam.End {
 	if t.answer.code == 200 && len(t.call.Papers) == 1 {
-		end = Took
+		end = seam.Took
 	}
 	return t.same(end)
 }
 
-func (t *trunk) same(end End) []End {
-	ends := make([]End, len(t.call.Papers))
+func (t *trunk) same(end seam.End) []seam.End {
+	ends := make([]seam.End, len(t.call.Papers))
 	for i := range ends {
 		ends[i] = end
 	}
@@ -301,11 +298,11 @@
 }
 
 // finish reports the call's end; the lock is held.
-func (t *trunk) finish(ends []End, why string) {
+func (t *trunk) finish(ends []seam.End, why string) {
 	t.timer.Stop()
-	e := Ended{Call: t.call, Ends: ends, Took: time.Since(t.began), Why: why}
-	if ends[0] != Garbled { // a head that came before the connection broke holds
-		e.Wait, e.Report = t.answer.wait, t.answer.report
+	e := seam.Ended{Call: t.call, Ends: ends, Took: time.Since(t.began), Why: why}
+	if ends[0] != seam.Garbled { // a head that came before the connection broke holds
+		e.Wait, e.Most = t.answer.wait, limit(t.answer.report, t.outlet.terms.Limit)
 	}
 	t.call, t.unsent = nil, false
 	t.turn++
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -9,48 +9,30 @@
 
 	"github.com/stretchr/testify/require"
 
-	"spanflow/choice"
 	"spanflow/internal/dial"
+	"spanflow/seam"
 )
 
-func TestEveryEndHasItsOutcome(t *testing.T) {
-	type meaning struct {
-		outcome   choice.Outcome
-		over, ran bool
-	}
-	for end, want := range map[End]meaning{Took: {choice.Delivered, true, true}, Failed: {choice.Errored, false, true},
-		Waiting: {choice.Full, false, false}, TurnedAway: {choice.Full, false, false}, LineBusy: {choice.Moot, false, false},
-		Spent: {choice.Moot, false, false}, Gone: {choice.Moot, true, false}, Unread: {choice.Moot, false, false},
-		Refused: {choice.NoConnection, false, false}, NeverUp: {choice.NoConnection, false, false},
-		BrokenEarly: {choice.NoConnection, false, false}, GivenUpEarly: {choice.NoConnection, false, false},
-		Broken: {choice.Reset, false, true}, Garbled: {choice.Errored, false, true}, GivenUp: {choice.TimedOut, false, true},
-		Unsent: {choice.Moot, false, false}, Recalled: {choice.Moot, false, false}} {
-		outcome, over := end.Outcome()
-		require.Equal(t, want, meaning{outcome, over, end.Ran()}, end.String())
-	}
-	require.Len(t, names, int(Recalled)+1)
-}
-
 func TestAnswersMeanWhatTheProtocolSays(t *testing.T) {
-	one, two := &Call{Papers: make([]Paper, 1)}, &Call{Papers: []Paper{{ID: "a"}, {ID: "b"}}}
-	for code, want := range map[int]End{200: Took, 500: Failed, 502: Failed, 429: Waiting, 503: TurnedAway, 504: Spent, 410: Gone, 400: Unread, 413: Unread} {
-		require.Equal(t, []End{want}, (&answer{code: code}).ends(one))
+	one, two := &seam.Call{Papers: make([]seam.Paper, 1)}, &seam.Call{Papers: []seam.Paper{{ID: "a"}, {ID: "b"}}}
+	for code, want := range map[int]seam.End{200: seam.Took, 500: seam.Failed, 502: seam.Failed, 429: seam.Waiting, 503: seam.TurnedAway, 504: seam.Spent, 410: seam.Gone, 400: seam.Unread, 413: seam.Unread} {
+		require.Equal(t, []seam.End{want}, (&answer{code: code}).ends(one))
 	}
-	require.Equal(t, []End{LineBusy}, (&answer{code: 503, busy: true}).ends(one))
-	require.Equal(t, []End{Waiting, Waiting}, (&answer{code: 429}).ends(two))
-	for body, want := range map[string][]End{
-		`[{"id":"b","state":"ok"},{"id":"a","state":"error"}]`:   {Failed, Took},
-		`[{"id":"a","state":"gone"},{"id":"b","state":"later"}]`: {Gone, TurnedAway},
-		`[{"id":"a","state":"exhausted"}]`:                       {Spent, Failed}, // b is not told: it may have run
-		`[{"id":`:                                                {Failed, Failed}} {
+	require.Equal(t, []seam.End{seam.LineBusy}, (&answer{code: 503, busy: true}).ends(one))
+	require.Equal(t, []seam.End{seam.Waiting, seam.Waiting}, (&answer{code: 429}).ends(two))
+	for body, want := range map[string][]seam.End{
+		`[{"id":"b","state":"ok"},{"id":"a","state":"error"}]`:   {seam.Failed, seam.Took},
+		`[{"id":"a","state":"gone"},{"id":"b","state":"later"}]`: {seam.Gone, seam.TurnedAway},
+		`[{"id":"a","state":"exhausted"}]`:                       {seam.Spent, seam.Failed}, // b is not told: it may have run
+		`[{"id":`:                                                {seam.Failed, seam.Failed}} {
 		require.Equal(t, want, (&answer{code: 200, body: []byte(body)}).ends(two), body)
 	}
 }
 
 // desk hands a test the ends of its calls.
-type desk chan Ended
+type desk chan seam.Ended
 
-func (d desk) CallEnded(e Ended) { d <- e }
+func (d desk) CallEnded(e seam.Ended) { d <- e }
 
 type scene struct {
 	*Outlet
@@ -67,12 +49,12 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close(); d.Stop() })
 	s := &scene{t: t, desk: make(desk, 9), ln: ln, door: 1}
-	s.Outlet = New(d, s.desk, Terms{Connect: 300 * time.Millisecond, KeepIdle: time.Minute})
+	s.Outlet = New(d, s.desk, Terms{Connect: 300 * time.Millisecond, KeepIdle: time.Minute, Limit: "x1"})
 	return s
 }
 
 func (s *scene) send(allow time.Duration, body string) {
-	s.Send(&Call{Door: s.door, Target: s.ln.Addr().String(), Papers: []Paper{{ID: "a", Body: []byte(body)}}, Allow: allow})
+	s.Send(&seam.Call{Door: s.door, Target: s.ln.Addr().String(), Papers: []seam.Paper{{ID: "a", Body: []byte(body)}}, Allow: allow})
 }
 
 // accepts reads the head of a call on a new connection.
@@ -91,10 +73,10 @@
 	require.True(s.t, strings.HasPrefix(string(b[:n]), "POST /hook"))
 }
 
-func (s *scene) ends(want End) Ended {
+func (s *scene) ends(want seam.End) seam.Ended {
 	s.t.Helper()
 	e := <-s.desk
-	require.Equal(s.t, []End{want}, e.Ends)
+	require.Equal(s.t, []seam.End{want}, e.Ends)
 	return e
 }
 
@@ -105,12 +87,12 @@
 	s.send(time.Minute, "b")
 	c := s.accepts()
 	c.Write([]byte("HTTP/1.1 429 Full\r\nRetry-After: 0.25\r\nX-Pressure: x0=0.4,x1=25\r\nContent-Length: 0\r\n\r\n"))
-	e := s.ends(Waiting)
-	require.Equal(t, []any{0.25, "x0=0.4,x1=25"}, []any{e.Wait, e.Report})
+	e := s.ends(seam.Waiting)
+	require.Equal(t, []any{0.25, 25.0}, []any{e.Wait, e.Most})
 	s.send(time.Minute, "b")
 	s.hears(c)
 	c.Write([]byte(ok))
-	require.Zero(t, s.ends(Took).Wait)
+	require.Zero(t, s.ends(seam.Took).Wait)
 	s.CloseIdle(1)
 	s.send(time.Minute, "b")
 	s.accepts().Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"))
@@ -121,26 +103,26 @@
 	s := newScene(t)
 	s.send(time.Minute, "b")
 	s.accepts().Close()
-	s.ends(Broken)
+	s.ends(seam.Broken)
 	huge := strings.Repeat("x", 32<<20) // more than the sockets take
 	s.send(time.Minute, huge)
 	s.accepts().Close()
-	s.ends(BrokenEarly)
+	s.ends(seam.BrokenEarly)
 	s.send(100*time.Millisecond, huge)
 	c := s.accepts()
-	s.ends(GivenUpEarly)
+	s.ends(seam.GivenUpEarly)
 	c.Close()
 	s.send(100*time.Millisecond, "b")
 	c = s.accepts()
-	s.ends(GivenUp)
+	s.ends(seam.GivenUp)
 	_, err := c.Read(make([]byte, 1))
 	require.Error(t, err, "a call given up closes its connection")
 	s.send(time.Minute, "b")
 	s.accepts().Write([]byte("what is this\r\n"))
-	require.NotEmpty(t, s.ends(Garbled).Why)
+	require.NotEmpty(t, s.ends(seam.Garbled).Why)
 	s.ln.Close()
 	s.send(time.Minute, "b")
-	s.ends(Refused)
+	s.ends(seam.Refused)
 }
 
 func TestAStatusHoldsFromItsLineOn(t *testing.T) {
@@ -149,10 +131,10 @@
 	c := s.accepts()
 	c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Le"))
 	c.Close()
-	s.ends(Took)
+	s.ends(seam.Took)
 	s.send(time.Minute, strings.Repeat("x", 32<<20))
 	s.accepts().Write([]byte("HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")) // before the call was written whole
-	s.ends(Unread)
+	s.ends(seam.Unread)
 	require.Zero(t, s.Idle())
 }
 
@@ -165,7 +147,7 @@
 	}
 	for _, c := range lines {
 		c.Write([]byte(ok))
-		s.ends(Took)
+		s.ends(seam.Took)
 	}
 	other, err := net.Listen("tcp", "127.4.0.1:0")
 	require.NoError(t, err)
@@ -173,7 +155,7 @@
 	s.ln, s.door = other, 2
 	s.send(time.Minute, "b")
 	s.accepts().Write([]byte(ok))
-	s.ends(Took)
+	s.ends(seam.Took)
 	_, err = lines[0].Read(make([]byte, 1))
 	require.Error(t, err)
 	require.Equal(t, 8, s.Idle())
@@ -198,12 +180,12 @@
 		defer c.Close()
 	}
 	s.send(time.Minute, "b")
-	s.ends(NeverUp)
+	s.ends(seam.NeverUp)
 	s.send(100*time.Millisecond, "b")
-	s.ends(GivenUpEarly)
+	s.ends(seam.GivenUpEarly)
 	s.send(time.Minute, "b")
 	s.Recall(1)
-	s.ends(Recalled)
+	s.ends(seam.Recalled)
 }
 
 const head = "HTTP/1.1 200 OK\r\n"
@@ -211,15 +193,15 @@
 // A document whose answer is spoilt has run, whatever a piece of the answer says; but one's own 200 is true.
 func TestASpoiltAnswerMayStandForADocumentThatRan(t *testing.T) {
 	s := newScene(t)
-	for text, want := range map[string]End{
-		"HTTP/1.1 503 Full\r\nno colon\r\n":                                                Garbled,
-		"HTTP/1.1 429 Full\r\nRetry-After: 9\r\nContent-Length: -1\r\n\r\n":                Garbled,
-		"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9): Garbled,
-		"HTTP/1.1 504 Spent\r\nA: " + strings.Repeat("x", 9000):                            Garbled,
-		"\x00\xff noise": Garbled, // and nothing after
-		head + "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9): Took,
-		head + "Content-Length: 90\r\n\r\nshort":                             Took,
-		head + "no colon\r\n":                                                Took} {
+	for text, want := range map[string]seam.End{
+		"HTTP/1.1 503 Full\r\nno colon\r\n":                                                seam.Garbled,
+		"HTTP/1.1 429 Full\r\nRetry-After: 9\r\nContent-Length: -1\r\n\r\n":                seam.Garbled,
+		"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9): seam.Garbled,
+		"HTTP/1.1 504 Spent\r\nA: " + strings.Repeat("x", 9000):                            seam.Garbled,
+		"\x00\xff noise": seam.Garbled, // and nothing after
+		head + "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9): seam.Took,
+		head + "Content-Length: 90\r\n\r\nshort":                             seam.Took,
+		head + "no colon\r\n":                                                seam.Took} {
 		s.send(200*time.Millisecond, "b")
 		c := s.accepts()
 		c.Write([]byte(text))
@@ -228,13 +210,13 @@
 		require.Error(t, err, "the connection is not used again")
 	}
 	require.Zero(t, s.Idle())
-	s.Send(&Call{Door: s.door, Target: s.ln.Addr().String(), Papers: []Paper{{ID: "a"}, {ID: "b"}}, Allow: time.Minute})
+	s.Send(&seam.Call{Door: s.door, Target: s.ln.Addr().String(), Papers: []seam.Paper{{ID: "a"}, {ID: "b"}}, Allow: time.Minute})
 	s.accepts().Write([]byte(head + "Content-Length: 9\r\n\r\n[{\"id\":\"a\""))
 	s.send(200*time.Millisecond, "b")
 	c := s.accepts()
 	c.Write([]byte("HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nshort")) // and its connection breaks
 	c.Close()
-	require.ElementsMatch(t, [][]End{{Failed, Failed}, {Broken}}, [][]End{(<-s.desk).Ends, (<-s.desk).Ends})
+	require.ElementsMatch(t, [][]seam.End{{seam.Failed, seam.Failed}, {seam.Broken}}, [][]seam.End{(<-s.desk).Ends, (<-s.desk).Ends})
 }
 
 func TestWhatFollowsAGoodAnswerIsNeverTheNextCalls(t *testing.T) {
@@ -243,12 +225,12 @@
 		s.send(time.Minute, "b")
 		c := s.accepts()
 		c.Write([]byte(ok))
-		s.ends(Took)
+		s.ends(seam.Took)
 		s.send(time.Minute, "b") // at once, while the copy is on its way
 		c.Write([]byte(ok))
 		c = s.accepts()
 		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"))
-		s.ends(TurnedAway)
+		s.ends(seam.TurnedAway)
 		s.CloseIdle(s.door)
 	}
 }
@@ -257,10 +239,17 @@
 	s := newScene(t)
 	s.send(time.Minute, "b")
 	s.accepts().Write([]byte(ok))
-	s.ends(Took)
+	s.ends(seam.Took)
 	s.door = 2
 	s.send(time.Minute, "b")
 	s.accepts().Write([]byte(ok))
-	s.ends(Took)
+	s.ends(seam.Took)
 	require.Equal(t, 2, s.Idle())
 }
+
+func TestTheLimitIsReadFromAReport(t *testing.T) {
+	for report, want := range map[string]float64{"x0=0.4, x1=25": 25, "x0=0,x1=0": -1, "x0=1": 0, "x1=many": 0, "x1=-3": 0,
+		"x1=NaN": 0, "\x00=,": 0, "": 0} {
+		require.Equal(t, want, limit(report, "x1"), report)
+	}
+}
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -42,8 +42,8 @@
 	Azs, Kinds            []string
 }
 
-// Fronts is what a front needs beside the module's terms.
-type Fronts struct {
+// Names are what the owner needs beside the module's terms.
+type Names struct {
 	Types, Zones, Kinds []string // by their numbers
 	Tenants             []string
 	LimitAt             int     // place of the limit among a load report's values, -1 if there is none
@@ -55,18 +55,18 @@
 const limit = "x1"
 
 // Read decodes settings.
-func Read(text []byte) (choice.Terms, Fronts, error) {
+func Read(text []byte) (choice.Terms, Names, error) {
 	var s settings
 	if err := json.Unmarshal(text, &s); err != nil {
-		return choice.Terms{}, Fronts{}, err
+		return choice.Terms{}, Names{}, err
 	}
 	switch {
 	case len(s.Classes) == 0:
-		return choice.Terms{}, Fronts{}, errors.New("Classes states no document type")
+		return choice.Terms{}, Names{}, errors.New("Classes states no document type")
 	case s.Extra.CallsOut < 1:
-		return choice.Terms{}, Fronts{}, errors.New("Extra.CallsOut is not a number of slots")
+		return choice.Terms{}, Names{}, errors.New("Extra.CallsOut is not a number of slots")
 	case s.NInstances < 1:
-		return choice.Terms{}, Fronts{}, errors.New("NInstances is not a number of forwarders")
+		return choice.Terms{}, Names{}, errors.New("NInstances is not a number of forwarders")
 	}
 	t := choice.Terms{KindBatch: s.Extra.KindBatch, KindApart: s.Extra.SeparateRoutes, Forwarders: s.NInstances,
 		Slots: s.Extra.CallsOut, Room: s.Limits.MaxOpen, Transmissions: s.Limits.AttemptsCap, Zone: s.MyZone,
@@ -82,7 +82,7 @@
 	case "rough":
 		t.RoughRate = 1.5
 	}
-	f := Fronts{Zones: s.Azs, Kinds: s.Kinds, LimitAt: slices.Index(s.Report.Fields, limit), Limit: limit,
+	f := Names{Zones: s.Azs, Kinds: s.Kinds, LimitAt: slices.Index(s.Report.Fields, limit), Limit: limit,
 		Connect: s.Limits.ConnectTimeout / 1000}
 	for _, q := range s.Tenants {
 		t.TenantQuota = append(t.TenantQuota, q.QuotaRps)
@@ -99,7 +99,7 @@
 		case "fragile":
 			d.Repeat = choice.Binding
 		default:
-			return choice.Terms{}, Fronts{}, fmt.Errorf("Classes[%d].Idempotency: unknown word %q", i, c.Idempotency)
+			return choice.Terms{}, Names{}, fmt.Errorf("Classes[%d].Idempotency: unknown word %q", i, c.Idempotency)
 		}
 		t.Types = append(t.Types, d)
 		f.Types = append(f.Types, c.Name)
--- a/internal/outlet/end.go
+++ b/seam/end.go
@@ -1,4 +1,4 @@
-package outlet
+package seam
 
 import "spanflow/choice"
 
--- /dev/null
+++ b/seam/seam.go
@@ -0,0 +1,192 @@
+// Package seam is where fronts and outlets meet the owner of the decision module. A front turns its protocol into
+// documents handed in and tells each caller the answer at the door and, where the caller waits for it, the final one.
+// An outlet carries out calls to targets and reports one End for each document. A source brings the list of targets, a
+// teller takes the final answers that no caller waits for. None of them knows another, and none chooses.
+package seam
+
+import "time"
+
+// Paper is a document as it travels. Its parts are not copied; they must last until the call has ended.
+type Paper struct {
+	Door uint64 // the owner's number
+	ID   string
+	Mark string // by which a repeat is known
+	Body []byte
+}
+
+// Handed is a document handed in. It holds a copy of what was read: it outlives the front's buffer.
+type Handed struct {
+	Key  uint64
+	ID   string
+	Type string
+	Mark string
+	Dest uint64
+	Left float64 // seconds, at the time of coming
+	Came time.Time
+	Body []byte
+
+	Tenant string // empty if none is told
+
+	Unknown string // a name among those with values that is not known here
+}
+
+// Asked is one thing that a caller wants: a document taken on, a sign of life, or, with Why, an answer to what could
+// not be understood.
+type Asked struct {
+	From  Caller
+	Paper *Handed // a document handed in
+	Alive bool    // asks for a sign of life from the owner
+	Why   string  // what was wrong with anything else that came
+	Last  bool    // after the answer the caller's connection ends
+}
+
+// Word is what an answer at the door says.
+type Word uint8
+
+const (
+	Taken     Word = iota // the document is owed from now on
+	Busy                  // not taken on; coming again is harmless
+	Declined              // not taken on, with the reason
+	Alive                 // the owner turns
+	Malformed             // what came could not be understood
+)
+
+// Reply is the answer at the door.
+type Reply struct {
+	Word Word
+	Wait int    // with Busy: milliseconds until the caller may come again; 0 if not told
+	Why  string // with Declined and Malformed
+	Last bool   // the connection ends after it
+}
+
+// Caller is who handed a document in. Its methods are called by the owner and must not block: a caller that does not
+// read is the front's to bound.
+type Caller interface {
+	Gone() bool        // does not hear an answer any more
+	Answer(Reply) bool // answers its oldest open request; false if nobody hears it
+}
+
+// Holder is a caller that is told the final answer itself, as its call stays open for it. What became of a document
+// whose Holder is gone is told to nobody: it is withdrawn. A front says so by Desk.Withdraw, a process that starts
+// after another finds it so for all that came by such callers.
+type Holder interface {
+	Caller
+	Tell(Final)
+}
+
+// Outcome is a final answer.
+type Outcome uint8
+
+const (
+	Delivered Outcome = iota
+	Returned          // may be handed in again
+	Abandoned         // may have run, or can not be delivered any more
+)
+
+func (o Outcome) String() string { return [...]string{"delivered", "returned", "abandoned"}[o] }
+
+// Final is a document's final answer.
+type Final struct {
+	Door    uint64
+	ID      string
+	Outcome Outcome
+	AfterMs int // with Returned: until the caller may come again; 0 if not told
+}
+
+// Desk is where a front leaves what its callers want, in each one's order. Ask may block while too much of that front
+// waits there.
+type Desk interface {
+	Ask(Asked)
+	Withdraw(id string) // the Holder that handed a document in has gone
+}
+
+// Tally tells what became of a front's connections since the start.
+type Tally struct {
+	Now, Most, Came      int
+	Turned               int    // away unread, for want of room
+	ForRoom              [3]int // closed to make room: after the last answer, between requests, before the first
+	Silent, Quiet, Stuck int    // closed after waiting: without a request, between two, within one
+}
+
+// Front listens for callers.
+type Front interface {
+	Addr() string
+	Tally() Tally
+	Clients() int
+	Leave() // ends each connection once it waits for no answer, so that callers go elsewhere
+	Shut()  // takes no new connections
+	Stop()  // ends all
+}
+
+// Call is one call to a target with one paper or several.
+type Call struct {
+	Door   uint64 // the owner's number of the target: connections are its own, also where another had its address
+	Target string // its address
+	Papers []Paper
+	Allow  time.Duration
+}
+
+// Ended is the news of a call's end, one end for each paper.
+type Ended struct {
+	Call *Call
+	Ends []End
+	Took time.Duration
+	Wait float64 // seconds to stay away; 0 if not told
+	Most float64 // the reported limit in calls a second; 0 if nothing is told of it, under 0 if there is none
+	Why  string  // for the log: what could not be read, or why a connection failed
+}
+
+// Counter is where an outlet leaves the ends of calls. It never blocks.
+type Counter interface {
+	CallEnded(Ended)
+}
+
+// Outlet carries out calls.
+type Outlet interface {
+	Send(*Call)
+	Recall(target uint64) // ends the calls to a target of which nothing has been sent, as Recalled
+	CloseIdle(target uint64)
+	Idle() int // connections without a call
+}
+
+// List is what a source says of targets: all of them, or changes.
+type List struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one line of the list, in the form that discovery gives it.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Dest     uint64  `json:"pod_group"`
+	State    string  `json:"state"`
+	Rate     float64 `json:"capacity_hint"`
+}
+
+// Board is where a source leaves the list.
+type Board interface {
+	Listed(*List)
+	WatchEnded(why string)
+}
+
+// Source brings the list.
+type Source interface {
+	Watch(rev int64) // brings what changed after that version, and from then on each change
+	Stop()
+}
+
+// Ear is where a teller says which final answers were heard.
+type Ear interface {
+	NoticesLost(why string)
+	Told(doors []uint64)
+}
+
+// Teller takes the final answers of documents that were not delivered and whose callers do not wait for them. It tells
+// each again and again until it is heard.
+type Teller interface {
+	Notify(Final)
+}
