--- a/forward/config.go
+++ b/forward/config.go
@@ -36,6 +36,9 @@
 	Log        Log
 	Metrics    string // where metrics are served; empty: nowhere
 
+	// Meter makes what serves metrics at an address; nil: there is none.
+	Meter func(addr, forwarder string, fronts []string, levels []seam.Level) (seam.Meter, error)
+
 	Protocols map[string]Protocol // of a program's own, beside those that come with this one
 	Carriages map[string]Carriage
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -30,6 +30,7 @@
 // and the others' documents do not wait behind its own.
 type gate struct {
 	x         *Exchange
+	front     string // its name
 	name      string // as the ledger has it
 	room      sync.Cond
 	waiting   []asked
@@ -48,8 +49,8 @@
 func newExchange() *Exchange { return &Exchange{bell: make(chan struct{}, 1)} }
 
 // gate makes a front's way in; it takes the default where a bound is 0.
-func (x *Exchange) gate(name string, most, mostBytes int) *gate {
-	g := &gate{x: x, name: name, most: most, mostBytes: mostBytes}
+func (x *Exchange) gate(front, name string, most, mostBytes int) *gate {
+	g := &gate{x: x, front: front, name: name, most: most, mostBytes: mostBytes}
 	if g.most <= 0 {
 		g.most = mostWaiting
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -22,7 +23,6 @@
 	"spanflow/internal/dial"
 	"spanflow/internal/directory"
 	"spanflow/internal/ledger"
-	"spanflow/internal/meter"
 	"spanflow/seam"
 )
 
@@ -71,7 +71,7 @@
 	x := newExchange()
 	o := &owner{order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
-		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log),
+		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{},
 		said: map[string]time.Time{}}
 	for i, name := range order.Names.Types {
 		o.types[name] = i
@@ -81,11 +81,19 @@
 	}
 	defer o.source.Stop()
 	if order.Metrics != "" {
-		o.meter = meter.New(order.Name, o.levels(dialer)...)
-		if err := o.meter.Serve(order.Metrics); err != nil {
+		if order.Meter == nil {
+			return errors.New("metrics: this program has none")
+		}
+		var fronts []string
+		for _, f := range order.Fronts {
+			fronts = append(fronts, f.Name)
+		}
+		m, err := order.Meter(order.Metrics, order.Name, fronts, o.levels(dialer))
+		if err != nil {
 			return fmt.Errorf("metrics: %w", err)
 		}
-		defer o.meter.Stop()
+		o.meter, o.metered = m, true
+		defer m.Stop()
 	}
 	o.begin(o.epoch)
 	most, err := shares(order.Fronts, Clients(order.Sockets))
@@ -109,7 +117,7 @@
 		}
 		said = said.Str(name, l.Addr())
 	}
-	if o.meter != nil {
+	if o.metered {
 		said = said.Str("metrics", o.meter.Addr())
 	}
 	said.Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).Int("targets", len(o.targets)).Msg("ready")
@@ -163,12 +171,11 @@
 }
 
 // levels are the figures that are read when they are asked for.
-func (o *owner) levels(dialer *dial.Dialer) []meter.Level {
-	return []meter.Level{
-		{Name: "held_documents", Help: "Documents that the forwarder has taken on and that have not got their final answer.",
-			Read: func() float64 { return float64(o.held.Load()) }},
-		{Name: "ledger_bytes", Help: "Space that the ledger takes on disk.", Read: func() float64 { return float64(o.onDisk.Load()) }},
-		{Name: "outgoing_connections", Help: "Connections to targets and discovery.", Read: func() float64 { return float64(dialer.Open()) }},
+func (o *owner) levels(dialer *dial.Dialer) []seam.Level {
+	return []seam.Level{
+		{Name: "held_documents", Read: func() float64 { return float64(o.held.Load()) }},
+		{Name: "ledger_bytes", Read: func() float64 { return float64(o.onDisk.Load()) }},
+		{Name: "outgoing_connections", Read: func() float64 { return float64(dialer.Open()) }},
 	}
 }
 
@@ -241,3 +248,13 @@
 		Int("clients_came", c.Came).Int("clients_turned_away", c.Turned).Ints("clients_closed_for_room", c.ForRoom[:]).
 		Int("clients_silent", c.Silent).Int("clients_quiet", c.Quiet).Int("clients_stuck", c.Stuck)
 }
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Asked(string, seam.Word)           {}
+func (noMeter) End(seam.End, time.Duration)       {}
+func (noMeter) Final(seam.Outcome, time.Duration) {}
+func (noMeter) Turn(int, time.Duration)           {}
+func (noMeter) Addr() string                      { return "" }
+func (noMeter) Stop()                             {}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -11,7 +11,6 @@
 	"spanflow/choice"
 	"spanflow/internal/directory"
 	"spanflow/internal/ledger"
-	"spanflow/internal/meter"
 	"spanflow/seam"
 )
 
@@ -30,7 +29,8 @@
 	dir      *directory.Directory // the source, if it is discovery
 	notices  *directory.Directory // the teller, if it is not the same
 	own      *static              // the source, if it is the order's own list
-	meter    *meter.Meter         // nil: nothing is exposed
+	meter    seam.Meter
+	metered  bool
 	trace    trace
 	f        *choice.Forwarder
 	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
@@ -194,7 +194,7 @@
 	o.f.Settle()
 	o.flush()
 	end := time.Now()
-	if o.meter != nil {
+	if o.metered {
 		o.meter.Turn(len(news), end.Sub(start))
 		o.held.Store(int64(len(o.docs)))
 		o.onDisk.Store(o.ledger.Used())
@@ -259,7 +259,7 @@
 		a.From.Answer(seam.Reply{Word: seam.Alive})
 	case a.Paper != nil:
 		reply := o.handedIn(a)
-		o.meter.Asked(a.front.name, reply.Word)
+		o.meter.Asked(a.front.front, reply.Word)
 		if reply.Word != seam.Taken && !a.From.Gone() {
 			a.From.Answer(reply)
 		}
--- a/forward/wiring.go
+++ b/forward/wiring.go
@@ -112,7 +112,7 @@
 func (o *owner) open(fronts []Front, most []int) ([]*listener, error) {
 	var open []*listener
 	for i, f := range fronts {
-		g := o.exchange.gate(f.label(), f.Waiting, f.WaitingBytes)
+		g := o.exchange.gate(f.Name, f.label(), f.Waiting, f.WaitingBytes)
 		front, err := o.order.protocol(f.Protocol)(f, most[i], g)
 		if err != nil {
 			o.exchange.shutGate(g)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -1,88 +1,85 @@
-// Package meter counts what a forwarder does and serves the figures where an order says so. A nil Meter counts nothing:
-// where nothing is exposed it costs a comparison.
+// Package meter counts what a forwarder does and serves the figures over HTTP. It is no part of the
+// platform's program, whose memory it would raise by half: a program that wants it gives it to its Order.
 package meter
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/VictoriaMetrics/metrics"
 
 	"spanflow/seam"
 )
 
-// Meter has its figures in a registry of its own, so that several forwarders in a process keep apart. Labels take only
+// Meter has its figures in a set of its own, so that several forwarders in a process keep apart. Labels take only
 // values from short lists (ends, outcomes, fronts of the order): nothing grows with names that come and go.
 type Meter struct {
-	registry *prometheus.Registry
-	asked    *prometheus.CounterVec
-	ends     [seam.Recalled + 1]prometheus.Counter
-	took     prometheus.Histogram
-	finals   [seam.Abandoned + 1]prometheus.Counter
-	life     prometheus.Histogram
-	turn     prometheus.Histogram
-	news     prometheus.Counter
-	server   *http.Server
-	addr     string
+	set    *metrics.Set
+	asked  map[string]*[len(words)]*metrics.Counter // by front
+	of     string                                   // the forwarder's label
+	ends   [seam.Recalled + 1]*metrics.Counter
+	took   *metrics.PrometheusHistogram
+	finals [seam.Abandoned + 1]*metrics.Counter
+	life   *metrics.PrometheusHistogram
+	turn   *metrics.PrometheusHistogram
+	news   *metrics.Counter
+	server *http.Server
+	addr   string
 }
 
 var words = [...]string{seam.Taken: "taken", seam.Busy: "busy", seam.Declined: "declined"}
 
-// Level is a figure that is read when it is asked for; Read must be safe to call from any goroutine.
-type Level struct {
-	Name, Help string
-	Read       func() float64
-}
-
-// New makes a meter with the given levels.
-func New(forwarder string, levels ...Level) *Meter {
-	m := &Meter{registry: prometheus.NewRegistry()}
-	of := prometheus.WrapRegistererWith(prometheus.Labels{"forwarder": forwarder}, m.registry)
-	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "spanflow", Name: name, Help: help}, labels)
-		of.MustRegister(c)
-		return c
+// New makes a meter with the given fronts and levels, and serves it at an address under /metrics.
+func New(addr, forwarder string, fronts []string, levels []seam.Level) (seam.Meter, error) {
+	m := &Meter{set: metrics.NewSet(), asked: map[string]*[len(words)]*metrics.Counter{}, of: fmt.Sprintf("forwarder=%q", forwarder)}
+	for _, f := range fronts {
+		m.asked[f] = &[len(words)]*metrics.Counter{}
+		for w, word := range words {
+			m.asked[f][w] = m.set.NewCounter(m.name("documents_total", "front", f, "answer", word))
+		}
 	}
-	histogram := func(name, help string, from, factor float64, n int) prometheus.Histogram {
-		h := prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "spanflow", Name: name, Help: help,
-			Buckets: prometheus.ExponentialBuckets(from, factor, n)})
-		of.MustRegister(h)
-		return h
-	}
-	m.asked = counter("documents_total", "Documents handed in, by front and answer at the door.", "front", "answer")
-	ends := counter("transmission_ends_total", "Transmissions, by the way in which each ended.", "end")
 	for i := range m.ends {
-		m.ends[i] = ends.WithLabelValues(strings.ReplaceAll(seam.End(i).String(), " ", "_"))
+		m.ends[i] = m.set.NewCounter(m.name("transmission_ends_total", "end", strings.ReplaceAll(seam.End(i).String(), " ", "_")))
 	}
-	finals := counter("final_answers_total", "Documents that got their final answer, by outcome.", "outcome")
 	for i := range m.finals {
-		m.finals[i] = finals.WithLabelValues(seam.Outcome(i).String())
+		m.finals[i] = m.set.NewCounter(m.name("final_answers_total", "outcome", seam.Outcome(i).String()))
 	}
-	m.took = histogram("transmission_seconds", "Time that transmissions took.", 0.001, 2, 15)
-	m.life = histogram("document_seconds", "Time from the handing in to the final answer.", 0.001, 2, 17)
-	m.turn = histogram("owner_turn_seconds", "Time that the owner of the module took for a turn.", 0.00001, 4, 10)
-	m.news = counter("owner_news_total", "News that the owner took.").WithLabelValues()
+	m.took = m.set.NewPrometheusHistogramExt(m.name("transmission_seconds"), metrics.ExponentialBuckets(0.001, 2, 15))
+	m.life = m.set.NewPrometheusHistogramExt(m.name("document_seconds"), metrics.ExponentialBuckets(0.001, 2, 17))
+	m.turn = m.set.NewPrometheusHistogramExt(m.name("owner_turn_seconds"), metrics.ExponentialBuckets(0.00001, 4, 10))
+	m.news = m.set.NewCounter(m.name("owner_news_total"))
 	for _, l := range levels {
-		of.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "spanflow", Name: l.Name, Help: l.Help}, l.Read))
+		m.set.NewGauge(m.name(l.Name), l.Read)
 	}
-	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return m
+	return m, m.serve(addr)
 }
 
-// Serve exposes the figures at an address, under /metrics.
-func (m *Meter) Serve(addr string) error {
+// name is a figure's name with its labels, given as names and values in turn.
+func (m *Meter) name(name string, labels ...string) string {
+	b := "spanflow_" + name + "{" + m.of
+	for i := 0; i < len(labels); i += 2 {
+		b += fmt.Sprintf(",%s=%q", labels[i], labels[i+1])
+	}
+	return b + "}"
+}
+
+func (m *Meter) serve(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: 5 * time.Second}))
-	m.server, m.addr = &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}, l.Addr().String()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		m.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	m.server = &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}
+	m.addr = l.Addr().String()
 	go m.server.Serve(l)
 	return nil
 }
@@ -92,9 +89,6 @@
 
 // Stop ends the serving.
 func (m *Meter) Stop() {
-	if m == nil || m.server == nil {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 	defer cancel()
 	if m.server.Shutdown(ctx) != nil {
@@ -104,38 +98,28 @@
 
 // Asked counts a document's answer at the door.
 func (m *Meter) Asked(front string, word seam.Word) {
-	if m == nil {
-		return
+	if f := m.asked[front]; f != nil {
+		f[word].Inc()
 	}
-	if front == "" {
-		front = "resp"
-	}
-	m.asked.WithLabelValues(front, words[word]).Inc()
 }
 
 // End counts a transmission.
 func (m *Meter) End(end seam.End, took time.Duration) {
-	if m == nil {
-		return
-	}
 	m.ends[end].Inc()
-	m.took.Observe(took.Seconds())
+	m.took.Update(took.Seconds())
 }
 
 // Final counts a final answer, so long after the document was handed in.
 func (m *Meter) Final(outcome seam.Outcome, after time.Duration) {
-	if m == nil {
-		return
-	}
 	m.finals[outcome].Inc()
-	m.life.Observe(after.Seconds())
+	m.life.Update(after.Seconds())
 }
 
 // Turn counts a turn of the owner.
 func (m *Meter) Turn(news int, took time.Duration) {
-	if m == nil || news == 0 {
+	if news == 0 {
 		return
 	}
-	m.news.Add(float64(news))
-	m.turn.Observe(took.Seconds())
+	m.news.Add(news)
+	m.turn.Update(took.Seconds())
 }
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -190,3 +190,19 @@
 type Teller interface {
 	Notify(Final)
 }
+
+// Meter counts what a forwarder does. Its methods are called by the owner and must not block.
+type Meter interface {
+	Asked(front string, word Word)              // a document's answer at the door
+	End(end End, took time.Duration)            // a transmission
+	Final(outcome Outcome, after time.Duration) // a final answer, so long after the document was handed in
+	Turn(news int, took time.Duration)          // a turn of the owner
+	Addr() string                               // where the figures are served
+	Stop()
+}
+
+// Level is a figure that is read when it is asked for; Read is safe to call from any goroutine.
+type Level struct {
+	Name string
+	Read func() float64
+}
