Commands and a configuration format in TOML, layered, checked and shown with sources

The program was told by variables and one hand-read JSON file and had no commands. internal/config reads TOML (defaults, file, variables, flags) with units, strict keys with the nearest known one, and problems by file, line and field; internal/command has run, check, config show and schema, ledger list, show, stat and verify, version and completion (cobra). They live in bin/spanflowctl, which bin/spanflow becomes when given arguments: the platform's process links none of it.

--- /dev/null
+++ b/cmd/spanflowctl/main.go
@@ -0,0 +1,10 @@
+// Command spanflowctl is spanflow with all its commands. cmd/spanflow calls it where it is given arguments.
+package main
+
+import (
+	"os"
+
+	"spanflow/internal/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:], os.Environ(), os.Stdout, os.Stderr)) }
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -1,37 +1,50 @@
-// Command toy plays those around one forwarder: discovery with two targets, and a client. Without arguments it serves;
-// with arguments it hands one document in: toy DEST BODY.
+// Command toy plays those around one forwarder: two targets, the ear for final answers, and a client. Without arguments
+// it serves; "toy DEST BODY" hands one document in; "toy demo" starts a forwarder too, hands two documents in and shows
+// what becomes of them.
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
 
 	"spanflow/internal/standin"
 )
 
 const (
 	forwarder = "127.0.0.1:6379"
-	discovery = "127.0.0.1:8500"
+	discovery = "127.0.0.1:8500" // here it only takes final answers
 	good      = "127.0.0.1:9001" // destination 1: takes everything
 	shut      = "127.0.0.1:9002" // destination 2: turns everything away
+	patience  = 15 * time.Second
 )
 
 func main() {
-	err := serve
-	if len(os.Args) == 3 {
-		err = handIn
+	var err error
+	switch {
+	case len(os.Args) == 1:
+		err = serve(nil)
+	case len(os.Args) == 2 && os.Args[1] == "demo":
+		err = demo()
+	case len(os.Args) == 3:
+		_, err = handIn(os.Args[1], os.Args[2])
+	default:
+		err = errors.New("usage: toy | toy demo | toy DEST BODY")
 	}
-	if e := err(); e != nil {
-		fmt.Fprintln(os.Stderr, "toy:", e)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "toy:", err)
 		os.Exit(1)
 	}
 }
 
-func serve() error {
-	d, err := standin.NewDiscovery(discovery,
-		standin.Entry{UID: "good", Endpoint: good, Zone: "a", Kind: "partners", Dest: 1, State: "active"},
-		standin.Entry{UID: "shut", Endpoint: shut, Zone: "a", Kind: "partners", Dest: 2, State: "active"})
+// serve plays targets and ear; each document that ends is told to ended, if not nil.
+func serve(ended chan<- string) error {
+	d, err := standin.NewDiscovery(discovery)
 	if err != nil {
 		return err
 	}
@@ -43,26 +56,92 @@
 	if err != nil {
 		return err
 	}
-	fmt.Println("discovery and targets serve")
+	fmt.Println("targets serve")
+	if ended != nil {
+		ended <- ""
+	}
 	for {
+		id := ""
 		select {
 		case c := <-takes.Calls:
 			fmt.Printf("delivered    %s %q\n", c.ID, c.Body)
+			id = c.ID
 		case c := <-away.Calls:
 			fmt.Printf("turned away  %s\n", c.ID)
 		case n := <-d.Notices:
 			fmt.Printf("notice       %s %s, come back after %d ms\n", n.ID, n.State, n.AfterMs)
+			id = n.ID
+		}
+		if ended != nil && id != "" {
+			ended <- id
 		}
 	}
 }
 
-func handIn() error {
+func handIn(dest, body string) (string, error) {
 	c, err := standin.NewClient(forwarder)
 	if err != nil {
-		return err
+		return "", err
 	}
+	defer c.Close()
 	id := fmt.Sprintf("%016x", rand.Uint64())
-	answer, err := c.Put("0000000000000000", id, "c=status-update,d=5000,dest="+os.Args[1], os.Args[2])
-	fmt.Println(id, answer)
-	return err
+	answer, err := c.Put("0000000000000000", id, "c=status-update,d=5000,dest="+dest, body)
+	fmt.Printf("handed in    %s for destination %s: %s\n", id, dest, answer)
+	return id, err
+}
+
+// demo ends once both documents have.
+func demo() error {
+	ended, failed := make(chan string), make(chan error, 1)
+	go func() { failed <- serve(ended) }()
+	late := time.After(patience)
+	select {
+	case err := <-failed:
+		return err
+	case <-ended:
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	f := exec.Command(filepath.Join(filepath.Dir(self), "spanflow"), "run", "--config", "example/spanflow.toml")
+	f.Stdout, f.Stderr = os.Stdout, os.Stderr
+	if err := f.Start(); err != nil {
+		return err
+	}
+	gone := make(chan error, 1)
+	go func() { gone <- f.Wait() }()
+	for {
+		if c, err := standin.NewClient(forwarder); err == nil {
+			c.Close()
+			break
+		}
+		select {
+		case err := <-gone:
+			return fmt.Errorf("the forwarder ended: %v", err)
+		case <-late:
+			return errors.New("the forwarder does not listen")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	open := map[string]bool{}
+	for _, dest := range []string{"1", "2"} {
+		id, err := handIn(dest, "hello")
+		if err != nil {
+			return err
+		}
+		open[id] = true
+	}
+	for len(open) > 0 {
+		select {
+		case id := <-ended:
+			delete(open, id)
+		case <-late:
+			return errors.New("a document did not end in time")
+		}
+	}
+	f.Process.Signal(syscall.SIGTERM)
+	<-gone
+	fmt.Println("both documents have ended")
+	return nil
 }
--- a/forward/config.go
+++ b/forward/config.go
@@ -24,6 +24,7 @@
 	Static    *seam.List // a list of the order's own
 	Folder    string     // the folder that lasts
 	Seed      uint64
+	SeedDrawn bool // at random, not told
 	MemoryMB  int
 	Sockets   int
 	DiskMB    int
@@ -48,6 +49,9 @@
 	told   string                 // discovery as the text has it, whatever the variables say
 }
 
+// Tell says what the order's text has as discovery, whatever its variables say.
+func (o *Order) Tell(discovery string) { o.told = discovery }
+
 // The least limits with which a forwarder runs.
 const (
 	leastMemory  = 16
--- a/forward/wiring.go
+++ b/forward/wiring.go
@@ -93,6 +93,12 @@
 	return most, nil
 }
 
+// Shares is how many connections each of an order's fronts gets, nil if they do not fit.
+func (o *Order) Shares() []int {
+	most, _ := shares(o.Fronts, Clients(o.Sockets))
+	return most
+}
+
 // listener is an open front with its way in.
 type listener struct {
 	terms Front
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,248 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/forward"
+)
+
+const whole = `name = "n1"
+zones = ["a", "b"]
+zone = "b"
+[limits]
+memory = "48MB"
+[[fronts]]
+listen = "127.0.0.1:6379"
+[[types]]
+name = "ticket"
+repeat = "numbered"
+in_order = true
+agreed = "3s"
+life = "24s"
+memory = "15s"
+[[tenants]]
+name = "x"
+per_second = 2.5
+[[targets]]
+uid = "t1"
+address = "127.0.0.1:9001"
+dest = 7
+`
+
+func file(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "c.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// wrong is all that is wrong with a text, by lines.
+func wrong(t *testing.T, text string, environ, flags []string) string {
+	path := file(t, text)
+	l, err := Load(path, environ, flags)
+	if err == nil {
+		if p, _ := l.Check(); len(p) > 0 {
+			err = p
+		}
+	}
+	if err == nil {
+		return ""
+	}
+	return strings.ReplaceAll(err.Error(), path, "c.toml")
+}
+
+func TestAnOrderIsMadeOfAConfiguration(t *testing.T) {
+	path := file(t, whole)
+	o, err := Order(path, nil, nil)
+	require.NoError(t, err)
+	require.Equal(t, []any{"n1", 48, 1024, 1, 7, 1},
+		[]any{o.Name, o.MemoryMB, o.Sockets, o.Terms.Zone, int(o.Static.Targets[0].Dest), len(o.Fronts)})
+	require.Equal(t, forward.Front{Name: "resp", Protocol: "resp", Listen: "127.0.0.1:6379"}, o.Fronts[0])
+	y := o.Terms.Types[0]
+	require.Equal(t, []any{true, 3.0, 24.0, 15.0}, []any{y.InOrder, y.Agreed, y.Life, y.Memory})
+	require.Equal(t, []float64{2.5}, o.Terms.TenantQuota)
+	require.Equal(t, filepath.Join(filepath.Dir(path), "state"), o.Folder)
+	require.DirExists(t, o.Folder)
+	next, err := o.Reread()
+	require.NoError(t, err)
+	require.Equal(t, o.Seed, next.Seed, "drawn once")
+}
+
+func TestWhatIsWrongIsNamedByFileLineAndField(t *testing.T) {
+	for _, c := range []struct{ old, new, says string }{
+		{`memory = "48MB"`, `memroy = "48MB"`, "c.toml:5: limits.memroy: unknown key; memory may be meant"},
+		{`[limits]`, `[limit]`, "c.toml:4: limit: unknown key; limits may be meant"},
+		{`memory = "48MB"`, `memory = 48`, "c.toml:5: limits.memory"},
+		{`memory = "48MB"`, `memory = "48"`, `c.toml:5: limits.memory: "48" is not a size with its unit`},
+		{`memory = "48MB"`, `memory = "1MB"`, "c.toml:5: limits.memory: 1MB is under the least, 16MB"},
+		{`agreed = "3s"`, `agreed = "3 years"`, `c.toml:12: types.agreed: "3 years" is not a time with its unit`},
+		{`agreed = "3s"`, `agreed = "30s"`, "c.toml:12: types[0].agreed: 30s is over life, 24s"},
+		{`repeat = "numbered"`, `repeat = "numberd"`, `c.toml:10: types[0].repeat: "numberd" is none of ["replayable" "numbered" "binding"]; numbered may be meant`},
+		{"memory = \"15s\"\n", "", "c.toml:8: types[0].memory: a numbered type needs"},
+		{`zone = "b"`, `zone = "c"`, `c.toml:3: zone: "c" is none of zones`},
+		{`name = "n1"`, "name = \"n1\"\nname = \"n2\"", "c.toml:2: "},
+		{`name = "n1"`, `name = "n1`, "c.toml:1: "},
+		{`listen = "127.0.0.1:6379"`, `listen = "here"`, `c.toml:7: fronts[0].listen: "here" is not an address with a port`},
+		{`listen = "127.0.0.1:6379"`, `protocol = "smtp"`, `fronts[0].protocol: unknown protocol "smtp"`},
+		{"[[targets]]\n", "[[targets]]\nuid = \"t1\"\naddress = \":1\"\n[[targets]]\n", "targets[1].uid: targets[0] has it too"},
+		{"[[targets]]\n", "[discovery]\naddress = \"127.0.0.1:1\"\n[[targets]]\n", "targets: discovery.address is told as well"},
+		{`dest = 7`, `dest = -7`, "c.toml:21: targets.dest"},
+		{`per_second = 2.5`, `per_second = nan`, "c.toml:17: tenants[0].per_second: NaN is not a rate"},
+		{`[limits]`, "[limits]\ndescriptors = 64\n[ledger]\nfolder = \"c.toml\"\n[limitz]", "limitz"}} {
+		text := strings.Replace(whole, c.old, c.new, 1)
+		require.NotEqual(t, whole, text)
+		require.Contains(t, wrong(t, text, nil, nil), c.says, c.new)
+	}
+	require.Contains(t, wrong(t, whole+"[[fronts]]\nlisten = \"127.0.0.1:6379\"\n", nil, nil), "fronts[1].listen: fronts[0] listens there too")
+	require.Contains(t, wrong(t, whole, nil, []string{"limits.descriptors=64", "fronts[0].connections=60"}),
+		"fronts: their connections, 60 and at least 8 for each other one, are more than the 22")
+	_, err := Load("/nowhere/c.toml", nil, nil)
+	require.ErrorContains(t, err, "/nowhere/c.toml: no such file")
+}
+
+func TestFlagsGoBeforeVariablesAndVariablesBeforeTheFile(t *testing.T) {
+	path := file(t, whole)
+	l, err := Load(path, []string{"SPANFLOW_LIMITS_MEMORY=64MB", "SPANFLOW_LIMITS_CORES=2", "PROXY_LISTEN=127.0.0.9:1", "SPANFLOW_ZONES=a, b,c",
+		"SPANFLOW_CONFIG=x", "OTHER=1"}, []string{"limits.memory=96MB", "targets.t1.dest=8"})
+	require.NoError(t, err)
+	require.Equal(t, []any{Size(96e6), 2.0, "127.0.0.9:1", []string{"a", "b", "c"}, uint64(8)},
+		[]any{l.Limits.Memory, l.Limits.Cores, l.Fronts[0].Listen, l.Zones, l.Targets[0].Dest})
+	from := map[string]Source{}
+	for _, v := range l.Values() {
+		from[v.Field] = v.Source
+	}
+	require.Equal(t, []Source{{ByFlag, "--set", 5}, {ByVariable, "SPANFLOW_LIMITS_CORES", 0}, {ByFile, "", 1}, {ByDefault, "", 0}},
+		[]Source{from["limits.memory"], from["limits.cores"], from["name"], from["ledger.disk"]})
+	_, notes := l.Check()
+	require.Contains(t, notes.Error(), "fronts[0].listen: PROXY_LISTEN goes before line 7 of the file", "they contradict")
+}
+
+func TestVariablesAndFlagsThatMeanNothingAreNamed(t *testing.T) {
+	require.Contains(t, wrong(t, whole, []string{"SPANFLOW_LIMITS_MEMROY=1MB"}, nil), "SPANFLOW_LIMITS_MEMROY: unknown variable; SPANFLOW_LIMITS_MEMORY may be meant")
+	require.Contains(t, wrong(t, whole, []string{"SPANFLOW_LIMITS_MEMORY=much"}, nil), `SPANFLOW_LIMITS_MEMORY: "much" is not a size`)
+	for flag, says := range map[string]string{"limits": "--set limits" + "", "limits=1": "is a table", "limits.memroy=1MB": "memory may be meant",
+		"targets.t9.dest=1": `there is none named "t9"`, "targets[4].dest=1": "there is no number 4", "limits.cores=many": `"many" is not a number`,
+		"zones.a=b": "is set as a whole", "fronts=x": "is a list of tables", "name.x=1": "name has no parts"} {
+		if flag == "limits" {
+			says = "limits: is not FIELD=VALUE"
+		}
+		require.Contains(t, wrong(t, whole, nil, []string{flag}), says, flag)
+	}
+}
+
+func TestAFrontCanBeMadeByVariableAlone(t *testing.T) {
+	text := strings.Replace(whole, "[[fronts]]\nlisten = \"127.0.0.1:6379\"\n", "", 1)
+	require.Contains(t, wrong(t, text, nil, nil), "fronts: there is none")
+	require.Empty(t, wrong(t, text, []string{"PROXY_LISTEN=127.0.0.1:1"}, nil))
+}
+
+// A file that is written to or put in the place of another while it is read is read anew.
+func TestAFileThatChangesWhileItIsReadIsReadAnew(t *testing.T) {
+	path := file(t, "one")
+	touched := false
+	text, steady, err := readOnce(path, func(string) (os.FileInfo, error) {
+		if !touched {
+			touched = true
+			require.NoError(t, os.WriteFile(path, []byte("two"), 0o600))
+			later := time.Now().Add(time.Minute)
+			require.NoError(t, os.Chtimes(path, later, later))
+		}
+		return os.Stat(path)
+	})
+	require.NoError(t, err)
+	require.Equal(t, []any{"one", false}, []any{string(text), steady})
+	_, steady, err = readOnce(path, func(string) (os.FileInfo, error) {
+		other := file(t, "two")
+		require.NoError(t, os.Rename(other, path))
+		return os.Stat(path)
+	})
+	require.NoError(t, err)
+	require.False(t, steady, "another file of the same length")
+	_, steady, err = readOnce(path, func(string) (os.FileInfo, error) { return nil, os.ErrNotExist })
+	require.True(t, err == nil && !steady)
+	text, err = read(path)
+	require.Equal(t, []any{"two", nil}, []any{string(text), err})
+}
+
+func TestSecretsStandInFilesOfTheirOwnAndAreNotShown(t *testing.T) {
+	path := file(t, "[metrics]\nlisten = \"127.0.0.1:9100\"\ntoken_file = \"token\"\n"+strings.Replace(whole, `name = "n1"`+"\nzones = [\"a\", \"b\"]\nzone = \"b\"\n", "", 1))
+	token := filepath.Join(filepath.Dir(path), "token")
+	l, err := Load(path, nil, nil)
+	require.NoError(t, err)
+	p, _ := l.Check()
+	require.ErrorContains(t, p, "metrics.token_file: no such file")
+	require.NoError(t, os.WriteFile(token, []byte("hush\n"), 0o644))
+	p, _ = l.Check()
+	require.ErrorContains(t, p, "is open to everybody (mode 644)")
+	require.NoError(t, os.Chmod(token, 0o600))
+	p, _ = l.Check()
+	require.Empty(t, p)
+	shown, err := json.Marshal(l.Values())
+	require.NoError(t, err)
+	require.False(t, bytes.Contains(shown, []byte("hush")))
+}
+
+func TestTheSchemaKnowsEachFieldAndEachFieldHasAnAnswerToAReload(t *testing.T) {
+	b, err := Schema()
+	require.NoError(t, err)
+	var s struct {
+		Properties map[string]any
+		Additional any `json:"additionalProperties"`
+	}
+	require.NoError(t, json.Unmarshal(b, &s))
+	for _, name := range keys(nil) {
+		require.Contains(t, s.Properties, name)
+		known := false
+		for _, p := range forward.Parts {
+			for _, k := range p.Keys {
+				known = known || k == name || strings.HasPrefix(k, name+".")
+			}
+		}
+		require.True(t, known || name == "seed", "%s stands in no part of an order", name)
+	}
+	require.Equal(t, false, s.Additional)
+	require.Equal(t, forward.AtOnce, Reload("fronts[0].listen"))
+	require.Equal(t, forward.AtStart, Reload("limits.memory"))
+}
+
+func TestUnitsAreReadAndWritten(t *testing.T) {
+	for text, want := range map[string]Size{"48MB": 48e6, "4MiB": 4 << 20, "1.5kB": 1500, "0B": 0} {
+		var s Size
+		require.NoError(t, s.UnmarshalText([]byte(text)))
+		require.Equal(t, want, s)
+		var back Size
+		require.NoError(t, back.UnmarshalText([]byte(s.String())))
+		require.Equal(t, want, back)
+	}
+	for text, want := range map[string]Span{"3s": 3, "100ms": 0.1, "1m30s": 90} {
+		var s Span
+		require.NoError(t, s.UnmarshalText([]byte(text)))
+		require.InDelta(t, float64(want), float64(s), 1e-9)
+		require.Equal(t, text, s.String())
+	}
+	for _, text := range []string{"", "3", "-3s", "s"} {
+		require.Error(t, new(Span).UnmarshalText([]byte(text)), text)
+		require.Error(t, new(Size).UnmarshalText([]byte(text)), text)
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(whole)
+	f.Fuzz(func(t *testing.T, text string) {
+		l := &Loaded{File: Defaults(), Path: "c.toml", Sources: map[string]Source{}, lines: map[string]int{}}
+		if l.parse([]byte(text)) == nil {
+			l.perElement()
+			if wrong, _ := l.Check(); len(wrong) == 0 {
+				_, err := l.Order()
+				require.NoError(t, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/form.go
@@ -0,0 +1,239 @@
+// Package config reads the operators' configuration: TOML in layers (defaults, file, variables, flags), checked as a
+// whole, with the source of each value known. It makes a forwarder's Order of it.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/invopop/jsonschema"
+)
+
+// Span is a time, written with its unit: "3s", "100ms".
+type Span float64
+
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil || d < 0 {
+		return fmt.Errorf(`%q is not a time with its unit, such as "3s" or "100ms"`, b)
+	}
+	*s = Span(d.Seconds())
+	return nil
+}
+
+func (s Span) String() string {
+	return time.Duration(math.Round(float64(s) * 1e9)).String()
+}
+
+func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+func (Span) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{Type: "string", Pattern: `^([0-9]+(\.[0-9]+)?(ns|us|ms|s|m|h))+$`, Description: "a time with its unit"}
+}
+
+// Size is a number of bytes, written with its unit: "48MB", "64KiB".
+type Size int64
+
+func (s *Size) UnmarshalText(b []byte) error {
+	text := strings.TrimSpace(string(b))
+	n, err := humanize.ParseBytes(text)
+	if err != nil || n > math.MaxInt64 || strings.Trim(text, "0123456789.") == "" {
+		return fmt.Errorf(`%q is not a size with its unit, such as "48MB" or "64KiB"`, b)
+	}
+	*s = Size(n)
+	return nil
+}
+
+func (s Size) String() string {
+	for _, u := range []struct {
+		n    Size
+		name string
+	}{{1 << 30, "GiB"}, {1e9, "GB"}, {1 << 20, "MiB"}, {1e6, "MB"}, {1 << 10, "KiB"}, {1e3, "kB"}} {
+		if s >= u.n && s%u.n == 0 {
+			return strconv.FormatInt(int64(s/u.n), 10) + u.name
+		}
+	}
+	return strconv.FormatInt(int64(s), 10) + "B"
+}
+
+func (s Size) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+func (Size) JSONSchema() *jsonschema.Schema {
+	return &jsonschema.Schema{Type: "string", Pattern: `^[0-9]+(\.[0-9]+)? ?[kKMGT]?i?B$`, Description: "a number of bytes with its unit"}
+}
+
+// File is the form of a configuration.
+type File struct {
+	Name      string    `toml:"name" jsonschema_description:"Name of the forwarder in log lines and metrics."`
+	Seed      string    `toml:"seed" jsonschema_description:"Seed of the module's random numbers, hexadecimal. Empty: drawn at each start."`
+	Zones     []string  `toml:"zones" jsonschema_description:"Zones that targets may be in."`
+	Zone      string    `toml:"zone" jsonschema_description:"Zone of this forwarder, one of zones."`
+	Ledger    Ledger    `toml:"ledger"`
+	Limits    Limits    `toml:"limits"`
+	Discovery Discovery `toml:"discovery"`
+	Dispatch  Dispatch  `toml:"dispatch"`
+	Log       Log       `toml:"log"`
+	Metrics   Metrics   `toml:"metrics"`
+	Fronts    []Front   `toml:"fronts" jsonschema_description:"Where documents come in."`
+	Types     []Type    `toml:"types" jsonschema_description:"Document types."`
+	Kinds     []Kind    `toml:"kinds" jsonschema_description:"Kinds of destinations."`
+	Tenants   []Tenant  `toml:"tenants" jsonschema_description:"Tenants with a share. Documents of others share a lane."`
+	Targets   []Target  `toml:"targets" jsonschema_description:"A list of targets that needs no discovery."`
+}
+
+// Ledger is where what is owed is kept.
+type Ledger struct {
+	Folder string `toml:"folder" jsonschema_description:"The folder that lasts, relative to the file. It is made if missing."`
+	Disk   Size   `toml:"disk" jsonschema_description:"Space that the folder may take, 1 MB at least."`
+}
+
+// Limits are what the process may use.
+type Limits struct {
+	Cores       float64 `toml:"cores" jsonschema_description:"Cores to use; a part of one counts as one."`
+	Memory      Size    `toml:"memory" jsonschema_description:"Memory, 16 MB at least."`
+	Descriptors int     `toml:"descriptors" jsonschema_description:"File descriptors, 64 at least. A third is for targets, the rest for clients."`
+}
+
+// Discovery is the service that tells the list.
+type Discovery struct {
+	Address string `toml:"address" jsonschema_description:"Address and port. Empty: the targets of this file are the list."`
+	Notices string `toml:"notices" jsonschema_description:"Where the final answers go that no caller waits for. Empty: to address; without one, into the log alone."`
+}
+
+// Dispatch are the figures by which the module decides.
+type Dispatch struct {
+	Slots         int     `toml:"slots" jsonschema_description:"Calls out at once, all destinations together."`
+	Room          int     `toml:"room" jsonschema_description:"Documents held at once."`
+	Transmissions int     `toml:"transmissions" jsonschema_description:"Transmissions that a document may use."`
+	Forwarders    int     `toml:"forwarders" jsonschema_description:"Forwarders that serve the same destinations, this one among them."`
+	ComeBack      Span    `toml:"come_back" jsonschema_description:"Longest time to come back that a rejection may name. 0s: none is named."`
+	Connect       Span    `toml:"connect" jsonschema_description:"A connection that takes longer never comes up."`
+	IdleLife      Span    `toml:"idle_life" jsonschema_description:"How long an idle connection to a target lasts."`
+	KeyRest       Span    `toml:"key_rest" jsonschema_description:"Rest between two documents of a key, after a transmission that may still run."`
+	ColdFrom      float64 `toml:"cold_from" jsonschema_description:"Share of its capacity that a returning destination has at least."`
+	ColdFor       Span    `toml:"cold_for" jsonschema_description:"Time in which it gets warm."`
+	FallMultiple  float64 `toml:"fall_multiple" jsonschema_description:"A cold destination falls over at this multiple of its present capacity."`
+	ListedRates   string  `toml:"listed_rates" jsonschema:"enum=none,enum=exact,enum=rough" jsonschema_description:"What per_second in the list is worth."`
+	ReportLimit   string  `toml:"report_limit" jsonschema_description:"Field of a load report that tells a limit in calls a second."`
+}
+
+// Log is what is written to standard error.
+type Log struct {
+	Level  string   `toml:"level" jsonschema:"enum=trace,enum=debug,enum=info,enum=warn,enum=error" jsonschema_description:"Least level of lines."`
+	Format string   `toml:"format" jsonschema:"enum=json,enum=console" jsonschema_description:"json, or console for people."`
+	Sample float64  `toml:"sample" jsonschema_description:"Share of documents whose course is logged, 0 to 1."`
+	Keys   []string `toml:"keys" jsonschema_description:"Ordering keys, hexadecimal: the course of their documents is logged."`
+	IDs    []string `toml:"ids" jsonschema_description:"Ids of documents whose course is logged."`
+}
+
+// Metrics are served over HTTP.
+type Metrics struct {
+	Listen    string `toml:"listen" jsonschema_description:"Address and port. Empty: nothing listens."`
+	TokenFile string `toml:"token_file" jsonschema_description:"File with the bearer token that a reader has to show. Empty: anybody may read."`
+}
+
+// Front is one way in.
+type Front struct {
+	Name         string `toml:"name" jsonschema_description:"Its name in the ledger, log lines and metrics; lower case, digits, hyphens."`
+	Protocol     string `toml:"protocol" jsonschema_description:"resp"`
+	Listen       string `toml:"listen" jsonschema_description:"Address and port."`
+	Connections  int    `toml:"connections" jsonschema_description:"At most. 0: an even part of what the descriptors leave."`
+	Waiting      int    `toml:"waiting" jsonschema_description:"Requests that may wait inside; then reading pauses. 0: 4096."`
+	WaitingBytes Size   `toml:"waiting_bytes" jsonschema_description:"Bytes of documents among them. 0B: 4 MiB."`
+}
+
+// Type is a document type.
+type Type struct {
+	Name    string `toml:"name" jsonschema_description:"As clients name it."`
+	Repeat  string `toml:"repeat" jsonschema:"enum=replayable,enum=numbered,enum=binding" jsonschema_description:"What a second transmission would do: nothing more, be known by its number, or take effect twice."`
+	Group   string `toml:"group" jsonschema:"enum=all,enum=zone" jsonschema_description:"numbered: which targets of a destination know the number."`
+	InOrder bool   `toml:"in_order" jsonschema_description:"Documents of a key go one after another."`
+	Agreed  Span   `toml:"agreed" jsonschema_description:"Agreed time to delivery."`
+	Life    Span   `toml:"life" jsonschema_description:"Longest time that a client gives a document."`
+	Memory  Span   `toml:"memory" jsonschema_description:"numbered: how long a number is known, from the transmission on."`
+}
+
+// Kind is a kind of destinations.
+type Kind struct {
+	Name        string `toml:"name"`
+	Batch       int    `toml:"batch" jsonschema_description:"Documents that one call carries at most."`
+	RoutesApart bool   `toml:"routes_apart" jsonschema_description:"Targets have limits and outages of their own."`
+	Outlet      string `toml:"outlet" jsonschema_description:"Protocol by which its targets are called: http."`
+}
+
+// Tenant is one with a share.
+type Tenant struct {
+	Name      string  `toml:"name"`
+	PerSecond float64 `toml:"per_second" jsonschema_description:"Documents a second, all forwarders together."`
+}
+
+// Target is one line of the file's own list.
+type Target struct {
+	UID       string  `toml:"uid" jsonschema_description:"Its name, the same at every forwarder."`
+	Address   string  `toml:"address" jsonschema_description:"Address and port."`
+	Dest      uint64  `toml:"dest" jsonschema_description:"Number of the destination."`
+	Zone      string  `toml:"zone" jsonschema_description:"One of zones. Empty: the first."`
+	Kind      string  `toml:"kind" jsonschema_description:"One of kinds. Empty: the first."`
+	State     string  `toml:"state" jsonschema:"enum=active,enum=leaving" jsonschema_description:"active, or leaving: it finishes what it has and gets nothing new. Empty: active."`
+	PerSecond float64 `toml:"per_second" jsonschema_description:"Calls a second that the destination takes. 0: not known."`
+}
+
+// Defaults are what holds where nothing is said.
+func Defaults() File {
+	return File{Name: "spanflow", Zones: []string{"a"}, Zone: "a",
+		Ledger: Ledger{Folder: "state", Disk: 64e6},
+		Limits: Limits{Cores: 1, Memory: 192e6, Descriptors: 1024},
+		Dispatch: Dispatch{Slots: 64, Room: 2000, Transmissions: 6, Forwarders: 1, ComeBack: 2, Connect: 1.5, IdleLife: 10,
+			KeyRest: 0.1, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ListedRates: "none", ReportLimit: "x1"},
+		Log: Log{Level: "info", Format: "json"}}
+}
+
+// perElement are the defaults within lists of tables: each element that lacks a value gets it.
+func (f *File) perElement() {
+	if len(f.Kinds) == 0 {
+		f.Kinds = []Kind{{Name: "partners"}}
+	}
+	for i := range f.Fronts {
+		or(&f.Fronts[i].Protocol, "resp")
+		or(&f.Fronts[i].Name, f.Fronts[i].Protocol)
+	}
+	for i := range f.Kinds {
+		or(&f.Kinds[i].Batch, 1)
+		or(&f.Kinds[i].Outlet, "http")
+	}
+	for i := range f.Types {
+		or(&f.Types[i].Group, "all")
+	}
+	for i := range f.Targets {
+		t := &f.Targets[i]
+		or(&t.State, "active")
+		or(&t.Kind, f.Kinds[0].Name)
+		if len(f.Zones) > 0 {
+			or(&t.Zone, f.Zones[0])
+		}
+	}
+}
+
+func or[T comparable](v *T, other T) {
+	var none T
+	if *v == none {
+		*v = other
+	}
+}
+
+// Schema is the form as JSON Schema, made from the types.
+func Schema() ([]byte, error) {
+	r := jsonschema.Reflector{FieldNameTag: "toml", RequiredFromJSONSchemaTags: true, DoNotReference: true, Anonymous: true}
+	s := r.Reflect(&File{})
+	if s == nil {
+		return nil, errors.New("the form has no schema")
+	}
+	s.Title, s.Description = "spanflow", "Configuration of a spanflow forwarder (TOML)."
+	return json.MarshalIndent(s, "", "  ")
+}
--- /dev/null
+++ b/internal/config/order.go
@@ -0,0 +1,176 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/rs/zerolog"
+
+	"spanflow/choice"
+	"spanflow/forward"
+	"spanflow/internal/meter"
+	"spanflow/internal/terms"
+	"spanflow/seam"
+)
+
+const mostToken = 4 << 10
+
+// token is the secret that a reader of metrics has to show. It stands in a file of its own, never in a configuration,
+// and is shown nowhere.
+func (l *Loaded) token() (string, error) {
+	if l.Metrics.TokenFile == "" {
+		return "", nil
+	}
+	f, err := os.Open(l.beside(l.Metrics.TokenFile))
+	if err != nil {
+		return "", err
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err != nil {
+		return "", err
+	} else if info.Mode().Perm()&0o007 != 0 {
+		return "", fmt.Errorf("%s is open to everybody (mode %o): take the last digit away", f.Name(), info.Mode().Perm())
+	}
+	text, err := io.ReadAll(io.LimitReader(f, mostToken))
+	if err != nil {
+		return "", err
+	}
+	if text = bytes.TrimSpace(text); len(text) == 0 {
+		return "", fmt.Errorf("%s is empty", f.Name())
+	}
+	return string(text), nil
+}
+
+// Order makes the forwarder's order of a configuration that has been checked, with a reload that reads it anew.
+func Order(path string, environ, flags []string) (*forward.Order, error) {
+	o, err := order(path, environ, flags)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+		return nil, err
+	}
+	o.Reread = func() (*forward.Order, error) {
+		next, err := order(path, environ, flags)
+		if err == nil && next.SeedDrawn {
+			next.Seed = o.Seed
+		}
+		return next, err
+	}
+	return o, nil
+}
+
+func order(path string, environ, flags []string) (*forward.Order, error) {
+	l, err := Load(path, environ, flags)
+	if err != nil {
+		return nil, err
+	}
+	if wrong, _ := l.Check(); len(wrong) > 0 {
+		return nil, wrong
+	}
+	return l.Order()
+}
+
+// Order makes an order of a configuration in which Check found nothing wrong. It makes no folder and reads nothing again.
+func (l *Loaded) Order() (*forward.Order, error) {
+	folder, err := filepath.Abs(l.Folder())
+	if err != nil {
+		return nil, err
+	}
+	o := &forward.Order{Name: l.Name, Discovery: l.Discovery.Address, Notices: l.Discovery.Notices, Folder: folder,
+		MemoryMB: int(l.Limits.Memory / 1e6), Sockets: l.Limits.Descriptors, DiskMB: int(l.Ledger.Disk / 1e6), Cores: l.Limits.Cores,
+		KindOutlet: map[string]string{}, Metrics: l.Metrics.Listen, Movable: true}
+	o.Tell(l.Discovery.Address)
+	if o.Notices == "" {
+		o.Notices = o.Discovery
+	}
+	if l.Seed == "" {
+		o.Seed, o.SeedDrawn = rand.Uint64(), true
+	} else if o.Seed, err = strconv.ParseUint(l.Seed, 16, 64); err != nil {
+		return nil, err
+	}
+	for _, f := range l.Fronts {
+		o.Fronts = append(o.Fronts, forward.Front{Name: f.Name, Protocol: f.Protocol, Listen: f.Listen, Connections: f.Connections,
+			Waiting: f.Waiting, WaitingBytes: int(f.WaitingBytes)})
+	}
+	o.Terms, o.Names = l.terms()
+	for _, k := range l.Kinds {
+		o.KindOutlet[k.Name] = k.Outlet
+	}
+	if o.Discovery == "" {
+		o.Static = &seam.List{All: true}
+		for _, t := range l.Targets {
+			o.Static.Targets = append(o.Static.Targets, seam.Target{UID: t.UID, Endpoint: t.Address, Zone: t.Zone, Kind: t.Kind,
+				Dest: t.Dest, State: t.State, Rate: t.PerSecond})
+		}
+	}
+	o.Log.Console, o.Log.Sample, o.Log.IDs = l.Log.Format == "console", l.Log.Sample, l.Log.IDs
+	if o.Log.Level, err = zerolog.ParseLevel(l.Log.Level); err != nil {
+		return nil, err
+	}
+	for _, k := range l.Log.Keys {
+		n, err := strconv.ParseUint(k, 16, 64)
+		if err != nil {
+			return nil, err
+		}
+		o.Log.Keys = append(o.Log.Keys, n)
+	}
+	token, err := l.token()
+	if err != nil {
+		return nil, err
+	}
+	if o.Metrics != "" {
+		o.Meter = func(addr, forwarder string, fronts []string, levels []seam.Level) (seam.Meter, error) {
+			return meter.New(addr, token, forwarder, fronts, levels)
+		}
+	}
+	return o, nil
+}
+
+// terms are what the module is told, and the names behind its numbers.
+func (l *Loaded) terms() (choice.Terms, terms.Names) {
+	d := &l.Dispatch
+	t := choice.Terms{Forwarders: d.Forwarders, Slots: d.Slots, Room: d.Room, Transmissions: d.Transmissions, KeyRest: float64(d.KeyRest),
+		ColdFrom: d.ColdFrom, ColdFor: float64(d.ColdFor), FallMultiple: d.FallMultiple, IdleLife: float64(d.IdleLife),
+		ComeBackMost: float64(d.ComeBack), RoughRate: map[string]float64{"exact": 1, "rough": 1.5}[d.ListedRates]}
+	n := terms.Names{Zones: l.Zones, LimitAt: -1, Limit: d.ReportLimit, Connect: float64(d.Connect)}
+	for i, z := range l.Zones {
+		if z == l.Zone {
+			t.Zone = i
+		}
+	}
+	for _, k := range l.Kinds {
+		t.KindBatch, t.KindApart = append(t.KindBatch, k.Batch), append(t.KindApart, k.RoutesApart)
+		n.Kinds = append(n.Kinds, k.Name)
+	}
+	for _, q := range l.Tenants {
+		t.TenantQuota = append(t.TenantQuota, q.PerSecond)
+		n.Tenants = append(n.Tenants, q.Name)
+	}
+	words := map[string]choice.Repeat{"replayable": choice.Replayable, "numbered": choice.Numbered, "binding": choice.Binding}
+	for _, y := range l.Types {
+		t.Types = append(t.Types, choice.DocType{Repeat: words[y.Repeat], ZoneGroup: y.Group == "zone", InOrder: y.InOrder,
+			Agreed: float64(y.Agreed), Life: float64(y.Life), Memory: float64(y.Memory)})
+		n.Types = append(n.Types, y.Name)
+	}
+	return t, n
+}
+
+// Reload tells for a field whether a running forwarder takes a change of it up when it reads its order again. It goes
+// by the table that the reload itself uses.
+func Reload(field string) forward.Change {
+	for _, p := range forward.Parts {
+		for _, k := range p.Keys {
+			if field == k || len(field) > len(k) && field[:len(k)] == k && (field[len(k)] == '.' || field[len(k)] == '[') {
+				return p.When
+			}
+		}
+	}
+	return forward.AtStart
+}
+
--- a/internal/ledger/look.go
+++ b/internal/ledger/look.go
@@ -23,19 +23,19 @@
 
 // FileView tells of one file.
 type FileView struct {
-	Number  int
-	Bytes   int64
-	Records map[string]int // by kind
-	Owed    int            // entries whose latest whole record is here
+	Number  int            `json:"number"`
+	Bytes   int64          `json:"bytes"`
+	Records map[string]int `json:"records"` // by kind
+	Owed    int            `json:"owed"`    // entries whose latest whole record is here
 }
 
 // Fault is a place that cannot be read.
 type Fault struct {
-	File  int
-	At    int64 // bytes from the file's begin
-	Bytes int64 // that cannot be read from there on
-	Torn  bool  // the end of a file that was being written when its process ended, or is still: no damage
-	What  string
+	File  int    `json:"file"`
+	At    int64  `json:"at"`    // bytes from the file's begin
+	Bytes int64  `json:"bytes"` // that cannot be read from there on
+	What  string `json:"what"`
+	Torn  bool   `json:"torn"` // the end of a file that was being written when its process ended, or is still: no damage
 }
 
 func (f Fault) String() string {
@@ -177,3 +177,6 @@
 	}
 	return "held"
 }
+
+// States are the words of State.
+func States() []string { return []string{"held", "tried", "out", "may-have-run", "returned", "abandoned"} }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"fmt"
 	"net"
 	"net/http"
@@ -33,8 +34,9 @@
 
 var words = [...]string{seam.Taken: "taken", seam.Busy: "busy", seam.Declined: "declined"}
 
-// New makes a meter with the given fronts and levels, and serves it at an address under /metrics.
-func New(addr, forwarder string, fronts []string, levels []seam.Level) (seam.Meter, error) {
+// New makes a meter with the given fronts and levels, and serves it at an address under /metrics, to readers
+// that show the token as their bearer, if there is one.
+func New(addr, token, forwarder string, fronts []string, levels []seam.Level) (seam.Meter, error) {
 	m := &Meter{set: metrics.NewSet(), asked: map[string]*[len(words)]*metrics.Counter{}, of: fmt.Sprintf("forwarder=%q", forwarder)}
 	for _, f := range fronts {
 		m.asked[f] = &[len(words)]*metrics.Counter{}
@@ -55,7 +57,7 @@
 	for _, l := range levels {
 		m.set.NewGauge(m.name(l.Name), l.Read)
 	}
-	return m, m.serve(addr)
+	return m, m.serve(addr, token)
 }
 
 // name is a figure's name with its labels, given as names and values in turn.
@@ -67,13 +69,18 @@
 	return b + "}"
 }
 
-func (m *Meter) serve(addr string) error {
+func (m *Meter) serve(addr, token string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		if shown := r.Header.Get("Authorization"); token != "" && subtle.ConstantTimeCompare([]byte(shown), []byte("Bearer "+token)) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
 		m.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
