--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -34,6 +34,7 @@
 	name      string // as the ledger has it
 	room      sync.Cond
 	waiting   []asked
+	spare     []asked
 	most      int
 	bytes     int
 	mostBytes int
@@ -128,8 +129,9 @@
 		for i := range g.waiting[:n] {
 			news = append(news, &g.waiting[i])
 		}
-		if n == len(g.waiting) {
-			g.waiting, g.bytes = nil, 0
+		if n == len(g.waiting) { // news points into the one slice, the other is filled anew
+			clear(g.spare)
+			g.waiting, g.spare, g.bytes = g.spare[:0], g.waiting, 0
 		} else {
 			for i := range g.waiting[:n] {
 				g.bytes -= size(&g.waiting[i])
--- /dev/null
+++ b/forward/seam_test.go
@@ -0,0 +1,378 @@
+package forward_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/forward"
+	"spanflow/internal/dial"
+	"spanflow/internal/ledger"
+	"spanflow/internal/standin"
+	"spanflow/internal/terms"
+	"spanflow/seam"
+)
+
+// A front and an outlet of the tests' own stand beside those of the program: nothing but a name in the order wires them.
+
+// memory is a front without sockets.
+type memory struct {
+	desk seam.Desk
+	name string
+}
+
+func (m *memory) Addr() string      { return "memory" }
+func (m *memory) Tally() seam.Tally { return seam.Tally{} }
+func (m *memory) Clients() int      { return 0 }
+func (m *memory) Leave()            {}
+func (m *memory) Shut()             {}
+func (m *memory) Stop()             {}
+
+// caller waits for its final answer.
+type caller struct {
+	door  chan seam.Reply
+	final chan seam.Final
+	gone  atomic.Bool
+}
+
+func (c *caller) Gone() bool               { return c.gone.Load() }
+func (c *caller) Answer(r seam.Reply) bool { c.door <- r; return true }
+func (c *caller) Tell(f seam.Final)        { c.final <- f }
+
+func (m *memory) hand(h seam.Handed) *caller {
+	c := &caller{door: make(chan seam.Reply, 1), final: make(chan seam.Final, 1)}
+	h.Came, h.Left = time.Now(), 10
+	m.desk.Ask(seam.Asked{From: c, Paper: &h})
+	return c
+}
+
+// hands is an outlet whose calls a test carries out.
+type hands struct {
+	counter seam.Counter
+	calls   chan *seam.Call
+}
+
+func (h *hands) Send(c *seam.Call) { h.calls <- c }
+func (h *hands) Recall(uint64)     {}
+func (h *hands) CloseIdle(uint64)  {}
+func (h *hands) Idle() int         { return 0 }
+
+func (h *hands) end(c *seam.Call, end seam.End) {
+	ends := make([]seam.End, len(c.Papers))
+	for i := range ends {
+		ends[i] = end
+	}
+	h.counter.CallEnded(seam.Ended{Call: c, Ends: ends, Took: time.Millisecond})
+}
+
+// house is a forwarder in this process with such a front and outlet, and one of the program's own beside them.
+type house struct {
+	t      *testing.T
+	order  *forward.Order
+	fronts map[string]*memory
+	hands  *hands
+	again  chan os.Signal
+	log    *lines
+	addr   string
+	stop   func()
+}
+
+// lines are a log that tests wait on.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+	more chan struct{}
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case l.more <- struct{}{}:
+	default:
+	}
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+func (l *lines) await(t *testing.T, word string) string {
+	t.Helper()
+	late := time.After(10 * time.Second)
+	for !strings.Contains(l.String(), word) {
+		select {
+		case <-l.more:
+		case <-late:
+			t.Fatalf("no %q in the log:\n%s", word, l.String())
+		}
+	}
+	return l.String()
+}
+
+func newHouse(t *testing.T, fronts ...forward.Front) *house {
+	h := &house{t: t, fronts: map[string]*memory{}, hands: &hands{calls: make(chan *seam.Call, 100)}, again: make(chan os.Signal, 1)}
+	h.order = &forward.Order{Name: "n1", Folder: t.TempDir(), MemoryMB: 64, Sockets: 256, DiskMB: 3, Cores: 1, Seed: 7, Movable: true,
+		Fronts: append([]forward.Front{{Name: "resp", Protocol: "resp", Listen: "127.0.0.1:0"}, {Name: "inner", Protocol: "memory"}}, fronts...),
+		Static: &seam.List{All: true, Targets: []seam.Target{{UID: "t1", Endpoint: "127.0.0.1:9", Kind: "k", Dest: 7, State: "active"}}},
+		Terms: choice.Terms{Types: []choice.DocType{{Repeat: choice.Replayable, Agreed: 3, Life: 20}, {Repeat: choice.Binding, InOrder: true, Agreed: 3, Life: 20}},
+			KindBatch: []int{1}, Forwarders: 1, Slots: 8, Room: 100, Transmissions: 6, KeyRest: 0.05, ColdFrom: 0.2, ColdFor: 10, IdleLife: 10, FallMultiple: 2, ComeBackMost: 2},
+		Names:      terms.Names{Types: []string{"status", "payment"}, Kinds: []string{"k"}, Zones: []string{""}, Connect: 1},
+		KindOutlet: map[string]string{"k": "hands"},
+		Protocols: map[string]forward.Protocol{"memory": func(f forward.Front, _ int, desk seam.Desk) (seam.Front, error) {
+			h.fronts[f.Name] = &memory{desk, f.Name}
+			return h.fronts[f.Name], nil
+		}},
+		Carriages: map[string]forward.Carriage{"hands": func(_ *dial.Dialer, _ forward.Carrier, counter seam.Counter) seam.Outlet {
+			h.hands.counter = counter
+			return h.hands
+		}}}
+	return h
+}
+
+func (h *house) start() *house {
+	h.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.log = &lines{more: make(chan struct{}, 1)}
+	ready, ended := make(chan string, 1), make(chan error, 1)
+	go func() {
+		ended <- forward.Run(ctx, h.order, h.again, h.log, func(addr string) { ready <- addr })
+	}()
+	select {
+	case h.addr = <-ready:
+	case err := <-ended:
+		h.t.Fatal(err)
+	}
+	h.stop = sync.OnceFunc(func() {
+		cancel()
+		require.NoError(h.t, <-ended)
+	})
+	h.t.Cleanup(h.stop)
+	return h
+}
+
+func (h *house) client() *standin.Client {
+	c, err := standin.NewClient(h.addr)
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestACallerThatWaitsIsToldTheFinalAnswerOnce(t *testing.T) {
+	h := newHouse(t).start()
+	c := h.fronts["inner"].hand(seam.Handed{ID: "a", Type: "status", Dest: 7, Body: []byte("b")})
+	require.Equal(t, seam.Reply{Word: seam.Taken}, <-c.door)
+	h.hands.end(<-h.hands.calls, seam.Took)
+	f := <-c.final
+	require.Equal(t, []any{"a", seam.Delivered}, []any{f.ID, f.Outcome})
+	c = h.fronts["inner"].hand(seam.Handed{ID: "b", Type: "payment", Key: 5, Dest: 7})
+	<-c.door
+	h.hands.end(<-h.hands.calls, seam.Broken) // may have run, and must not run twice
+	require.Equal(t, seam.Abandoned, (<-c.final).Outcome)
+	c = h.fronts["inner"].hand(seam.Handed{ID: "b", Type: "payment", Dest: 7})
+	require.Equal(t, seam.Declined, (<-c.door).Word, "an id that was taken on")
+	h.stop()
+	v, err := ledger.Look(h.order.Folder)
+	require.NoError(t, err)
+	require.Empty(t, v.Owed)
+}
+
+func TestWhatAnAbandonedCallHandedInIsNotTransmitted(t *testing.T) {
+	h := newHouse(t).start()
+	in := h.fronts["inner"]
+	first := in.hand(seam.Handed{ID: "a", Type: "payment", Key: 5, Dest: 7})
+	second := in.hand(seam.Handed{ID: "b", Type: "payment", Key: 5, Dest: 7}) // waits for the first
+	third := in.hand(seam.Handed{ID: "c", Type: "payment", Key: 5, Dest: 7})
+	<-first.door
+	<-second.door
+	<-third.door
+	out := <-h.hands.calls
+	for id, c := range map[string]*caller{"a": first, "b": second} {
+		c.gone.Store(true)
+		in.desk.Withdraw(id)
+	}
+	in.desk.Withdraw("nobody")
+	h.hands.end(out, seam.TurnedAway) // not sent again: its caller has gone
+	require.Equal(t, "c", (<-h.hands.calls).Papers[0].ID)
+	h.log.await(t, "ready")
+	v, err := ledger.Look(h.order.Folder)
+	require.NoError(t, err)
+	require.Len(t, v.Owed, 1)
+}
+
+// The old process's callers are gone with it: what they waited for is withdrawn, and a key rests where it may still run.
+func TestWhatCallersOfAnEarlierProcessWaitedForIsWithdrawn(t *testing.T) {
+	h := newHouse(t)
+	l, err := ledger.Open(h.order.Folder, 3_000_000)
+	require.NoError(t, err)
+	at := time.Now().Add(10 * time.Second).UnixMicro()
+	for _, e := range []*ledger.Entry{{ID: "ran", Key: 5, Dest: 7, Type: "payment", Expiry: at, Front: "inner", Held: true},
+		{ID: "not sent", Dest: 7, Type: "status", Expiry: at, Front: "gone from the order", Held: true},
+		{ID: "owed", Key: 5, Dest: 7, Type: "payment", Expiry: at, Front: "inner"}} {
+		require.NoError(t, l.Take(e))
+	}
+	require.NoError(t, l.Out(1, time.Now().UnixMicro(), 0))
+	l.Close()
+	began := time.Now()
+	h.start()
+	call := <-h.hands.calls
+	require.Equal(t, "owed", call.Papers[0].ID)
+	require.GreaterOrEqual(t, time.Since(began), 50*time.Millisecond, "the rest of its key")
+	h.hands.end(call, seam.Took)
+	h.stop()
+	require.Contains(t, h.log.String(), `"withdrawn":2`)
+	v, err := ledger.Look(h.order.Folder)
+	require.NoError(t, err)
+	require.Empty(t, v.Owed)
+}
+
+// One front's callers flood without reading their answers; another's and the platform's go on being served.
+func TestAFrontThatFloodsStarvesNoOther(t *testing.T) {
+	h := newHouse(t, forward.Front{Name: "flood", Protocol: "memory", Waiting: 1000}).start()
+	end, flooded := make(chan struct{}), make(chan struct{})
+	var asked atomic.Int64
+	go func() {
+		defer close(flooded)
+		c := &deaf{}
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				return
+			default:
+				h.fronts["flood"].desk.Ask(seam.Asked{From: c, Paper: &seam.Handed{ID: fmt.Sprint("f", i), Type: "none", Dest: 7}})
+				asked.Add(1)
+			}
+		}
+	}()
+	mute := h.client() // sends and never reads
+	go func() {
+		ping := []byte(strings.Repeat(standin.Command("PING"), 1000))
+		for {
+			if _, err := mute.Write(ping); err != nil {
+				return
+			}
+		}
+	}()
+	c := h.client()
+	for i := range 200 {
+		answer, err := c.Say(standin.Command("PING"))
+		require.NoError(t, err)
+		require.Equal(t, "+PONG", answer)
+		in := h.fronts["inner"].hand(seam.Handed{ID: fmt.Sprint(i), Type: "status", Dest: 7})
+		require.Equal(t, seam.Taken, (<-in.door).Word)
+		h.hands.end(<-h.hands.calls, seam.Took)
+		<-in.final
+	}
+	close(end)
+	<-flooded
+	require.Greater(t, asked.Load(), int64(1000))
+}
+
+// deaf hears no answer.
+type deaf struct{}
+
+func (*deaf) Gone() bool             { return false }
+func (*deaf) Answer(seam.Reply) bool { return true }
+
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func TestAFrontMovesToAnotherAddressWhileCallsAreOut(t *testing.T) {
+	h := newHouse(t)
+	next := *h.order
+	var fail error
+	h.order.Reread = func() (*forward.Order, error) { o := next; return &o, fail }
+	h.start()
+	c := h.client()
+	for _, id := range []string{"1", "2"} {
+		answer, err := c.Put("0000000000000000", id, "c=status,d=10000,dest=7", "x")
+		require.NoError(t, err)
+		require.Equal(t, "+OK", answer)
+	}
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer taken.Close()
+	reload := func(listen, says string) {
+		next.Fronts = append([]forward.Front{{Name: "resp", Protocol: "resp", Listen: listen}}, h.order.Fronts[1:]...)
+		h.again <- os.Interrupt
+		h.log.await(t, says)
+	}
+	reload(taken.Addr().String(), "order not taken up") // an address that cannot be had changes nothing
+	answer, err := c.Say(standin.Command("PING"))
+	require.True(t, err == nil && answer == "+PONG", answer)
+	addr := free(t)
+	reload(addr, "order taken up")
+	require.Contains(t, h.log.String(), addr)
+	_, err = standin.NewClient(h.addr)
+	require.Error(t, err, "nobody listens at the old address")
+	old := h.addr
+	h.addr = addr
+	answer, err = h.client().Say(standin.Command("PING"))
+	require.True(t, err == nil && answer == "+PONG", answer)
+	_, err = c.Hear()
+	require.Error(t, err, "a caller of the old address goes elsewhere once it is answered")
+	h.hands.end(<-h.hands.calls, seam.Took)
+	h.hands.end(<-h.hands.calls, seam.Took)
+	fail = fmt.Errorf("limits.memory: c.toml:5: wrong")
+	h.again <- os.Interrupt
+	h.log.await(t, "c.toml:5")
+	require.NotEqual(t, old, addr)
+}
+
+func TestTargetsOfAnOrdersOwnListComeAndGoAtAReload(t *testing.T) {
+	h := newHouse(t)
+	next := *h.order
+	h.order.Reread = func() (*forward.Order, error) { o := next; return &o, nil }
+	h.start()
+	unknown := h.fronts["inner"].hand(seam.Handed{ID: "a", Type: "status", Dest: 8})
+	require.Equal(t, seam.Declined, (<-unknown.door).Word)
+	next.Static = &seam.List{All: true, Targets: []seam.Target{{UID: "t2", Endpoint: "127.0.0.1:8", Kind: "k", Dest: 8, State: "active"}}}
+	next.MemoryMB = 128
+	h.again <- os.Interrupt
+	text := h.log.await(t, "order taken up")
+	require.Contains(t, text, `"at_next_start":["limits"]`)
+	c := h.fronts["inner"].hand(seam.Handed{ID: "b", Type: "status", Dest: 8})
+	require.Equal(t, seam.Taken, (<-c.door).Word)
+	call := <-h.hands.calls
+	require.Equal(t, "127.0.0.1:8", call.Target)
+	h.hands.end(call, seam.Took)
+}
+
+func TestTheCourseOfPickedDocumentsIsLogged(t *testing.T) {
+	h := newHouse(t)
+	h.order.Log.Keys = []uint64{5}
+	h.start()
+	for i, key := range []uint64{5, 6} {
+		c := h.fronts["inner"].hand(seam.Handed{ID: fmt.Sprint("doc", i), Key: key, Type: "payment", Dest: 7})
+		<-c.door
+		h.hands.end(<-h.hands.calls, seam.Took)
+		<-c.final
+	}
+	h.stop()
+	seen := map[string]int{}
+	for line := range strings.Lines(h.log.String()) {
+		var l struct{ Message, ID string }
+		require.NoError(t, json.Unmarshal([]byte(line), &l))
+		if strings.HasPrefix(l.Message, "trace: ") {
+			seen[l.ID]++
+		}
+	}
+	require.Equal(t, map[string]int{"doc0": 3}, seen)
+}
