--- /dev/null
+++ b/cmd/spanlab/main.go
@@ -0,0 +1,17 @@
+// Command spanlab is the laboratory: simulated days, experiments and a load tool.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"spanflow/lab/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(command.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -197,7 +198,7 @@
 		Additional any `json:"additionalProperties"`
 	}
 	require.NoError(t, json.Unmarshal(b, &s))
-	for _, name := range keys(nil) {
+	for _, name := range keys(reflect.TypeFor[File](), nil) {
 		require.Contains(t, s.Properties, name)
 		known := false
 		for _, p := range forward.Parts {
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -163,33 +163,40 @@
 	return text, os.SameFile(before, after) && before.ModTime().Equal(after.ModTime()) && int64(len(text)) == after.Size(), nil
 }
 
-// parse decodes the file's text, strictly.
+// parse decodes the file's text.
 func (l *Loaded) parse(text []byte) error {
 	l.place(text)
-	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(&l.File)
+	if err := Decode(l.Path, text, &l.File); err != nil {
+		return err
+	}
+	for field, line := range l.lines {
+		l.Sources[field] = Source{Layer: ByFile, Line: line}
+	}
+	return nil
+}
+
+// Decode reads a TOML text into a form, strictly: what the form does not have is a Problem, with the nearest known key.
+func Decode(path string, text []byte, form any) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(form)
 	var unknown *toml.StrictMissingError
 	var bad *toml.DecodeError
 	switch {
 	case err == nil:
+		return nil
 	case errors.As(err, &unknown):
 		var wrong Problems
 		for _, e := range unknown.Errors {
 			key := e.Key()
 			line, _ := e.Position()
-			name := strings.Join(key, ".")
-			wrong = append(wrong, Problem{File: l.Path, Line: line, Field: name, What: "unknown key" + meant(key[len(key)-1], keys(key[:len(key)-1]))})
+			known := keys(reflect.TypeOf(form).Elem(), key[:len(key)-1])
+			wrong = append(wrong, Problem{File: path, Line: line, Field: strings.Join(key, "."), What: "unknown key" + meant(key[len(key)-1], known)})
 		}
 		return wrong
 	case errors.As(err, &bad):
 		line, _ := bad.Position()
-		return Problems{{File: l.Path, Line: line, Field: strings.Join(bad.Key(), "."), What: strings.TrimPrefix(bad.Error(), "toml: ")}}
-	default:
-		return Problems{{File: l.Path, What: strings.TrimPrefix(err.Error(), "toml: ")}}
-	}
-	for field, line := range l.lines {
-		l.Sources[field] = Source{Layer: ByFile, Line: line}
+		return Problems{{File: path, Line: line, Field: strings.Join(bad.Key(), "."), What: strings.TrimPrefix(bad.Error(), "toml: ")}}
 	}
-	return nil
+	return Problems{{File: path, What: strings.TrimPrefix(err.Error(), "toml: ")}}
 }
 
 // place finds the line of each field: "limits.memory", "fronts[0].listen". What cannot be parsed has none; the decoder
@@ -228,8 +235,7 @@
 }
 
 // keys are the known ones of a table.
-func keys(table []string) []string {
-	t := reflect.TypeFor[File]()
+func keys(t reflect.Type, table []string) []string {
 	for _, name := range table {
 		f, ok := fieldOf(t, name)
 		if !ok {
--- /dev/null
+++ b/lab/audit/audit.go
@@ -0,0 +1,309 @@
+// Package audit judges the six rules from what partners and clients wrote down, never from what a forwarder says.
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"spanflow/lab/partner"
+)
+
+// Rule is one of the rules a forwarder keeps.
+type Rule string
+
+const (
+	OneAnswer Rule = "1 one final answer" // for each document taken, before its expiry
+	NoDouble  Rule = "2 no effect twice"  // nor transmissions that overlap
+	Drains    Rule = "3 drains kept"
+	Returns   Rule = "4 returns not pushed over"
+	Order     Rule = "5 order per key"
+	Waits     Rule = "6 waits heeded"
+)
+
+// Rules are all of them.
+var Rules = []Rule{OneAnswer, NoDouble, Drains, Returns, Order, Waits}
+
+// Slack is what is let pass, in seconds.
+type Slack struct {
+	Answer float64 // after expiry
+	Wait   float64 // a call that crosses the telling of a wait
+	Drain  float64 // after the list told it
+}
+
+// DefaultSlack allows for the way of news and for a forwarder's own pace.
+var DefaultSlack = Slack{Answer: 0.3, Wait: 0.1, Drain: 0.1}
+
+// Breach is a rule broken, with the document's history.
+type Breach struct {
+	Rule    Rule
+	At      float64
+	Doc     uint64
+	What    string
+	History []string
+}
+
+// Doc is what a client knows of one document.
+type Doc struct {
+	ID       uint64
+	Same     uint64 // the first handing in of the same effect; its own id if it is the first
+	Mark     uint64
+	Key      uint64 // with order
+	Type     int
+	Binding  bool
+	Numbered bool
+	Dest     int
+	From     int // the forwarder that it was handed in at
+	Handed   float64
+	Expiry   float64
+	Taken    bool
+	Finals   []Final
+	lost     bool // its forwarder was lost with what it owed
+}
+
+// Final is an answer that a client heard.
+type Final struct {
+	At   float64
+	What string // delivered, returned, abandoned
+}
+
+type came struct {
+	at           float64
+	dest, target int
+	from         int
+	doc          uint64
+}
+
+// Log is what is written down on a day. It is a partner.Record.
+type Log struct {
+	Clock partner.Clock
+	Slack Slack
+	docs  map[uint64]*Doc
+	order []*Doc
+	came  []came
+	runs  []partner.Run
+	gone  map[[2]int]float64 // targets that were told to be leaving, by when
+	waits map[[3]int]wait    // by destination, target or -1, forwarder
+	apart func(dest int) bool
+	found []Breach
+	open  map[uint64]bool // transmissions that are out, as the partner's side of the network sees them
+	rest  float64
+	stood map[int]float64 // forwarders that could not answer, until when
+}
+
+type wait struct{ told, until float64 }
+
+// New begins a day. apart tells which destinations have routes apart; rest is the rest of a key.
+func New(clock partner.Clock, apart func(dest int) bool, rest float64) *Log {
+	return &Log{Clock: clock, Slack: DefaultSlack, docs: map[uint64]*Doc{}, gone: map[[2]int]float64{}, waits: map[[3]int]wait{}, apart: apart,
+		open: map[uint64]bool{}, rest: rest, stood: map[int]float64{}}
+}
+
+func (l *Log) breach(rule Rule, doc uint64, format string, v ...any) {
+	l.found = append(l.found, Breach{Rule: rule, At: l.Clock.Now(), Doc: doc, What: fmt.Sprintf(format, v...)})
+}
+
+// Handed says that a client hands a document in.
+func (l *Log) Handed(d *Doc) {
+	l.docs[d.ID] = d
+	l.order = append(l.order, d)
+}
+
+// Taken says that a client heard that its document is taken on.
+func (l *Log) Taken(id uint64) { l.docs[id].Taken = true }
+
+// Final says that a client heard a final answer.
+func (l *Log) Final(id uint64, what string) {
+	d := l.docs[id]
+	d.Finals = append(d.Finals, Final{l.Clock.Now(), what})
+	if len(d.Finals) > 1 {
+		l.breach(OneAnswer, id, "a second final answer, %s after %s", what, d.Finals[0].What)
+	} else if now := l.Clock.Now(); now > l.due(d) {
+		l.breach(OneAnswer, id, "answered %.2f s after its expiry", now-d.Expiry)
+	}
+}
+
+// Answered tells if a client heard a final answer.
+func (l *Log) Answered(id uint64) bool { return len(l.docs[id].Finals) > 0 }
+
+// Stood says that a forwarder was kept from answering, by a standstill or a restart, until a moment.
+func (l *Log) Stood(forwarder int, until float64) {
+	l.stood[forwarder] = math.Max(l.stood[forwarder], until)
+}
+
+// Restarted says that a forwarder's process was killed and may be late until a moment. A restart ends the waits that it
+// was told.
+func (l *Log) Restarted(forwarder int, until float64) {
+	l.Stood(forwarder, until)
+	for k := range l.waits {
+		if k[2] == forwarder {
+			delete(l.waits, k)
+		}
+	}
+}
+
+// due is until when a document has to have its answer.
+func (l *Log) due(d *Doc) float64 { return math.Max(d.Expiry, l.stood[d.From]) + l.Slack.Answer }
+
+// Leaving says that the list has told a forwarder that a target drains.
+func (l *Log) Leaving(dest, target int) {
+	if _, known := l.gone[[2]int{dest, target}]; !known {
+		l.gone[[2]int{dest, target}] = l.Clock.Now()
+	}
+}
+
+// Came, Ran, Fell, Told and Back make a log the partners' record.
+
+func (l *Log) Came(dest, target, from int, docs []partner.Doc) {
+	now := l.Clock.Now()
+	for _, d := range docs {
+		l.came = append(l.came, came{now, dest, target, from, d.ID})
+		if l.open[d.ID] {
+			l.breach(NoDouble, d.ID, "a transmission began while one was out")
+		}
+		l.open[d.ID] = true
+	}
+	at := target
+	if !l.apart(dest) {
+		at = -1
+	}
+	first := uint64(0)
+	if len(docs) > 0 {
+		first = docs[0].ID
+	}
+	if w, told := l.waits[[3]int{dest, at, from}]; told && now > w.told+l.Slack.Wait && now < w.until-0.001 {
+		l.breach(Waits, first, "forwarder %d called destination %d %.2f s before the wait it was told was over", from, dest, w.until-now)
+	}
+	if told, leaving := l.gone[[2]int{dest, target}]; leaving && now > told+l.Slack.Drain {
+		l.breach(Drains, first, "target %d of destination %d was called %.2f s after it was told to be leaving", target, dest, now-told)
+	}
+}
+
+// Closed says that a transmission of a document is out no more: answered, or its connection has ended.
+func (l *Log) Closed(id uint64) { delete(l.open, id) }
+
+func (l *Log) Ran(r partner.Run) { l.runs = append(l.runs, r) }
+
+func (l *Log) Fell(dest, target int) {
+	l.breach(Returns, 0, "destination %d fell over on its return", dest)
+}
+
+func (l *Log) Told(dest, target, from int, seconds float64) {
+	if !l.apart(dest) {
+		target = -1
+	}
+	now := l.Clock.Now()
+	l.waits[[3]int{dest, target, from}] = wait{now, now + seconds}
+}
+
+func (l *Log) Back(dest, target int) {}
+
+// Lost says that a forwarder was lost with all it owed: its documents are judged by their clients alone.
+func (l *Log) Lost(id uint64) { l.docs[id].lost = true }
+
+// Breaches judges the day that has ended.
+func (l *Log) Breaches() []Breach {
+	now := l.Clock.Now()
+	for _, d := range l.order {
+		if d.Taken && len(d.Finals) == 0 && !d.lost && now > l.due(d) {
+			l.breach(OneAnswer, d.ID, "taken and never answered")
+		}
+	}
+	l.doubles()
+	l.orders()
+	for i := range l.found {
+		l.found[i].History = l.history(l.found[i].Doc)
+	}
+	slices.SortStableFunc(l.found, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
+	return l.found
+}
+
+// doubles finds effects that took place twice.
+func (l *Log) doubles() {
+	times := map[uint64]int{}
+	for _, r := range l.runs {
+		d := l.docs[r.Doc.ID]
+		if d == nil || !r.Effect || !d.Binding && !d.Numbered {
+			continue
+		}
+		if times[d.Same]++; times[d.Same] == 2 {
+			l.found = append(l.found, Breach{Rule: NoDouble, At: r.Ended, Doc: d.ID, What: "its effect took place twice"})
+		}
+	}
+}
+
+// orders finds runs of a key's documents that began before an earlier one was over. An earlier one is over when its
+// final answer was heard, or when its last run ended.
+func (l *Log) orders() {
+	byKey := map[uint64][]*Doc{}
+	var keys []uint64
+	for _, d := range l.order {
+		if d.Key != 0 && d.Taken {
+			if byKey[d.Key] == nil {
+				keys = append(keys, d.Key)
+			}
+			byKey[d.Key] = append(byKey[d.Key], d)
+		}
+	}
+	first, last := map[uint64]float64{}, map[uint64]float64{}
+	for _, r := range l.runs {
+		if at, known := first[r.Doc.ID]; !known || r.Began < at {
+			first[r.Doc.ID] = r.Began
+		}
+		if r.Effect {
+			last[r.Doc.ID] = math.Max(last[r.Doc.ID], r.Ended)
+		}
+	}
+	for _, key := range keys {
+		over, before := 0.0, uint64(0)
+		for _, d := range byKey[key] {
+			if began, ran := first[d.ID]; ran && began < over-1e-9 {
+				l.found = append(l.found, Breach{Rule: Order, At: began, Doc: d.ID,
+					What: fmt.Sprintf("ran %.3f s before %x of the same key was over", over-began, before)})
+			}
+			end := last[d.ID]
+			if len(d.Finals) > 0 && d.Finals[0].What != "delivered" { // what still runs of it does so beside the rest of its key
+				end = math.Min(end, d.Finals[0].At)
+			}
+			if end > over {
+				over, before = end, d.ID
+			}
+		}
+	}
+}
+
+// history is what is known of a document, in order of time.
+func (l *Log) history(id uint64) []string {
+	d := l.docs[id]
+	if d == nil {
+		return nil
+	}
+	type line struct {
+		at   float64
+		text string
+	}
+	lines := []line{{d.Handed, fmt.Sprintf("handed in for destination %d, expiry %.3f, key %x", d.Dest, d.Expiry, d.Key)}}
+	for _, c := range l.came {
+		if c.doc == id {
+			lines = append(lines, line{c.at, fmt.Sprintf("came to target %d from forwarder %d", c.target, c.from)})
+		}
+	}
+	for _, r := range l.runs {
+		if r.Doc.ID == id {
+			lines = append(lines, line{r.Ended, fmt.Sprintf("ran at target %d from %.3f on, effect %v", r.Target, r.Began, r.Effect)})
+		}
+	}
+	for _, f := range d.Finals {
+		lines = append(lines, line{f.At, f.What})
+	}
+	slices.SortStableFunc(lines, func(a, b line) int { return cmp.Compare(a.at, b.at) })
+	out := make([]string, len(lines))
+	for i, one := range lines {
+		out[i] = fmt.Sprintf("%.3f %s", one.at, one.text)
+	}
+	return out
+}
+
+// Docs are all documents of the day in the order of their handing in.
+func (l *Log) Docs() []*Doc { return l.order }
--- /dev/null
+++ b/lab/experiment/experiment.go
@@ -0,0 +1,178 @@
+// Package experiment plays scenes many times and says what differs: pairs by seed, axes, and searches for scenes in
+// which a policy does badly.
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+
+	"spanflow/internal/config"
+	"spanflow/lab/scene"
+	"spanflow/lab/sim"
+)
+
+// Arm is one side of a comparison.
+type Arm struct {
+	Name  string
+	Scene *scene.Scene
+	Make  sim.Maker
+}
+
+// Play plays an arm with each seed, as many at once as there are cores. The results are in the order of the seeds.
+func Play(a Arm, seeds []uint64, done func()) []*sim.Result {
+	all := make([]*sim.Result, len(seeds))
+	each(len(seeds), func(i int) {
+		all[i] = sim.Play(a.Scene, seeds[i], a.Make)
+		if done != nil {
+			done()
+		}
+	})
+	return all
+}
+
+func each(n int, do func(i int)) {
+	var wg sync.WaitGroup
+	next := make(chan int)
+	for range min(n, runtime.GOMAXPROCS(0)) {
+		wg.Go(func() {
+			for i := range next {
+				do(i)
+			}
+		})
+	}
+	for i := range n {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+}
+
+// Seeds are the first n from one on.
+func Seeds(from uint64, n int) []uint64 {
+	seeds := make([]uint64, n)
+	for i := range seeds {
+		seeds[i] = from + uint64(i)
+	}
+	return seeds
+}
+
+// Sum is what an arm's results come to.
+type Sum struct {
+	Name     string         `json:"name"`
+	G        []float64      `json:"g"` // by seed
+	Mean     float64        `json:"mean_g"`
+	Worst    float64        `json:"worst_g"`
+	P99      float64        `json:"mean_p99_s"`
+	Breaches map[string]int `json:"breaches"`
+}
+
+// SumUp sums up an arm.
+func SumUp(name string, results []*sim.Result) Sum {
+	s := Sum{Name: name, Worst: math.Inf(1), Breaches: map[string]int{}}
+	for _, r := range results {
+		s.G = append(s.G, r.G)
+		s.Mean += r.G / float64(len(results))
+		s.Worst = math.Min(s.Worst, r.G)
+		s.P99 += r.Latency.P99 / float64(len(results))
+		for _, b := range r.Breaches {
+			s.Breaches[string(b.Rule)]++
+		}
+	}
+	return s
+}
+
+// Comparison is a pair of arms, played with the same seeds.
+type Comparison struct {
+	A       Sum     `json:"a"`
+	B       Sum     `json:"b"`
+	Mean    float64 `json:"mean_difference"` // of the share of value delivered, B less A
+	Low     float64 `json:"low"`             // the middle 95% of resampled means
+	High    float64 `json:"high"`
+	Verdict string  `json:"verdict"`
+}
+
+const resamples = 4000
+
+// Compare plays both arms, a pair a seed, and resamples the differences of the pairs.
+func Compare(a, b Arm, seeds []uint64, done func()) Comparison {
+	ra, rb := make([]*sim.Result, len(seeds)), make([]*sim.Result, len(seeds))
+	each(2*len(seeds), func(i int) { // interleaved
+		if i%2 == 0 {
+			ra[i/2] = sim.Play(a.Scene, seeds[i/2], a.Make)
+		} else {
+			rb[i/2] = sim.Play(b.Scene, seeds[i/2], b.Make)
+		}
+		if done != nil {
+			done()
+		}
+	})
+	c := Comparison{A: SumUp(a.Name, ra), B: SumUp(b.Name, rb)}
+	diffs := make([]float64, len(seeds))
+	for i := range seeds {
+		diffs[i] = c.B.G[i] - c.A.G[i]
+	}
+	c.Mean, c.Low, c.High = bootstrap(diffs)
+	switch {
+	case c.Low > 0:
+		c.Verdict = fmt.Sprintf("%s delivers more", b.Name)
+	case c.High < 0:
+		c.Verdict = fmt.Sprintf("%s delivers more", a.Name)
+	default:
+		c.Verdict = "no difference seen"
+	}
+	return c
+}
+
+// bootstrap is the mean of values and the middle 95% of the means of resamples, always the same for the same values.
+func bootstrap(values []float64) (mean, low, high float64) {
+	for _, v := range values {
+		mean += v / float64(len(values))
+	}
+	dice := rand.New(rand.NewPCG(11, 13))
+	means := make([]float64, resamples)
+	for i := range means {
+		for range values {
+			means[i] += values[dice.IntN(len(values))] / float64(len(values))
+		}
+	}
+	slices.Sort(means)
+	return mean, means[resamples*25/1000], means[resamples*975/1000]
+}
+
+// Axes are what a sweep can vary: a scene with one figure set.
+var Axes = map[string]func(s *scene.Scene, x float64){
+	"forwarders": func(s *scene.Scene, x float64) { s.Dispatch.Forwarders = max(1, int(x)) },
+	"slots":      func(s *scene.Scene, x float64) { s.Dispatch.Slots = max(1, int(x)) },
+	"load":       func(s *scene.Scene, x float64) { s.Load.PerSecond *= x },
+	"trouble": func(s *scene.Scene, x float64) { // how long each lasts, times
+		s.Troubles = slices.Clone(s.Troubles)
+		for i := range s.Troubles {
+			s.Troubles[i].For *= config.Span(x)
+		}
+	},
+	"destinations": func(s *scene.Scene, x float64) {
+		s.Partners = slices.Clone(s.Partners)
+		for i := range s.Partners {
+			s.Partners[i].Count = max(1, int(float64(s.Partners[i].Count)*x))
+		}
+		s.Troubles = slices.DeleteFunc(slices.Clone(s.Troubles), func(t scene.Trouble) bool { return len(t.Dest) > 0 && x < 1 })
+	},
+}
+
+// Vary is a scene with one figure of an axis set.
+func Vary(s *scene.Scene, axis string, x float64) (*scene.Scene, error) {
+	set := Axes[axis]
+	if set == nil {
+		return nil, fmt.Errorf("unknown axis %q", axis)
+	}
+	v := *s
+	set(&v, x)
+	if wrong := v.Check(); len(wrong) > 0 {
+		return nil, wrong
+	}
+	return &v, nil
+}
--- /dev/null
+++ b/lab/experiment/experiment_test.go
@@ -0,0 +1,101 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/lab/report"
+	"spanflow/lab/scene"
+	"spanflow/lab/sim"
+)
+
+func arm(t *testing.T, name string, make sim.Maker) Arm {
+	s, err := scene.Read(name)
+	require.NoError(t, err)
+	s.Length, s.Drain = 30, 20
+	return Arm{name, s, make}
+}
+
+func TestAnArmAgainstItselfShowsNoDifferenceAndAWorseOneDoes(t *testing.T) {
+	a := arm(t, "several-at-once", sim.Module)
+	c := Compare(a, a, Seeds(1, 6), nil)
+	require.Equal(t, []any{0.0, 0.0, 0.0, "no difference seen"}, []any{c.Mean, c.Low, c.High, c.Verdict})
+	b := a
+	b.Name, b.Make = "fifo", sim.Baselines["fifo"]
+	c = Compare(b, a, Seeds(1, 6), nil)
+	require.Greater(t, c.Low, 0.0, c)
+	require.Equal(t, a.Name+" delivers more", c.Verdict)
+	mean, low, high := bootstrap([]float64{-0.1, 0.1, -0.2, 0.2})
+	require.True(t, mean == 0 && low < 0 && high > 0)
+}
+
+func TestAnAxisVariesOneFigureOfACopy(t *testing.T) {
+	a := arm(t, "one-partner-hangs", nil)
+	v, err := Vary(a.Scene, "trouble", 2)
+	require.NoError(t, err)
+	require.Equal(t, 2*a.Scene.Troubles[0].For, v.Troubles[0].For)
+	v, err = Vary(a.Scene, "forwarders", 7)
+	require.True(t, err == nil && v.Dispatch.Forwarders == 7 && a.Scene.Dispatch.Forwarders == 3)
+	_, err = Vary(a.Scene, "load", -1)
+	require.Error(t, err)
+	_, err = Vary(a.Scene, "colour", 1)
+	require.ErrorContains(t, err, "unknown axis")
+}
+
+// shut is the module but for one partner, whose documents it turns away.
+type shut struct {
+	sim.Policy
+	now, began float64
+}
+
+func (s *shut) Clock(now float64) {
+	s.now = now
+	s.Policy.Clock(now)
+}
+
+func (s *shut) Admit(size int, left float64) (bool, float64) {
+	if s.now > s.began+15 {
+		return false, 1
+	}
+	return s.Policy.Admit(size, left)
+}
+
+func TestASearchFindsWhereAPolicyDoesBadlyAndShrinksIt(t *testing.T) {
+	a := arm(t, "calm", nil)
+	bad := func(terms choice.Terms, seed uint64, now float64, h choice.Host) sim.Policy {
+		return &shut{Policy: sim.Module(terms, seed, now, h), began: now}
+	}
+	found := Search(context.Background(), a.Scene, bad, 1, 16, 1, nil)
+	require.Len(t, found, 1)
+	f := found[0]
+	require.Greater(t, f.Loss(), 0.3)
+	require.NotZero(t, f.Steps)
+	require.Less(t, len(f.Scene.Troubles), 2, "it needs no trouble to do badly")
+	text, err := f.Text()
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "f.toml")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	s, err := scene.Read(path)
+	require.NoError(t, err, string(text))
+	again := judge(s, f.Seed, bad)
+	require.Equal(t, []any{f.G, f.Rules}, []any{again.G, again.Rules}, "the kept scene shows it still")
+}
+
+func TestAReportIsOnePageWithItsNumbers(t *testing.T) {
+	a := arm(t, "returns-cold", sim.Baselines["fifo"])
+	var b bytes.Buffer
+	require.NoError(t, report.Write(&b, a.Scene, Play(a, Seeds(1, 1), nil)))
+	text := b.String()
+	for _, part := range []string{"<svg", "Rules broken", "returns not pushed over", `"value_delivered"`, "Dashed lines", "refuse"} {
+		require.Contains(t, text, part)
+	}
+	for _, part := range []string{"<link", "src=", "@import"} {
+		require.NotContains(t, text, part, "nothing is fetched from elsewhere")
+	}
+}
--- /dev/null
+++ b/lab/load/run.go
@@ -0,0 +1,247 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Doc is a document to be handed in.
+type Doc struct {
+	At     float64 `json:"at"` // seconds from the beginning
+	Dest   uint64  `json:"dest"`
+	Type   string  `json:"type"`
+	Tenant string  `json:"tenant,omitempty"`
+	Key    string  `json:"key,omitempty"`    // ordering key, up to 16 hexadecimal digits
+	Number string  `json:"number,omitempty"` // by which a repeat is known
+	Life   float64 `json:"life,omitempty"`   // seconds that it may take; 0: the run's
+	Bytes  int     `json:"bytes,omitempty"`  // of its body; 0: the run's
+}
+
+// Source tells what arrives, in order of time. False after the last.
+type Source interface {
+	Next() (Doc, bool)
+}
+
+// Run is a load on a forwarder's front. Arrivals wait for nobody: where all connections are busy a document waits here,
+// and its time counts from the intended moment all the same.
+type Run struct {
+	Addr        string
+	Connections int           // at most
+	Timeout     time.Duration // an answer that takes longer, counted from its sending, is none
+	Life        float64
+	Bytes       int
+	Prefix      string // of ids
+	Progress    func(sent, open int)
+}
+
+// Report is what a run saw.
+type Report struct {
+	Sent      int            `json:"sent"`
+	Answers   map[string]int `json:"answers"` // ok, busy, error, none
+	Lasted    float64        `json:"seconds"`
+	MostLate  float64        `json:"most_late_s"` // by which the tool itself was late in sending, with a connection at hand
+	Intended  Times          `json:"intended"`    // from the intended moment to the answer
+	Naive     Times          `json:"naive"`       // from the sending, as a closed loop would count: hides what a stall does
+	OpenAtEnd int            `json:"without_answer"`
+
+	intended, naive *hdrhistogram.Histogram
+}
+
+// Times are percentiles in seconds.
+type Times struct {
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+	Mean float64 `json:"mean"`
+}
+
+func times(h *hdrhistogram.Histogram) Times {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1e6 }
+	return Times{at(50), at(90), at(99), at(99.9), float64(h.Max()) / 1e6, h.Mean() / 1e6}
+}
+
+const (
+	mostTime  = 3_600_000_000 // microseconds in a histogram
+	mostQueue = 1 << 20       // documents that wait for a connection
+)
+
+type job struct {
+	doc      Doc
+	id       string
+	intended time.Time
+}
+
+// Do plays a source and returns once each document has its answer or is given up.
+func (r Run) Do(ctx context.Context, src Source) (*Report, error) {
+	if r.Connections < 1 || r.Timeout <= 0 || r.Life <= 0 {
+		return nil, errors.New("connections, timeout and life have to be over 0")
+	}
+	rep := &Report{Answers: map[string]int{}, intended: hdrhistogram.New(1, mostTime, 3), naive: hdrhistogram.New(1, mostTime, 3)}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	jobs := make(chan job, mostQueue)
+	idle, workers, open := 0, 0, 0
+	body := strings.Repeat("x", 64<<10)
+	work := func() {
+		defer wg.Done()
+		c := &line{addr: r.Addr, timeout: r.Timeout}
+		defer c.close()
+		for j := range jobs {
+			mu.Lock()
+			idle--
+			mu.Unlock()
+			sent := time.Now()
+			answer := c.put(r, j, body)
+			now := time.Now()
+			mu.Lock()
+			rep.Answers[answer]++
+			rep.intended.RecordValue(clamp(now.Sub(j.intended)))
+			rep.naive.RecordValue(clamp(now.Sub(sent)))
+			open--
+			idle++
+			mu.Unlock()
+		}
+	}
+	began := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		doc, more := src.Next()
+		if !more {
+			break
+		}
+		at := began.Add(time.Duration(doc.At * float64(time.Second)))
+		if wait := time.Until(at); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		rep.Sent++
+		mu.Lock()
+		open++
+		if idle-len(jobs) <= 0 && workers < r.Connections {
+			workers++
+			idle++
+			wg.Add(1)
+			go work()
+		}
+		if idle > len(jobs) {
+			rep.MostLate = max(rep.MostLate, time.Since(at).Seconds())
+		}
+		if r.Progress != nil && rep.Sent%100 == 0 {
+			r.Progress(rep.Sent, open)
+		}
+		mu.Unlock()
+		select {
+		case jobs <- job{doc, fmt.Sprintf("%s%x", r.Prefix, rep.Sent), at}:
+		default: // charged for the whole run
+			mu.Lock()
+			rep.Answers["none"]++
+			rep.intended.RecordValue(clamp(r.Timeout))
+			open--
+			mu.Unlock()
+		}
+	}
+	close(jobs)
+	wg.Wait()
+	rep.Lasted = time.Since(began).Seconds()
+	rep.OpenAtEnd = open
+	rep.Intended, rep.Naive = times(rep.intended), times(rep.naive)
+	return rep, ctx.Err()
+}
+
+func clamp(d time.Duration) int64 { return min(max(1, d.Microseconds()), mostTime) }
+
+// line is one connection to a forwarder, made when it is needed.
+type line struct {
+	addr    string
+	timeout time.Duration
+	conn    net.Conn
+	in      *bufio.Reader
+}
+
+func (l *line) close() {
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// put hands one document in. A connection that the forwarder closed between requests is made anew once.
+func (l *line) put(r Run, j job, body string) string {
+	n, life := j.doc.Bytes, j.doc.Life
+	if n == 0 {
+		n = r.Bytes
+	}
+	if life == 0 {
+		life = r.Life
+	}
+	left := life - time.Since(j.intended).Seconds()
+	if left <= 0 {
+		return "expired" // it never left the tool: no connection was free in time
+	}
+	names := fmt.Sprintf("c=%s,d=%d,dest=%d", j.doc.Type, int(left*1000), j.doc.Dest)
+	if j.doc.Number != "" {
+		names += ",k=" + j.doc.Number
+	}
+	if j.doc.Tenant != "" {
+		names += ",t=" + j.doc.Tenant
+	}
+	key := j.doc.Key
+	if key == "" {
+		key = "0"
+	}
+	var b strings.Builder
+	b.WriteString("*5\r\n")
+	for _, a := range []string{"MSG.PUT", key, j.id, names, body[:min(n, len(body))]} {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(a), a)
+	}
+	for range 2 {
+		fresh := l.conn == nil
+		if fresh {
+			c, err := net.DialTimeout("tcp", l.addr, l.timeout)
+			if err != nil {
+				return "none"
+			}
+			l.conn, l.in = c, bufio.NewReader(c)
+		}
+		l.conn.SetDeadline(time.Now().Add(l.timeout))
+		_, err := io.WriteString(l.conn, b.String())
+		answer := ""
+		if err == nil {
+			answer, err = l.in.ReadString('\n')
+		}
+		if err != nil {
+			l.close()
+			var late net.Error
+			if fresh || errors.As(err, &late) && late.Timeout() {
+				return "none"
+			}
+			continue
+		}
+		switch {
+		case strings.HasPrefix(answer, "+"):
+			return "ok"
+		case strings.HasPrefix(answer, "-BUSY"):
+			return "busy"
+		}
+		return "error"
+	}
+	return "none"
+}
--- /dev/null
+++ b/lab/partner/clock.go
@@ -0,0 +1,30 @@
+// Package partner is the model of outside receivers: their places, queues, limits, returns from an outage and troubles.
+// It does no I/O and reads no clock but the one it is given, so that it serves simulated days and real sockets alike.
+package partner
+
+import "math/rand/v2"
+
+// Clock is the time in which a model lives, in seconds. On a simulated one After runs in order of time; on a real one
+// the model's calls have to be made under one lock, which After takes.
+type Clock interface {
+	Now() float64
+	After(in float64, do func())
+}
+
+// Dist is a distribution of service times.
+type Dist struct {
+	Form string  // fixed, exponential, lognormal
+	Mean float64 // seconds
+	Wide float64 // lognormal: standard deviation of the logarithm
+}
+
+// Draw takes a time from the distribution.
+func (d Dist) Draw(dice *rand.Rand) float64 {
+	switch d.Form {
+	case "exponential":
+		return d.Mean * dice.ExpFloat64()
+	case "lognormal": // its mean is exp(mu + sigma²/2)
+		return d.Mean * exp(d.Wide*dice.NormFloat64()-d.Wide*d.Wide/2)
+	}
+	return d.Mean
+}
--- /dev/null
+++ b/lab/partner/partner.go
@@ -0,0 +1,467 @@
+package partner
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"spanflow/seam"
+)
+
+func exp(x float64) float64 { return math.Exp(x) }
+
+// Terms are what one destination is like.
+type Terms struct {
+	Service Dist
+	Places  int // calls that a target works on at once
+	Queue   int // calls that wait at a target beyond them; more are turned away
+
+	Rate  float64 // calls a second that the limit lets in, 0: no such limit
+	Burst float64 // calls that it lets in at once after a rest; 0: one
+	Count int     // calls let in within Span, 0: no such limit
+	Span  float64
+	Apart bool // each target has a limit and outages of its own
+	Tells bool // a call that is turned away by the limit is told how long to wait
+	Shows bool // answers report the limit
+
+	ColdFrom float64 // share of its capacity that it has when it is back
+	ColdFor  float64 // until it has all again
+	Fall     float64 // it falls over when met with more than this multiple of its present capacity
+	FallFor  float64 // and is down for so long
+
+	Memory float64 // of numbers, from the transmission on
+	Zoned  bool    // a number is known in one zone only
+}
+
+// Doc is a document as a partner sees it.
+type Doc struct {
+	ID     uint64
+	Mark   uint64 // its number, 0 if it has none
+	Tenant int
+}
+
+// Run is what a partner writes down of one document of a call.
+type Run struct {
+	Doc    Doc
+	Dest   int
+	Target int
+	From   int     // the forwarder
+	Came   float64 // when the call's last byte came
+	Began  float64
+	Ended  float64
+	Effect bool // false: its number was known
+}
+
+// Record is who writes down what happens at partners. Nothing of it comes from a forwarder.
+type Record interface {
+	Came(dest, target, from int, docs []Doc) // a call came whole, whatever becomes of it
+	Ran(Run)
+	Fell(dest, target int)
+	Told(dest, target, from int, wait float64) // a wait was told
+	Back(dest, target int)                     // it answers again after an outage
+}
+
+// Call is one call on its way through a target.
+type Call struct {
+	From    int
+	Docs    []Doc
+	Answer  func(Answer) // at most once; never if the answer gets lost
+	target  *Target
+	came    float64
+	queued  bool
+	over    bool // answered, or the caller has gone
+	started bool
+}
+
+// Answer is what a caller gets.
+type Answer struct {
+	End  seam.End
+	Wait float64
+	Most float64
+}
+
+// Destination is one receiver.
+type Destination struct {
+	Number  int
+	Terms   Terms
+	Targets []*Target
+	clock   Clock
+	record  Record
+	dice    *rand.Rand
+	limit   limit
+	met     met
+	known   [2]numbers // of the zones; without zones all in the first
+}
+
+// Target is one endpoint of a destination.
+type Target struct {
+	Dest    *Destination
+	Number  int
+	Zone    int
+	Trouble Trouble
+	limit   limit
+	met     met
+	busy    int
+	line    []*Call
+	back    float64 // when it came back cold; 0: it has been up for long
+	down    int     // outages that are on
+	stuck   []*Call // taken up while it hangs
+	working []*Call
+}
+
+// Trouble is what is wrong with a target now. Several may be on at once.
+type Trouble struct {
+	Hang     int     // works on nothing; what came meanwhile is worked on after it
+	Silent   int     // nothing comes in or goes out
+	Slow     float64 // times are multiplied by it; 0: not
+	SlowFor  int     // only for this tenant, if above 0: its number plus one
+	Err      float64 // share of calls that end with an error, half of them after running
+	Reset    float64 // share of calls whose connection breaks, half of them after running
+	Lose     float64 // share of answers that get lost after running
+	Spoil    float64 // share of answers that cannot be read
+	Cut      float64 // the limit is this share of what it was; 0: whole
+	Every    int     // gray: only one of so many calls meets Err, Reset, Lose and Spoil; 0: all
+	Odd      bool    // gray: only calls of forwarders with odd numbers do
+	Draining bool
+	Left     bool
+	seen     int
+}
+
+// New makes a destination with targets spread over zones.
+func New(number int, terms Terms, targets, zones int, clock Clock, dice *rand.Rand, record Record) *Destination {
+	d := &Destination{Number: number, Terms: terms, clock: clock, record: record, dice: dice}
+	d.limit.fill(&terms, clock.Now())
+	for i := range targets {
+		d.Add(i % max(1, zones))
+	}
+	return d
+}
+
+// Add makes a further target.
+func (d *Destination) Add(zone int) *Target {
+	t := &Target{Dest: d, Number: len(d.Targets), Zone: zone}
+	t.limit.fill(&d.Terms, d.clock.Now())
+	d.Targets = append(d.Targets, t)
+	return t
+}
+
+// capacity is the calls a second that so many of its targets get done when they are warm.
+func (d *Destination) capacity(targets int) float64 {
+	return float64(targets*d.Terms.Places) / d.Terms.Service.Mean
+}
+
+// Up tells if a connection to the target comes up: refused is the immediate no, silent none at all.
+func (t *Target) Up() (refused, silent bool) {
+	return t.down > 0 || t.Trouble.Left, t.Trouble.Silent > 0
+}
+
+// Down begins an outage, Rise ends one: the target returns cold.
+func (t *Target) Down() {
+	t.down++
+	for _, c := range t.line {
+		c.queued = false
+		c.end(Answer{End: seam.Broken})
+	}
+	t.line = nil
+	for _, c := range t.working { // runs on, and nobody hears of it
+		c.end(Answer{End: seam.Broken})
+	}
+	t.met = met{}
+}
+
+// Rise ends an outage.
+func (t *Target) Rise() {
+	if t.down--; t.down == 0 {
+		t.returns()
+	}
+}
+
+func (t *Target) returns() {
+	t.back = t.Dest.clock.Now()
+	t.met = met{}
+	if !t.Dest.Terms.Apart {
+		t.Dest.met = met{}
+	}
+	t.Dest.record.Back(t.Dest.Number, t.Number)
+}
+
+// Resume ends a hang: what was taken up meanwhile is worked on.
+func (t *Target) Resume() {
+	if t.Trouble.Hang--; t.Trouble.Hang > 0 {
+		return
+	}
+	stuck := t.stuck
+	t.stuck = nil
+	t.returns()
+	for _, c := range stuck {
+		t.work(c)
+	}
+}
+
+// share is how much of its capacity the target has now.
+func (t *Target) share() float64 {
+	d := t.Dest
+	if t.back == 0 || d.Terms.ColdFor <= 0 {
+		return 1
+	}
+	warm := (d.clock.Now() - t.back) / d.Terms.ColdFor
+	if warm >= 1 {
+		t.back = 0
+		return 1
+	}
+	return d.Terms.ColdFrom + (1-d.Terms.ColdFrom)*warm
+}
+
+// pushed counts a call that came to a cold target and tells if that pushes it over.
+func (t *Target) pushed() bool {
+	d, share := t.Dest, t.share()
+	if share >= 1 || d.Terms.Fall <= 0 {
+		return false
+	}
+	m, n := &d.met, 0
+	for _, o := range d.Targets {
+		if !o.Trouble.Left && o.down == 0 {
+			n++
+		}
+	}
+	if d.Terms.Apart {
+		m, n = &t.met, 1
+	}
+	return m.count(d.clock.Now()) > math.Max(2, d.Terms.Fall*share*d.capacity(n))
+}
+
+// met counts calls within the second past.
+type met struct{ at []float64 }
+
+func (m *met) count(now float64) float64 {
+	for len(m.at) > 0 && m.at[0] <= now-1 {
+		m.at = m.at[1:]
+	}
+	m.at = append(m.at, now)
+	return float64(len(m.at))
+}
+
+// Take takes a call whose last byte has come. Whoever calls has seen by Up that a connection stands.
+func (t *Target) Take(c *Call) {
+	d := t.Dest
+	now := d.clock.Now()
+	c.target, c.came = t, now
+	d.record.Came(d.Number, t.Number, c.From, c.Docs)
+	switch refused, silent := t.Up(); {
+	case silent:
+		return // as if it had never come
+	case refused:
+		c.end(Answer{End: seam.Broken})
+		return
+	}
+	if t.pushed() {
+		d.record.Fell(d.Number, t.Number)
+		for _, o := range d.Targets {
+			if o == t || !d.Terms.Apart {
+				o.Down()
+				d.clock.After(d.Terms.FallFor, o.Rise)
+			}
+		}
+		c.end(Answer{End: seam.Broken})
+		return
+	}
+	if t.Trouble.Draining || t.Trouble.Left {
+		c.end(Answer{End: seam.TurnedAway})
+		return
+	}
+	l := &d.limit
+	if d.Terms.Apart {
+		l = &t.limit
+	}
+	if wait, full := l.take(&d.Terms, t.Trouble.Cut, now); full {
+		a := Answer{End: seam.TurnedAway}
+		if d.Terms.Tells {
+			a = Answer{End: seam.Waiting, Wait: wait}
+			d.record.Told(d.Number, t.Number, c.From, wait)
+		}
+		c.end(t.reports(a))
+		return
+	}
+	switch {
+	case t.busy < d.Terms.Places:
+		t.busy++
+		t.work(c)
+	case len(t.line) < d.Terms.Queue:
+		c.queued = true
+		t.line = append(t.line, c)
+	default:
+		c.end(t.reports(Answer{End: seam.TurnedAway}))
+	}
+}
+
+func (t *Target) reports(a Answer) Answer {
+	if t.Dest.Terms.Shows {
+		if a.Most = t.Dest.Terms.Rate; a.Most == 0 {
+			a.Most = -1
+		} else if t.Trouble.Cut > 0 {
+			a.Most *= t.Trouble.Cut
+		}
+	}
+	return a
+}
+
+// Cancel says that the caller has gone. A call that waits is not worked on; one that is being worked on runs on.
+func (c *Call) Cancel() {
+	c.over = true
+	if !c.queued {
+		return
+	}
+	c.queued = false
+	line := c.target.line
+	for i, o := range line {
+		if o == c {
+			c.target.line = append(line[:i:i], line[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Call) end(a Answer) {
+	if !c.over {
+		c.over = true
+		c.Answer(a)
+	}
+}
+
+// work works on a call for which there is a place.
+func (t *Target) work(c *Call) {
+	d := t.Dest
+	if t.Trouble.Hang > 0 {
+		t.stuck = append(t.stuck, c)
+		return
+	}
+	took := d.Terms.Service.Draw(d.dice) / t.share()
+	if s := t.Trouble.Slow; s > 0 && (t.Trouble.SlowFor == 0 || len(c.Docs) > 0 && c.Docs[0].Tenant == t.Trouble.SlowFor-1) {
+		took *= s
+	}
+	end, runs, lost := t.fate(c)
+	began := d.clock.Now()
+	t.working = append(t.working, c)
+	d.clock.After(took, func() {
+		for i, o := range t.working {
+			if o == c {
+				t.working = append(t.working[:i], t.working[i+1:]...)
+				break
+			}
+		}
+		if runs {
+			for _, doc := range c.Docs {
+				d.ran(t, c, doc, began)
+			}
+		}
+		if !lost && t.Trouble.Silent == 0 && t.down == 0 {
+			c.end(t.reports(Answer{End: end}))
+		}
+		t.next()
+	})
+}
+
+// fate draws what troubles do to a call.
+func (t *Target) fate(c *Call) (end seam.End, runs, lost bool) {
+	end, runs = seam.Took, true
+	r := &t.Trouble
+	if r.Err+r.Reset+r.Lose+r.Spoil == 0 || r.Odd && c.From%2 == 0 {
+		return end, runs, false
+	}
+	if r.seen++; r.Every > 1 && r.seen%r.Every != 0 {
+		return end, runs, false
+	}
+	switch x := t.Dest.dice.Float64(); {
+	case x < r.Err:
+		return seam.Failed, x < r.Err/2, false
+	case x < r.Err+r.Reset:
+		return seam.Broken, x < r.Err+r.Reset/2, false
+	case x < r.Err+r.Reset+r.Lose:
+		return end, runs, true
+	case x < r.Err+r.Reset+r.Lose+r.Spoil:
+		return seam.Garbled, runs, false
+	}
+	return end, runs, false
+}
+
+// next takes the place that came free.
+func (t *Target) next() {
+	if len(t.line) == 0 || t.down > 0 {
+		t.busy--
+		return
+	}
+	c := t.line[0]
+	t.line = t.line[1:]
+	c.queued = false
+	t.work(c)
+}
+
+func (d *Destination) ran(t *Target, c *Call, doc Doc, began float64) {
+	now, zone := d.clock.Now(), 0
+	if d.Terms.Zoned {
+		zone = t.Zone % len(d.known)
+	}
+	effect := true
+	if doc.Mark != 0 && d.Terms.Memory > 0 {
+		effect = d.known[zone].learn(doc.Mark, c.came, now, d.Terms.Memory)
+	}
+	d.record.Ran(Run{Doc: doc, Dest: d.Number, Target: t.Number, From: c.From, Came: c.came, Began: began, Ended: now, Effect: effect})
+}
+
+// numbers are those that a destination remembers; the memory counts from the transmission on.
+type numbers struct {
+	until map[uint64]float64
+	order []uint64
+}
+
+func (n *numbers) learn(mark uint64, came, now, memory float64) (fresh bool) {
+	for len(n.order) > 0 && n.until[n.order[0]] <= now {
+		delete(n.until, n.order[0])
+		n.order = n.order[1:]
+	}
+	if n.until == nil {
+		n.until = map[uint64]float64{}
+	}
+	if u, known := n.until[mark]; known && u > now {
+		return false
+	}
+	if _, known := n.until[mark]; !known {
+		n.order = append(n.order, mark)
+	}
+	n.until[mark] = came + memory
+	return true
+}
+
+// limit is a plain rate (a bucket that fills), a count within a span, or both.
+type limit struct {
+	tokens, at float64
+	let        []float64
+}
+
+func (l *limit) fill(t *Terms, now float64) { l.tokens, l.at = math.Max(1, t.Burst), now }
+
+// take lets a call in or tells after what time one would be.
+func (l *limit) take(t *Terms, cut, now float64) (wait float64, full bool) {
+	if cut == 0 {
+		cut = 1
+	}
+	if rate := t.Rate * cut; t.Rate > 0 {
+		l.tokens = math.Min(math.Max(1, t.Burst), l.tokens+(now-l.at)*rate)
+		l.at = now
+		if l.tokens < 1-1e-9 {
+			return (1 - l.tokens) / rate, true
+		}
+	}
+	if t.Count > 0 {
+		for len(l.let) > 0 && l.let[0] <= now-t.Span {
+			l.let = l.let[1:]
+		}
+		if most := max(1, int(float64(t.Count)*cut)); len(l.let) >= most {
+			return l.let[len(l.let)-most] + t.Span - now, true
+		}
+		l.let = append(l.let, now)
+	}
+	if t.Rate > 0 {
+		l.tokens--
+	}
+	return 0, false
+}
--- /dev/null
+++ b/lab/partner/partner_test.go
@@ -0,0 +1,190 @@
+package partner_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/lab/clock"
+	"spanflow/lab/load"
+	"spanflow/lab/partner"
+	"spanflow/seam"
+)
+
+// notes is a record that sums up waits.
+type notes struct {
+	runs   int
+	waited float64
+	fell   int
+	told   []float64
+	all    []partner.Run
+}
+
+func (n *notes) Came(int, int, int, []partner.Doc) {}
+func (n *notes) Ran(r partner.Run) {
+	n.runs++
+	n.waited += r.Began - r.Came
+	if len(n.all) < 10_000 {
+		n.all = append(n.all, r)
+	}
+}
+func (n *notes) Fell(int, int)                  { n.fell++ }
+func (n *notes) Told(_, _, _ int, wait float64) { n.told = append(n.told, wait) }
+func (n *notes) Back(int, int)                  {}
+
+// feed sends calls by a rate and returns how each ended.
+func feed(terms partner.Terms, rate float64, calls int, even bool) (*notes, map[seam.End]int) {
+	q, n, ends := &clock.Queue{}, &notes{}, map[seam.End]int{}
+	dice := rand.New(rand.NewPCG(1, 2))
+	d := partner.New(0, terms, 1, 1, q, dice, n)
+	arrivals := load.Poisson(load.Shape{{Rate: rate}}, math.Inf(1), rand.New(rand.NewPCG(3, 4)))
+	if even {
+		arrivals = load.Even(load.Shape{{Rate: rate}}, math.Inf(1))
+	}
+	left := calls
+	var next func()
+	next = func() {
+		at, _ := arrivals.Next()
+		q.At(at, func() {
+			d.Targets[0].Take(&partner.Call{Docs: []partner.Doc{{ID: uint64(left)}}, Answer: func(a partner.Answer) { ends[a.End]++ }})
+			if left--; left > 0 {
+				next()
+			}
+		})
+	}
+	next()
+	for q.Step(math.Inf(1)) {
+	}
+	return n, ends
+}
+
+// erlangB is the share of calls lost with c places and an offered load of a.
+func erlangB(c int, a float64) float64 {
+	b := 1.0
+	for i := 1; i <= c; i++ {
+		b = a * b / (float64(i) + a*b)
+	}
+	return b
+}
+
+func TestWaitsAreThoseOfTheory(t *testing.T) {
+	const mean, calls = 0.1, 1_000_000
+	for _, c := range []struct {
+		places int
+		busy   float64
+	}{{1, 0.7}, {4, 0.7}, {8, 0.8}} {
+		a := c.busy * float64(c.places)
+		b := erlangB(c.places, a)
+		erlangC := b / (1 - c.busy*(1-b))
+		want := erlangC * mean / (float64(c.places) * (1 - c.busy))
+		n, _ := feed(partner.Terms{Service: partner.Dist{Form: "exponential", Mean: mean}, Places: c.places, Queue: 1 << 30}, a/mean, calls, false)
+		require.InEpsilon(t, want, n.waited/float64(n.runs), 0.03, "M/M/%d", c.places)
+	}
+	n, _ := feed(partner.Terms{Service: partner.Dist{Form: "fixed", Mean: mean}, Places: 1, Queue: 1 << 30}, 0.7/mean, calls, false)
+	require.InEpsilon(t, 0.7*mean/(2*(1-0.7)), n.waited/float64(n.runs), 0.03, "M/D/1")
+}
+
+func TestLossesAreThoseOfTheory(t *testing.T) {
+	for _, c := range []struct {
+		places int
+		a      float64
+	}{{1, 0.5}, {4, 3}, {10, 9}} {
+		_, ends := feed(partner.Terms{Service: partner.Dist{Form: "exponential", Mean: 0.1}, Places: c.places}, c.a/0.1, 400_000, false)
+		require.InEpsilon(t, erlangB(c.places, c.a), float64(ends[seam.TurnedAway])/400_000, 0.03, "M/M/%d/%d", c.places, c.places)
+	}
+}
+
+func TestALimitLetsInExactlyWhatItSays(t *testing.T) {
+	quick := partner.Dist{Form: "fixed", Mean: 0.001}
+	_, ends := feed(partner.Terms{Service: quick, Places: 100, Rate: 10, Burst: 5}, 100, 1000, true) // ten seconds
+	require.InDelta(t, 5+10*10, ends[seam.Took], 1, "what it saved up and ten a second")
+	n, ends := feed(partner.Terms{Service: quick, Places: 100, Count: 7, Span: 2, Tells: true}, 100, 1000, true)
+	require.Equal(t, 7*5, ends[seam.Took], "seven in any two seconds")
+	require.Equal(t, 1000-35, ends[seam.Waiting])
+	for i := range n.all[7:] {
+		require.GreaterOrEqual(t, n.all[i+7].Came-n.all[i].Came, 2-1e-6)
+	}
+	require.InDelta(t, 2-0.07, n.told[0], 1e-6, "the wait ends when the first of the seven is two seconds old")
+}
+
+func TestAColdTargetFallsOverWhenItIsPushedAndNotBefore(t *testing.T) {
+	terms := partner.Terms{Service: partner.Dist{Form: "fixed", Mean: 0.1}, Places: 4, Queue: 1000, ColdFrom: 0.25, ColdFor: 10, Fall: 2, FallFor: 5}
+	for _, c := range []struct {
+		rate float64
+		fell bool
+	}{{15, false}, {30, true}} { // warm 40 a second; at its return it stands 2 x 0.25 x 40 = 20
+		q, n := &clock.Queue{}, &notes{}
+		d := partner.New(0, terms, 1, 1, q, rand.New(rand.NewPCG(1, 2)), n)
+		d.Targets[0].Down()
+		q.After(1, d.Targets[0].Rise)
+		for i := range 30 {
+			q.At(1.01+float64(i)/c.rate, func() { d.Targets[0].Take(&partner.Call{Answer: func(partner.Answer) {}}) })
+		}
+		for q.Step(4) {
+		}
+		require.Equal(t, c.fell, n.fell > 0, "%v a second", c.rate)
+	}
+}
+
+func TestANumberIsKnownForItsMemoryAndTakesEffectOnce(t *testing.T) {
+	q, n := &clock.Queue{}, &notes{}
+	d := partner.New(0, partner.Terms{Service: partner.Dist{Form: "fixed", Mean: 0.01}, Places: 4, Memory: 5}, 2, 1, q, rand.New(rand.NewPCG(1, 2)), n)
+	for i, at := range []float64{0, 1, 4.9, 5.5} {
+		q.At(at, func() {
+			d.Targets[i%2].Take(&partner.Call{Docs: []partner.Doc{{ID: uint64(i), Mark: 9}}, Answer: func(partner.Answer) {}})
+		})
+	}
+	for q.Step(100) {
+	}
+	require.Equal(t, []bool{true, false, false, true}, []bool{n.all[0].Effect, n.all[1].Effect, n.all[2].Effect, n.all[3].Effect})
+}
+
+func TestTroublesDoWhatTheySay(t *testing.T) {
+	q, n := &clock.Queue{}, &notes{}
+	d := partner.New(0, partner.Terms{Service: partner.Dist{Form: "fixed", Mean: 0.01}, Places: 2, Queue: 10}, 1, 1, q, rand.New(rand.NewPCG(1, 2)), n)
+	target := d.Targets[0]
+	var ends []seam.End
+	call := func() *partner.Call {
+		c := &partner.Call{Docs: []partner.Doc{{ID: 1}}, Answer: func(a partner.Answer) { ends = append(ends, a.End) }}
+		target.Take(c)
+		return c
+	}
+	run := func() []seam.End {
+		ends = nil
+		for q.Step(math.Inf(1)) {
+		}
+		return ends
+	}
+	target.Trouble.Hang = 1
+	call()
+	call()
+	waiting := call()
+	require.Empty(t, run())
+	waiting.Cancel() // waits in line: never runs
+	target.Resume()
+	require.Equal(t, []seam.End{seam.Took, seam.Took}, run())
+	require.Equal(t, 2, n.runs)
+	target.Trouble.Silent = 1
+	call()
+	require.Empty(t, run())
+	target.Trouble = partner.Trouble{Lose: 1}
+	call()
+	require.Empty(t, run())
+	require.Equal(t, 3, n.runs, "ran, though nobody heard")
+	target.Trouble = partner.Trouble{Err: 1, Every: 2}
+	call()
+	call()
+	require.ElementsMatch(t, []seam.End{seam.Took, seam.Failed}, run())
+	target.Trouble, ends = partner.Trouble{Draining: true}, nil
+	call()
+	require.Equal(t, []seam.End{seam.TurnedAway}, ends)
+	target.Trouble = partner.Trouble{}
+	call()
+	ends = nil
+	target.Down()
+	require.Equal(t, []seam.End{seam.Broken}, ends, "what it works on breaks")
+	refused, _ := target.Up()
+	require.True(t, refused)
+}
--- /dev/null
+++ b/lab/scene/scene.go
@@ -0,0 +1,355 @@
+// Package scene reads scenes: what partners, forwarders and load are like, and what befalls them when. A scene is TOML,
+// checked as a whole like any configuration.
+package scene
+
+import (
+	"embed"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+
+	"spanflow/choice"
+	"spanflow/internal/config"
+	"spanflow/lab/load"
+	"spanflow/lab/partner"
+)
+
+// Scene is one day in small.
+type Scene struct {
+	Name       string          `toml:"name"`
+	About      string          `toml:"about"`
+	Seed       uint64          `toml:"seed"`
+	Length     config.Span     `toml:"length"` // documents come for so long
+	Drain      config.Span     `toml:"drain"`  // what is held may end in so long after that
+	Zones      int             `toml:"zones"`
+	Rest       config.Span     `toml:"network"` // from one side to the other
+	Dispatch   config.Dispatch `toml:"dispatch"`
+	Types      []Type          `toml:"types"`
+	Tenants    []Tenant        `toml:"tenants"`
+	Partners   []Partner       `toml:"partners"`
+	Load       Load            `toml:"load"`
+	Troubles   []Trouble       `toml:"troubles"`
+	ListLag    config.Span     `toml:"list_lag"`
+	ComesAgain bool            `toml:"comes_again"` // clients hand in again what was rejected, as long as there is time
+}
+
+// Type is a document type with its part of the load.
+type Type struct {
+	Name    string      `toml:"name"`
+	Repeat  string      `toml:"repeat"`
+	Group   string      `toml:"group"`
+	InOrder bool        `toml:"in_order"`
+	Agreed  config.Span `toml:"agreed"`
+	Life    config.Span `toml:"life"`
+	Memory  config.Span `toml:"memory"`
+	Part    float64     `toml:"part"`  // of the documents, against the others'
+	Value   float64     `toml:"value"` // of one delivered in the agreed time; later it falls to half, at expiry to none
+	Keys    int         `toml:"keys"`  // ordering keys in use at once
+}
+
+// Tenant is one with a share.
+type Tenant struct {
+	Name      string  `toml:"name"`
+	PerSecond float64 `toml:"per_second"` // the share
+	Part      float64 `toml:"part"`       // of the documents
+}
+
+// Partner is a group of destinations alike.
+type Partner struct {
+	Name     string      `toml:"name"`
+	Count    int         `toml:"count"`
+	Targets  int         `toml:"targets"`
+	Batch    int         `toml:"batch"`
+	Apart    bool        `toml:"routes_apart"`
+	Service  string      `toml:"service"` // fixed, exponential, lognormal
+	Mean     config.Span `toml:"mean"`
+	Wide     float64     `toml:"wide"`
+	Places   int         `toml:"places"`
+	Queue    int         `toml:"queue"`
+	Rate     float64     `toml:"rate"`
+	Burst    float64     `toml:"burst"`
+	Calls    int         `toml:"calls"` // let in within window
+	Window   config.Span `toml:"window"`
+	Tells    bool        `toml:"tells_wait"`
+	Shows    bool        `toml:"shows_limit"`
+	Part     float64     `toml:"part"`      // of the load, against other groups'
+	Skew     float64     `toml:"skew"`      // heavy tail within the group: the i-th gets 1/i^skew
+	FallsFor config.Span `toml:"falls_for"` // when pushed over
+}
+
+// Load is what clients hand in, whatever becomes of it.
+type Load struct {
+	PerSecond float64 `toml:"per_second"`
+	Shape     []Point `toml:"shape"`  // the rate over time, in shares of per_second
+	Arrive    string  `toml:"arrive"` // poisson or even
+	Clumps    []Clump `toml:"clumps"`
+}
+
+// Point is a share of the usual rate at a moment.
+type Point struct {
+	At    config.Span `toml:"at"`
+	Share float64     `toml:"share"`
+}
+
+// Clump is many documents at one moment.
+type Clump struct {
+	At      config.Span `toml:"at"`
+	Count   int         `toml:"count"`
+	Dest    int         `toml:"dest"`     // for this destination; -1: any
+	SameKey bool        `toml:"same_key"` // all with one ordering key
+	Tenant  string      `toml:"tenant"`
+}
+
+// Trouble befalls some targets, forwarders or the list for a time.
+type Trouble struct {
+	Kind   string      `toml:"kind"`
+	At     config.Span `toml:"at"`
+	For    config.Span `toml:"for"`
+	Dest   []int       `toml:"dest"` // destinations; empty: by partner, else all
+	Part   string      `toml:"partner"`
+	Target []int       `toml:"target"` // of each of these; empty: all
+	Zone   int         `toml:"zone"`   // only targets of this zone, if above 0: its number plus one
+	Share  float64     `toml:"share"`  // of calls, of the limit, or of forwarders
+	By     float64     `toml:"by"`     // slow: times
+	Every  int         `toml:"every"`  // gray: one of so many calls
+	Odd    bool        `toml:"odd_forwarders"`
+	Tenant string      `toml:"tenant"`
+}
+
+// Kinds are the troubles there are, each with what befalls.
+var Kinds = map[string]string{"refuse": "connections are refused; then it returns cold", "hang": "calls are taken and none is worked on; then it returns cold",
+	"silent": "nothing comes in or goes out", "slow": "service takes `by` times as long", "err": "a share of calls ends with an error",
+	"reset": "a share of connections breaks", "lose": "a share of answers gets lost after running", "spoil": "a share of answers cannot be read",
+	"reap": "idle connections go dead unseen", "cut": "the limit is a share of what it was", "drain": "targets drain and leave, then come back as others",
+	"stall": "a share of forwarders stands still", "restart": "a share of forwarders is killed and starts again, in a wave",
+	"list": "the list does not come", "move": "targets leave and come back at other addresses"}
+
+var perCall = []string{"err", "reset", "lose", "spoil"}
+
+//go:embed scenes
+var kept embed.FS
+
+// Kept are the names of the scenes that come with the laboratory.
+func Kept() []string {
+	entries, _ := kept.ReadDir("scenes")
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return names
+}
+
+// Read reads a scene from a file, or a kept one by its name.
+func Read(name string) (*Scene, error) {
+	text, err := kept.ReadFile("scenes/" + name + ".toml")
+	path := name + ".toml"
+	if err != nil {
+		path = name
+		if text, err = os.ReadFile(name); err != nil {
+			return nil, fmt.Errorf("%s is no file and no kept scene (%s)", name, strings.Join(Kept(), ", "))
+		}
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a scene's text.
+func Parse(path string, text []byte) (*Scene, error) {
+	s := &Scene{Seed: 1, Length: 60, Drain: 30, Zones: 1, Rest: 0.002, ComesAgain: true, Dispatch: config.Defaults().Dispatch,
+		Load: Load{Arrive: "poisson"}}
+	if err := config.Decode(path, text, s); err != nil {
+		return nil, err
+	}
+	s.fill()
+	if wrong := s.Check(); len(wrong) > 0 {
+		for i := range wrong {
+			wrong[i].File = path
+		}
+		return nil, wrong
+	}
+	return s, nil
+}
+
+func (s *Scene) fill() {
+	for i := range s.Types {
+		t := &s.Types[i]
+		or(&t.Group, "all")
+		or(&t.Part, 1)
+		or(&t.Value, 1)
+		or(&t.Keys, 1000)
+	}
+	for i := range s.Tenants {
+		or(&s.Tenants[i].Part, 1)
+	}
+	for i := range s.Partners {
+		p := &s.Partners[i]
+		or(&p.Count, 1)
+		or(&p.Targets, 1)
+		or(&p.Batch, 1)
+		or(&p.Service, "lognormal")
+		if p.Service == "lognormal" {
+			or(&p.Wide, 0.5)
+		}
+		or(&p.Places, 4)
+		or(&p.Part, 1)
+		or(&p.FallsFor, 5)
+	}
+}
+
+func or[T comparable](v *T, other T) {
+	var none T
+	if *v == none {
+		*v = other
+	}
+}
+
+// Check names all that is wrong with a scene.
+func (s *Scene) Check() (wrong config.Problems) {
+	bad := func(field, format string, v ...any) {
+		wrong = append(wrong, config.Problem{Field: field, What: fmt.Sprintf(format, v...)})
+	}
+	word := func(field, value string, known ...string) {
+		if !slices.Contains(known, value) {
+			bad(field, "%q is none of %q", value, known)
+		}
+	}
+	if s.Length <= 0 || s.Length > 86400 || s.Drain > 86400 {
+		bad("length", "%s is not a time up to a day", s.Length)
+	}
+	if s.Zones < 1 || s.Zones > 2 {
+		bad("zones", "%d is not 1 or 2", s.Zones)
+	}
+	if d := s.Dispatch; d.Forwarders < 1 || d.Forwarders > 10_000 || d.Slots < 1 || d.Room < 1 || d.Transmissions < 1 {
+		bad("dispatch", "forwarders, slots, room and transmissions are 1 at least")
+	}
+	if len(s.Types) == 0 {
+		bad("types", "there is none")
+	}
+	for i, t := range s.Types {
+		at := fmt.Sprintf("types[%d].", i)
+		word(at+"repeat", t.Repeat, "replayable", "numbered", "binding")
+		word(at+"group", t.Group, "all", "zone")
+		if t.Agreed <= 0 || t.Life < t.Agreed {
+			bad(at+"agreed", "agreed is over 0 and at most life")
+		}
+		if t.Repeat == "numbered" && t.Memory <= 0 {
+			bad(at+"memory", "a numbered type needs one")
+		}
+		if !(t.Part > 0) || !(t.Value >= 0) || t.Keys < 1 {
+			bad(at+"part", "part is over 0, value 0 or more, keys 1 or more")
+		}
+	}
+	names := []string{""}
+	for i, t := range s.Tenants {
+		if !(t.PerSecond > 0) || !(t.Part >= 0) {
+			bad(fmt.Sprintf("tenants[%d].per_second", i), "per_second is over 0, part 0 or more")
+		}
+		names = append(names, t.Name)
+	}
+	dests, groups := 0, []string{""}
+	for i, p := range s.Partners {
+		at := fmt.Sprintf("partners[%d].", i)
+		word(at+"service", p.Service, "fixed", "exponential", "lognormal")
+		if p.Count < 1 || p.Targets < 1 || p.Count*p.Targets > 1_000_000 || p.Batch < 1 || p.Places < 1 || p.Queue < 0 {
+			bad(at+"count", "count, targets, batch and places are 1 at least, queue 0")
+		}
+		if p.Mean <= 0 {
+			bad(at+"mean", "is not told")
+		}
+		if !(p.Rate >= 0) || !(p.Burst >= 0) || p.Calls < 0 || (p.Calls > 0) != (p.Window > 0) {
+			bad(at+"rate", "rate and burst are 0 or more, calls and window come together")
+		}
+		dests += p.Count
+		groups = append(groups, p.Name)
+	}
+	if dests == 0 {
+		bad("partners", "there is none")
+	}
+	word("load.arrive", s.Load.Arrive, "poisson", "even")
+	if !(s.Load.PerSecond > 0) || s.Load.PerSecond > 1e6 {
+		bad("load.per_second", "%v is not a rate", s.Load.PerSecond)
+	}
+	if err := s.Shape().Check(); err != nil {
+		bad("load.shape", "%v", err)
+	}
+	for i, c := range s.Load.Clumps {
+		at := fmt.Sprintf("load.clumps[%d].", i)
+		if c.Dest < -1 || c.Dest >= dests || c.Count < 1 {
+			bad(at+"dest", "there is no destination %d, or count is under 1", c.Dest)
+		}
+		word(at+"tenant", c.Tenant, names...)
+	}
+	for i, t := range s.Troubles {
+		at := fmt.Sprintf("troubles[%d].", i)
+		if Kinds[t.Kind] == "" {
+			bad(at+"kind", "unknown trouble %q", t.Kind)
+		}
+		for _, d := range t.Dest {
+			if d < 0 || d >= dests {
+				bad(at+"dest", "there is no destination %d", d)
+			}
+		}
+		word(at+"partner", t.Part, groups...)
+		word(at+"tenant", t.Tenant, names...)
+		if t.For <= 0 && t.Kind != "restart" {
+			bad(at+"for", "is not told")
+		}
+		if !(t.Share >= 0 && t.Share <= 1) {
+			bad(at+"share", "%v is not a share", t.Share)
+		}
+		if (slices.Contains(perCall, t.Kind) || t.Kind == "cut" || t.Kind == "stall" || t.Kind == "restart") && t.Share == 0 {
+			bad(at+"share", "is not told")
+		}
+		if t.Kind == "slow" && !(t.By > 1) {
+			bad(at+"by", "%v is not over 1", t.By)
+		}
+	}
+	return wrong
+}
+
+// Shape is the load's rate over time.
+func (s *Scene) Shape() load.Shape {
+	if len(s.Load.Shape) == 0 {
+		return load.Shape{{At: 0, Rate: s.Load.PerSecond}}
+	}
+	var shape load.Shape
+	for _, p := range s.Load.Shape {
+		shape = append(shape, load.Point{At: float64(p.At), Rate: p.Share * s.Load.PerSecond})
+	}
+	return shape
+}
+
+// Terms are what the module is told: the same for every forwarder but for its zone.
+func (s *Scene) Terms(forwarder int) choice.Terms {
+	d := &s.Dispatch
+	t := choice.Terms{Forwarders: d.Forwarders, Slots: d.Slots, Room: d.Room, Transmissions: d.Transmissions, Zone: forwarder % s.Zones,
+		KeyRest: float64(d.KeyRest), ColdFrom: d.ColdFrom, ColdFor: float64(d.ColdFor), FallMultiple: d.FallMultiple,
+		IdleLife: float64(d.IdleLife), ComeBackMost: float64(d.ComeBack), RoughRate: map[string]float64{"exact": 1, "rough": 1.5}[d.ListedRates]}
+	for _, p := range s.Partners {
+		t.KindBatch, t.KindApart = append(t.KindBatch, p.Batch), append(t.KindApart, p.Apart)
+	}
+	for _, q := range s.Tenants {
+		t.TenantQuota = append(t.TenantQuota, q.PerSecond)
+	}
+	words := map[string]choice.Repeat{"replayable": choice.Replayable, "numbered": choice.Numbered, "binding": choice.Binding}
+	for _, y := range s.Types {
+		t.Types = append(t.Types, choice.DocType{Repeat: words[y.Repeat], ZoneGroup: y.Group == "zone", InOrder: y.InOrder,
+			Agreed: float64(y.Agreed), Life: float64(y.Life), Memory: float64(y.Memory)})
+	}
+	return t
+}
+
+// Model is what a destination of a group is like.
+func (s *Scene) Model(p *Partner) partner.Terms {
+	memory, zoned := 0.0, false
+	for _, t := range s.Types {
+		if t.Repeat == "numbered" {
+			memory, zoned = math.Max(memory, float64(t.Memory)), zoned || t.Group == "zone"
+		}
+	}
+	return partner.Terms{Service: partner.Dist{Form: p.Service, Mean: float64(p.Mean), Wide: p.Wide}, Places: p.Places, Queue: p.Queue,
+		Rate: p.Rate, Burst: p.Burst, Count: p.Calls, Span: float64(p.Window), Apart: p.Apart, Tells: p.Tells, Shows: p.Shows,
+		ColdFrom: s.Dispatch.ColdFrom, ColdFor: float64(s.Dispatch.ColdFor), Fall: s.Dispatch.FallMultiple, FallFor: float64(p.FallsFor),
+		Memory: memory, Zoned: zoned}
+}
--- /dev/null
+++ b/lab/sim/baseline.go
@@ -0,0 +1,297 @@
+package sim
+
+import (
+	"math"
+
+	"spanflow/choice"
+)
+
+// Baselines to compare the module with. They are for the laboratory only.
+var Baselines = map[string]Maker{
+	"fifo": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy { return newPlain(t, now, h) },
+	"backoff": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy {
+		p := newPlain(t, now, h)
+		p.backoff = true
+		return p
+	},
+	"bucket": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy {
+		p := newPlain(t, now, h)
+		p.backoff, p.bucket = true, true
+		return p
+	},
+	"least-loaded": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy {
+		p := newPlain(t, now, h)
+		p.backoff, p.least = true, true
+		return p
+	},
+}
+
+// plain sends documents in the order of their coming and repeats what may be repeated. It heeds waits, drains, the order
+// of keys and what must not run twice; of cold returns and limits it knows nothing.
+type plain struct {
+	terms   choice.Terms
+	host    choice.Host
+	now     float64
+	held    []*plainDoc
+	byDoor  map[uint64]*plainDoc
+	dests   map[uint64]*plainDest
+	out     int
+	woken   bool
+	backoff bool // repeats wait twice as long each time
+	bucket  bool // a destination gets at most as many calls a second as it answered of late, and a quarter more
+	least   bool // the target with the fewest calls out, not the next in turn
+	fault   fault
+}
+
+// fault breaks one rule on purpose: the audit's own tests need forwarders that do.
+type fault uint8
+
+const (
+	sound fault = iota
+	overlaps
+	disorders
+	ignoresWaits
+	callsDraining
+	answersTwice
+	neverAnswers
+	answersLate
+	repeatsBinding
+)
+
+type plainDest struct {
+	targets []*plainTarget
+	next    int
+	tokens  float64
+	filled  float64
+	rate    float64
+	keys    map[uint64][]*plainDoc
+}
+
+type plainTarget struct {
+	is       *choice.Target
+	standing choice.Standing
+	out      int
+	zone     int
+	until    float64 // told to wait
+	apart    bool
+}
+
+type plainDoc struct {
+	is      *choice.Doc
+	typ     *choice.DocType
+	expiry  float64
+	out     int
+	sent    int
+	ran     float64
+	zone    int
+	next    float64
+	done    bool
+	to      *plainTarget
+	restTil float64
+}
+
+const plainTimeout = 2.0
+
+func newPlain(t choice.Terms, now float64, h choice.Host) *plain {
+	return &plain{terms: t, host: h, now: now, byDoor: map[uint64]*plainDoc{}, dests: map[uint64]*plainDest{}}
+}
+
+func (p *plain) NewDestination(door uint64) *choice.Destination {
+	p.dests[door] = &plainDest{keys: map[uint64][]*plainDoc{}, rate: 5, filled: p.now}
+	return &choice.Destination{Door: door}
+}
+
+func (p *plain) List(whole bool, lines []choice.Listing) {
+	for _, l := range lines {
+		d := p.dests[l.Dest.Door]
+		var t *plainTarget
+		for _, o := range d.targets {
+			if o.is == l.Target {
+				t = o
+			}
+		}
+		if t == nil {
+			t = &plainTarget{is: l.Target, zone: l.Zone, apart: l.Kind < len(p.terms.KindApart) && p.terms.KindApart[l.Kind]}
+			d.targets = append(d.targets, t)
+		}
+		t.standing = l.Standing
+	}
+}
+
+func (p *plain) Admit(size int, left float64) (bool, float64) {
+	return len(p.held) < p.terms.Room && left > 0.1, math.Min(1, p.terms.ComeBackMost)
+}
+
+func (p *plain) Take(d *choice.Doc, typ int, left float64) {
+	x := &plainDoc{is: d, typ: &p.terms.Types[typ], expiry: p.now + left}
+	p.held = append(p.held, x)
+	p.byDoor[d.Door] = x
+	if x.typ.InOrder && d.Key != 0 {
+		dest := p.dests[d.Dest.Door]
+		dest.keys[d.Key] = append(dest.keys[d.Key], x)
+	}
+}
+
+func (p *plain) Recover(d *choice.Doc, typ int, left float64, past choice.Past) {
+	p.Take(d, typ, left)
+	x := p.byDoor[d.Door]
+	x.sent, x.ran, x.zone = past.Sent, past.Ran, past.Zone
+	x.next = p.now + p.terms.KeyRest
+}
+
+func (p *plain) Clock(now float64) { p.now = now }
+func (p *plain) Woken()            { p.woken = false }
+
+func (p *plain) Ended(d *choice.Doc, e choice.Ending) {
+	x := p.byDoor[d.Door]
+	if x == nil {
+		return
+	}
+	if x.out--; x.out == 0 {
+		p.out--
+		x.to.out--
+	}
+	if e.Wait > 0 {
+		for _, t := range p.dests[d.Dest.Door].targets {
+			if t == x.to || !t.apart {
+				t.until = math.Max(t.until, p.now+e.Wait)
+			}
+		}
+	}
+	if e.Outcome == choice.Delivered {
+		p.dests[d.Dest.Door].rate++
+	}
+	if x.done {
+		return
+	}
+	switch e.Outcome {
+	case choice.Errored, choice.TimedOut, choice.Reset, choice.Cancelled:
+		if x.ran == 0 {
+			x.ran, x.zone = p.now-e.Took, x.to.zone
+		}
+		x.restTil = p.now + p.terms.KeyRest + 0.01
+	}
+	if e.Over {
+		p.end(x)
+		return
+	}
+	wait := 0.1
+	if p.backoff {
+		wait *= math.Pow(2, float64(min(x.sent, 5)))
+	}
+	x.next = p.now + wait
+}
+
+// end lets go of a document that has its answer. Its key rests if it may still run.
+func (p *plain) end(x *plainDoc) {
+	x.done = true
+	for i, o := range p.held {
+		if o == x {
+			p.held = append(p.held[:i:i], p.held[i+1:]...)
+			break
+		}
+	}
+	if x.typ.InOrder && x.is.Key != 0 {
+		dest := p.dests[x.is.Dest.Door]
+		list := dest.keys[x.is.Key]
+		for i, o := range list {
+			if o == x {
+				list = append(list[:i:i], list[i+1:]...)
+				break
+			}
+		}
+		if len(list) == 0 {
+			delete(dest.keys, x.is.Key)
+		} else {
+			dest.keys[x.is.Key] = list
+			list[0].next = math.Max(list[0].next, x.restTil)
+		}
+	}
+}
+
+// hopeless tells that a document must not be transmitted any more, and whether it may be handed in again.
+func (p *plain) hopeless(x *plainDoc) (over, again bool) {
+	switch {
+	case p.now >= x.expiry-0.05 || x.sent >= p.terms.Transmissions:
+		return true, x.ran == 0 || x.typ.Repeat == choice.Replayable
+	case x.ran == 0 || x.typ.Repeat == choice.Replayable:
+		return false, false
+	case x.typ.Repeat == choice.Binding:
+		return p.fault != repeatsBinding, false
+	}
+	return p.now > x.ran+x.typ.Memory-plainTimeout-0.5, false
+}
+
+func (p *plain) Settle() {
+	for _, x := range append([]*plainDoc(nil), p.held...) {
+		if x.out > 0 && !(p.fault == overlaps && x.out == 1 && p.now > x.next) {
+			continue
+		}
+		if over, again := p.hopeless(x); over {
+			if p.fault == neverAnswers || p.fault == answersLate && p.now < x.expiry+1 {
+				continue
+			}
+			p.end(x)
+			for range 1 + map[bool]int{true: 1}[p.fault == answersTwice] {
+				if again {
+					p.host.Reject(x.is, math.Min(1, p.terms.ComeBackMost))
+				} else {
+					p.host.Abandon(x.is)
+				}
+			}
+			continue
+		}
+		if p.now < x.next || p.out >= p.terms.Slots {
+			continue
+		}
+		d := p.dests[x.is.Dest.Door]
+		if x.typ.InOrder && x.is.Key != 0 && d.keys[x.is.Key][0] != x && p.fault != disorders {
+			continue
+		}
+		if t := p.pick(d, x); t != nil {
+			p.send(x, t, d)
+		}
+	}
+	if len(p.held) > 0 && !p.woken {
+		p.woken = true
+		p.host.Wake(0.02)
+	}
+}
+
+func (p *plain) pick(d *plainDest, x *plainDoc) *plainTarget {
+	if p.bucket {
+		d.tokens = math.Min(4, d.tokens+(p.now-d.filled)*math.Max(1, d.rate*1.25))
+		d.rate *= math.Exp(d.filled - p.now)
+		if d.filled = p.now; d.tokens < 1 {
+			return nil
+		}
+	}
+	var best *plainTarget
+	for i := range d.targets {
+		t := d.targets[(d.next+i)%len(d.targets)]
+		if t.standing != choice.Ready && p.fault != callsDraining || t.standing == choice.Gone || p.now < t.until+0.005 && p.fault != ignoresWaits {
+			continue
+		}
+		if x.ran > 0 && x.typ.Repeat == choice.Numbered && x.typ.ZoneGroup && t.zone != x.zone {
+			continue
+		}
+		if best == nil || p.least && t.out < best.out {
+			best = t
+		}
+	}
+	return best
+}
+
+func (p *plain) send(x *plainDoc, t *plainTarget, d *plainDest) {
+	d.next++
+	d.tokens--
+	if x.out == 0 {
+		p.out++
+		t.out++
+		x.to = t
+	}
+	x.out++
+	x.sent++
+	x.next = p.now + 0.02
+	p.host.Transmit(x.is, t.is, math.Min(plainTimeout, x.expiry-p.now))
+}
--- /dev/null
+++ b/lab/sim/befall.go
@@ -0,0 +1,181 @@
+package sim
+
+import (
+	"slices"
+
+	"spanflow/lab/partner"
+	"spanflow/lab/scene"
+)
+
+// befall puts the scene's troubles on the time line.
+func (d *day) befall() {
+	for i := range d.scene.Troubles {
+		t := &d.scene.Troubles[i]
+		at, end := begins+float64(t.At), begins+float64(t.At+t.For)
+		switch t.Kind {
+		case "stall":
+			d.At(at, func() {
+				for _, n := range d.some(t.Share) {
+					n.stalled = end
+					d.log.Stood(n.number, end)
+				}
+			})
+		case "restart":
+			some := d.some(t.Share)
+			for i, n := range some {
+				d.At(at+float64(t.For)*float64(i)/float64(len(some)), n.kill)
+			}
+		case "reap":
+			d.At(at, func() { d.reap++ })
+			d.At(end, func() { d.reap-- })
+		case "list":
+			d.At(at, func() { d.noList++ })
+			d.At(end, func() { d.noList-- })
+		case "drain", "move":
+			d.At(at, func() { d.replace(t) })
+		default:
+			d.At(at, func() {
+				hit := d.hit(t)
+				for _, target := range hit {
+					begin(target, t, d.scene)
+				}
+				d.At(end, func() {
+					for _, target := range hit {
+						finish(target, t)
+					}
+				})
+			})
+		}
+	}
+}
+
+// some is a share of the forwarders, rounded up.
+func (d *day) some(share float64) []*node {
+	n := int(share*float64(len(d.nodes)) + 0.999999)
+	return d.nodes[:min(n, len(d.nodes))]
+}
+
+// hit is the targets that a trouble befalls.
+func (d *day) hit(t *scene.Trouble) []*partner.Target {
+	var all []*partner.Target
+	for i, dest := range d.dests {
+		if len(t.Dest) > 0 && !slices.Contains(t.Dest, i) || len(t.Dest) == 0 && t.Part != "" && d.scene.Partners[d.group[i]].Name != t.Part {
+			continue
+		}
+		for _, target := range dest.Targets {
+			if target.Trouble.Left || len(t.Target) > 0 && !slices.Contains(t.Target, target.Number) || t.Zone > 0 && target.Zone != t.Zone-1 {
+				continue
+			}
+			all = append(all, target)
+		}
+	}
+	return all
+}
+
+func begin(to *partner.Target, t *scene.Trouble, s *scene.Scene) {
+	r := &to.Trouble
+	switch t.Kind {
+	case "refuse":
+		to.Down()
+	case "hang":
+		r.Hang++
+	case "silent":
+		r.Silent++
+	case "slow":
+		r.Slow = t.By
+		for i := range s.Tenants {
+			if s.Tenants[i].Name == t.Tenant {
+				r.SlowFor = i + 1
+			}
+		}
+	case "err":
+		r.Err = t.Share
+	case "reset":
+		r.Reset = t.Share
+	case "lose":
+		r.Lose = t.Share
+	case "spoil":
+		r.Spoil = t.Share
+	case "cut":
+		r.Cut = t.Share
+	}
+	if t.Every > 1 {
+		r.Every = t.Every
+	}
+	r.Odd = r.Odd || t.Odd
+}
+
+func finish(to *partner.Target, t *scene.Trouble) {
+	r := &to.Trouble
+	switch t.Kind {
+	case "refuse":
+		to.Rise()
+	case "hang":
+		to.Resume()
+	case "silent":
+		r.Silent--
+	case "slow":
+		r.Slow, r.SlowFor = 0, 0
+	case "err":
+		r.Err = 0
+	case "reset":
+		r.Reset = 0
+	case "lose":
+		r.Lose = 0
+	case "spoil":
+		r.Spoil = 0
+	case "cut":
+		r.Cut = 0
+	}
+	if r.Err+r.Reset+r.Lose+r.Spoil == 0 {
+		r.Every, r.Odd = 0, false
+	}
+}
+
+// replace lets targets go and others come in their place: drained first, with the list's word, or at once.
+func (d *day) replace(t *scene.Trouble) {
+	hit := d.hit(t)
+	if t.Kind == "drain" {
+		for _, target := range hit {
+			target.Trouble.Draining = true
+		}
+		d.list(hit)
+		d.After(drainTime, func() { d.leave(hit, float64(t.For)) })
+		return
+	}
+	d.leave(hit, float64(t.For))
+}
+
+func (d *day) leave(hit []*partner.Target, comes float64) {
+	for _, target := range hit {
+		target.Trouble.Left = true
+	}
+	d.list(hit)
+	d.After(comes, func() {
+		var fresh []*partner.Target
+		for _, target := range hit {
+			fresh = append(fresh, target.Dest.Add(target.Zone))
+		}
+		d.list(fresh)
+	})
+}
+
+// list tells all forwarders of changed targets, after the list's lag.
+func (d *day) list(targets []*partner.Target) {
+	d.After(float64(d.scene.ListLag)+float64(d.scene.Rest), func() {
+		if d.noList > 0 { // it comes with the next change of the list, or when it comes again
+			d.After(1, func() { d.list(targets) })
+			return
+		}
+		for _, t := range targets {
+			if t.Trouble.Draining || t.Trouble.Left {
+				d.log.Leaving(t.Dest.Number, t.Number)
+			}
+		}
+		for _, n := range d.nodes {
+			if n.up {
+				n.listed(targets)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/sim/node.go
@@ -0,0 +1,392 @@
+package sim
+
+import (
+	"slices"
+
+	"spanflow/choice"
+	"spanflow/lab/audit"
+	"spanflow/lab/partner"
+	"spanflow/seam"
+)
+
+// node is one forwarder: the policy, and what an owner, a ledger and an outlet are to it.
+type node struct {
+	day     *day
+	number  int
+	seed    uint64
+	life    int // counts starts: what an earlier process asked for counts for nothing
+	up      bool
+	stalled float64 // until when it stands still
+	policy  Policy
+	dests   []*choice.Destination
+	targets [][]*target
+	byDoor  map[uint64]*target
+	docs    map[uint64]*handing
+	owed    []*handing // in the order of taking; those over are dropped now and then
+	calls   []*call    // being made up
+	out     []*call
+	wake    int
+	inTurn  bool
+}
+
+// target is a partner's target as a forwarder knows it.
+type target struct {
+	is     *partner.Target
+	module *choice.Target
+	idle   []float64 // connections, by when each was last used
+	listed choice.Standing
+}
+
+type call struct {
+	node    *node
+	life    int
+	to      *target
+	docs    []*handing
+	allow   float64
+	began   float64
+	at      *partner.Call
+	arrived bool
+	done    bool
+	back    bool // taken back before its first byte
+}
+
+func newNode(d *day, n int, seed uint64) *node { return &node{day: d, number: n, seed: seed} }
+
+// start starts the process, with what an earlier one owed.
+func (n *node) start() {
+	d := n.day
+	n.life++
+	n.up = true
+	n.docs, n.byDoor, n.calls, n.out = map[uint64]*handing{}, map[uint64]*target{}, nil, nil
+	n.policy = n.day.make(d.scene.Terms(n.number), n.seed+uint64(n.life), d.Now(), n)
+	n.dests, n.targets = nil, make([][]*target, len(d.dests))
+	var lines []choice.Listing
+	for i, dest := range d.dests {
+		n.dests = append(n.dests, n.policy.NewDestination(uint64(i)))
+		for _, t := range dest.Targets {
+			if !t.Trouble.Left {
+				lines = append(lines, n.line(t))
+			}
+		}
+	}
+	n.policy.Clock(d.Now())
+	n.policy.List(true, lines)
+	owed := n.owed
+	n.owed = nil
+	for _, h := range owed {
+		if h.over {
+			continue
+		}
+		if h.out > 0 { // it was out when that process ended
+			if h.past.Ran == 0 {
+				h.past.Ran, h.past.Zone = h.out, h.outTo
+			}
+			h.out = 0
+		}
+		n.keep(h)
+		n.policy.Recover(h.doc, h.of.typeNo, h.expiry-d.Now(), h.past)
+	}
+	n.settle()
+}
+
+// line is the list's line of a target, which the forwarder knows from then on.
+func (n *node) line(t *partner.Target) choice.Listing {
+	d := t.Dest.Number
+	for len(n.targets[d]) <= t.Number {
+		n.targets[d] = append(n.targets[d], nil)
+	}
+	k := n.targets[d][t.Number]
+	if k == nil {
+		k = &target{is: t, module: &choice.Target{Door: uint64(d)<<32 | uint64(t.Number)}}
+		n.targets[d][t.Number] = k
+		n.byDoor[k.module.Door] = k
+	}
+	l := choice.Listing{Target: k.module, Dest: n.dests[d], Kind: n.day.group[d], Zone: t.Zone}
+	if n.day.scene.Dispatch.ListedRates != "none" {
+		l.Rate = t.Dest.Terms.Rate
+	}
+	switch {
+	case t.Trouble.Left:
+		l.Standing = choice.Gone
+	case t.Trouble.Draining:
+		l.Standing = choice.Draining
+	}
+	k.listed = l.Standing
+	return l
+}
+
+func (n *node) keep(h *handing) {
+	h.node = n
+	h.doc = &choice.Doc{Door: h.id, Tenant: h.of.tenant, Key: h.of.key, Dest: n.dests[h.of.dest], Size: 500}
+	n.docs[h.id] = h
+	n.owed = append(n.owed, h)
+	if len(n.owed) > 64 && len(n.owed) > 4*len(n.docs) {
+		n.owed = slices.DeleteFunc(n.owed, func(h *handing) bool { return h.over })
+	}
+}
+
+// do does something in the process as it is now, later if it stands still.
+func (n *node) do(what func()) {
+	life := n.life
+	if n.day.Now() < n.stalled {
+		n.day.At(n.stalled, func() {
+			if n.life == life && n.up {
+				n.do(what)
+			}
+		})
+		return
+	}
+	if n.up {
+		what()
+	}
+}
+
+func (n *node) settle() {
+	n.inTurn = true
+	n.policy.Settle()
+	n.inTurn = false
+	calls := n.calls
+	n.calls = nil
+	for _, c := range calls {
+		c.begin()
+	}
+}
+
+func (n *node) handedIn(e *effect, expiry float64) {
+	d := n.day
+	n.policy.Clock(d.Now())
+	left := expiry - d.Now()
+	d.lastID++
+	id := d.lastID
+	doc := &audit.Doc{ID: id, Mark: e.mark, Key: e.key, Type: e.typeNo, Binding: e.typ.Repeat == "binding", Numbered: e.mark != 0,
+		Dest: e.dest, From: n.number, Handed: d.Now(), Expiry: expiry}
+	if e.id == 0 {
+		e.id = id
+	}
+	doc.Same = e.id
+	taken, back := n.policy.Admit(500, left)
+	if !taken {
+		e.refused++
+		d.result.Refused++
+		d.again(e, back)
+		return
+	}
+	d.log.Handed(doc)
+	d.log.Taken(id)
+	d.effects[id] = e
+	d.result.Taken++
+	h := &handing{id: id, of: e, expiry: expiry}
+	d.handed[id] = h
+	n.keep(h)
+	n.policy.Take(h.doc, e.typeNo, left)
+	n.settle()
+}
+
+// ended takes the end of a call.
+func (n *node) ended(c *call, a partner.Answer) {
+	d := n.day
+	if c.done || c.life != n.life {
+		return
+	}
+	c.done = true
+	n.out = slices.DeleteFunc(n.out, func(o *call) bool { return o == c })
+	switch a.End {
+	case seam.Took, seam.Failed, seam.Waiting, seam.TurnedAway:
+		c.to.idle = append(c.to.idle, d.Now())
+	}
+	out, over := a.End.Outcome()
+	n.policy.Clock(d.Now())
+	for _, h := range c.docs {
+		d.result.Ends[a.End.String()]++
+		if a.End.Ran() && h.past.Ran == 0 {
+			h.past.Ran, h.past.Zone = h.out, h.outTo
+		}
+		h.out = 0
+		if over {
+			if out == choice.Delivered && !h.over { // else its client has been answered, at expiry say
+				d.log.Final(h.id, "delivered")
+			}
+			h.over = true
+		}
+		n.policy.Ended(h.doc, choice.Ending{Outcome: out, Over: over, Took: d.Now() - c.began, Wait: a.Wait, Most: a.Most})
+		if h.over {
+			delete(n.docs, h.id)
+		}
+	}
+	n.settle()
+}
+
+// begin sends a call: on the idle connection used last, or on a new one.
+func (c *call) begin() {
+	n, d, t := c.node, c.node.day, c.to
+	c.began = d.Now()
+	n.out = append(n.out, c)
+	rest := float64(d.scene.Rest)
+	way, dead := 3*rest, false // a new connection takes a way there and back before the call
+	life := float64(d.scene.Dispatch.IdleLife)
+	for len(t.idle) > 0 {
+		used := t.idle[len(t.idle)-1]
+		t.idle = t.idle[:len(t.idle)-1]
+		if idle := d.Now() - used; idle < life {
+			way, dead = rest, d.reap > 0 && idle > idleDies
+			break
+		}
+	}
+	fresh := way > rest
+	d.After(c.allow, func() { n.do(func() { c.giveUp() }) })
+	refused, silent := t.is.Up()
+	switch {
+	case dead:
+		c.arrived = true // as far as the forwarder can tell
+		return
+	case silent && fresh:
+		d.After(min(c.allow, float64(d.scene.Dispatch.Connect)), func() {
+			n.do(func() { n.ended(c, partner.Answer{End: seam.NeverUp}) })
+		})
+		return
+	case refused:
+		d.After(2*rest, func() { n.do(func() { n.ended(c, partner.Answer{End: seam.Refused}) }) })
+		return
+	}
+	d.After(way, func() {
+		if c.done || c.back || c.life != n.life {
+			return
+		}
+		c.arrived = true
+		docs := make([]partner.Doc, len(c.docs))
+		for i, h := range c.docs {
+			docs[i] = partner.Doc{ID: h.id, Mark: h.of.mark, Tenant: h.of.tenant}
+		}
+		c.at = &partner.Call{From: n.number, Docs: docs, Answer: func(a partner.Answer) {
+			for _, doc := range docs {
+				d.log.Closed(doc.ID)
+			}
+			d.After(rest, func() { n.do(func() { n.ended(c, a) }) })
+		}}
+		t.is.Take(c.at)
+	})
+}
+
+// cut ends a call from the forwarder's side.
+func (c *call) cut() {
+	d := c.node.day
+	if at := c.at; at != nil {
+		d.After(float64(d.scene.Rest), func() {
+			at.Cancel()
+			for _, doc := range at.Docs {
+				d.log.Closed(doc.ID)
+			}
+		})
+	}
+}
+
+func (c *call) giveUp() {
+	if c.done || c.life != c.node.life {
+		return
+	}
+	c.cut()
+	end := seam.GivenUp
+	if !c.arrived {
+		end = seam.GivenUpEarly
+	}
+	c.node.ended(c, partner.Answer{End: end})
+}
+
+// kill ends the process; it starts again on what it owed.
+func (n *node) kill() {
+	if !n.up {
+		return
+	}
+	d := n.day
+	n.up = false
+	n.life++
+	for _, c := range n.out {
+		c.done = true
+		c.cut()
+	}
+	n.out, n.calls = nil, nil
+	d.log.Restarted(n.number, d.Now()+downFor+rises)
+	d.After(downFor, func() { n.start() })
+}
+
+// Transmit, Reject, Abandon, Recall, CloseIdle, Release, Wake, Watch and Log make a node a choice.Host.
+
+func (n *node) Transmit(doc *choice.Doc, to *choice.Target, timeout float64) {
+	h, t := n.day.handed[doc.Door], n.byDoor[to.Door]
+	h.past.Sent++
+	h.out, h.outTo = n.day.Now(), t.is.Zone
+	n.day.result.Transmissions++
+	batch := n.day.scene.Partners[n.day.group[t.is.Dest.Number]].Batch
+	for _, c := range n.calls {
+		if c.to == t && len(c.docs) < batch {
+			c.docs = append(c.docs, h)
+			c.allow = min(c.allow, timeout)
+			return
+		}
+	}
+	n.calls = append(n.calls, &call{node: n, life: n.life, to: t, docs: []*handing{h}, allow: timeout})
+}
+
+func (n *node) Reject(doc *choice.Doc, comeBack float64) { n.answer(doc, "returned", comeBack) }
+func (n *node) Abandon(doc *choice.Doc)                  { n.answer(doc, "abandoned", 0) }
+
+func (n *node) answer(doc *choice.Doc, what string, comeBack float64) {
+	h := n.day.handed[doc.Door]
+	h.over = true
+	if h.out == 0 {
+		delete(n.docs, h.id)
+	}
+	n.day.result.Finals[what]++
+	n.day.tell(h, what, comeBack)
+}
+
+func (n *node) Recall(to *choice.Target) {
+	for _, c := range n.out {
+		if c.to.module == to && !c.arrived && !c.done {
+			c.back = true // its way ends here
+			n.day.After(0, func() { n.do(func() { n.ended(c, partner.Answer{End: seam.Recalled}) }) })
+		}
+	}
+}
+
+func (n *node) CloseIdle(to *choice.Target) {
+	if t := n.byDoor[to.Door]; t != nil {
+		t.idle = nil
+	}
+}
+
+func (n *node) Release(to *choice.Target) { delete(n.byDoor, to.Door) }
+
+func (n *node) Wake(in float64) {
+	n.wake++
+	wake, life := n.wake, n.life
+	n.day.After(in, func() {
+		if n.life != life || n.wake != wake {
+			return
+		}
+		n.do(func() {
+			n.policy.Clock(n.day.Now())
+			n.policy.Woken()
+			n.settle()
+		})
+	})
+}
+
+func (n *node) Watch()          {}
+func (n *node) Log(line string) { n.day.result.Modes++ }
+
+// listed tells a forwarder of changed targets.
+func (n *node) listed(targets []*partner.Target) {
+	n.do(func() {
+		n.policy.Clock(n.day.Now())
+		var lines []choice.Listing
+		for _, t := range targets {
+			lines = append(lines, n.line(t))
+			if t.Trouble.Draining || t.Trouble.Left {
+				n.targets[t.Dest.Number][t.Number].idle = nil
+			}
+		}
+		n.policy.List(false, lines)
+		n.settle()
+	})
+}
--- /dev/null
+++ b/lab/sim/result.go
@@ -0,0 +1,126 @@
+package sim
+
+import (
+	"encoding/json"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"spanflow/lab/audit"
+	"spanflow/lab/scene"
+)
+
+// Result is what became of a day. Its JSON is the same to the byte for the same scene and seed.
+type Result struct {
+	Scene         string         `json:"scene"`
+	Seed          uint64         `json:"seed"`
+	Documents     int            `json:"documents"`
+	Taken         int            `json:"taken"`
+	Refused       int            `json:"refused"`
+	Served        int            `json:"served"`
+	Late          int            `json:"late"`
+	Transmissions int            `json:"transmissions"`
+	Modes         int            `json:"mode_changes"`
+	Ends          map[string]int `json:"ends"`
+	Finals        map[string]int `json:"final_answers"`
+	Offered       float64        `json:"value_offered"`
+	Delivered     float64        `json:"value_delivered"`
+	G             float64        `json:"share"`
+	Latency       Percentiles    `json:"latency_s"` // from the intended moment to the end of the run that took effect
+	Seconds       []Second       `json:"seconds"`
+	Breaches      []audit.Breach `json:"breaches"`
+	Events        uint64         `json:"events"`
+
+	times *hdrhistogram.Histogram
+}
+
+// Percentiles of a time in seconds. What never took effect stands in none of them.
+type Percentiles struct {
+	P50 float64 `json:"p50"`
+	P90 float64 `json:"p90"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+// Second is one second of a day.
+type Second struct {
+	Offered   float64 `json:"offered"`   // value of the documents that came in it
+	Delivered float64 `json:"delivered"` // value that they had in the end
+	Held      int     `json:"held"`
+	Out       int     `json:"out"`
+	ByDest    []int   `json:"held_by_destination,omitempty"` // with up to 64 destinations
+}
+
+const mostByDest = 64
+
+func newResult(s *scene.Scene, seed uint64) *Result {
+	r := &Result{Scene: s.Name, Seed: seed, Ends: map[string]int{}, Finals: map[string]int{}, times: hdrhistogram.New(1, 3_600_000_000, 3)}
+	r.Seconds = make([]Second, int(s.Length+s.Drain))
+	return r
+}
+
+func (r *Result) at(moment float64) *Second {
+	i := min(max(0, int(moment-begins)), len(r.Seconds)-1)
+	return &r.Seconds[i]
+}
+
+func (r *Result) offered(e *effect) {
+	r.Documents++
+	r.Offered += e.typ.Value
+	r.at(e.handed).Offered += e.typ.Value
+}
+
+// delivered counts an effect that took place: whole in the agreed time, half and falling after, none past expiry.
+func (r *Result) delivered(e *effect, at float64) {
+	took := at - e.handed
+	value := 0.0
+	switch agreed, life := float64(e.typ.Agreed), float64(e.typ.Life); {
+	case took <= agreed:
+		value = e.typ.Value
+	case took < life:
+		value = e.typ.Value / 2 * (life - took) / (life - agreed)
+		r.Late++
+	}
+	r.Served++
+	r.Delivered += value
+	r.at(e.handed).Delivered += value
+	r.times.RecordValue(max(1, int64(took*1e6)))
+}
+
+func (r *Result) second(d *day) {
+	s := r.at(d.Now() - 0.5)
+	if len(d.dests) <= mostByDest {
+		s.ByDest = make([]int, len(d.dests))
+	}
+	for _, n := range d.nodes {
+		s.Held += len(n.docs)
+		s.Out += len(n.out)
+		if s.ByDest != nil {
+			for _, h := range n.docs {
+				s.ByDest[h.of.dest]++
+			}
+		}
+	}
+}
+
+func (r *Result) finish(d *day) {
+	r.Events = d.Events()
+	r.sum(d.log)
+}
+
+func (r *Result) sum(log *audit.Log) {
+	r.Breaches = log.Breaches()
+	if r.Offered > 0 {
+		r.G = r.Delivered / r.Offered
+	}
+	at := func(q float64) float64 { return float64(r.times.ValueAtQuantile(q)) / 1e6 }
+	r.Latency = Percentiles{at(50), at(90), at(99), float64(r.times.Max()) / 1e6}
+}
+
+// JSON is the result as text.
+func (r *Result) JSON() []byte {
+	b, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		panic(err) // plain values only
+	}
+	return append(b, '\n')
+}
--- /dev/null
+++ b/lab/sim/sim.go
@@ -0,0 +1,286 @@
+// Package sim plays a scene on a simulated clock: whole fleets of forwarders, each the real decision module, in one
+// process. The same scene and seed give the same result, to the byte, on any number of cores.
+package sim
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"spanflow/choice"
+	"spanflow/lab/audit"
+	"spanflow/lab/clock"
+	"spanflow/lab/load"
+	"spanflow/lab/partner"
+	"spanflow/lab/scene"
+)
+
+// Policy decides for one forwarder. The decision module is one; so are the baselines.
+type Policy interface {
+	NewDestination(door uint64) *choice.Destination
+	List(whole bool, lines []choice.Listing)
+	Admit(size int, left float64) (taken bool, comeBack float64)
+	Take(d *choice.Doc, typ int, left float64)
+	Recover(d *choice.Doc, typ int, left float64, past choice.Past)
+	Ended(d *choice.Doc, e choice.Ending)
+	Clock(now float64)
+	Woken()
+	Settle()
+}
+
+// Maker makes the policy of a forwarder.
+type Maker func(terms choice.Terms, seed uint64, now float64, host choice.Host) Policy
+
+// Module is the decision module.
+func Module(terms choice.Terms, seed uint64, now float64, host choice.Host) Policy {
+	return choice.New(terms, seed, now, host)
+}
+
+const (
+	begins    = 1000.0 // the clock's first moment: 0 stands for never in many places
+	downFor   = 0.8    // a forwarder that is killed starts again after so long
+	rises     = 1.5    // and may be late with answers for so long after that
+	asksAgain = 0.4    // a client whose forwarder is gone goes to another after so long
+	drainTime = 2.0    // a target that drains leaves after so long
+	idleDies  = 0.5    // connections that were idle for longer are dead while the trouble reap is on
+)
+
+// effect is what a client wants done, whatever number of documents it takes.
+type effect struct {
+	id      uint64
+	typ     *scene.Type
+	typeNo  int
+	handed  float64 // the intended moment
+	expiry  float64
+	tenant  int
+	key     uint64
+	mark    uint64
+	dest    int
+	done    bool
+	answer  string // the last final answer heard
+	refused int
+}
+
+// handing is one document: an effect handed in once.
+type handing struct {
+	id     uint64
+	of     *effect
+	doc    *choice.Doc
+	node   *node
+	past   choice.Past
+	out    float64 // begin of the transmission that is out
+	outTo  int     // the zone of its target
+	expiry float64
+	over   bool
+}
+
+type day struct {
+	clock.Queue
+	scene   *scene.Scene
+	make    Maker
+	dice    *rand.Rand // of the load
+	net     *rand.Rand // of clients and network
+	log     *audit.Log
+	dests   []*partner.Destination
+	group   []int // of each destination
+	nodes   []*node
+	effects map[uint64]*effect // by the id of a document
+	handed  map[uint64]*handing
+	lastID  uint64
+	reap    int
+	noList  int
+	result  *Result
+}
+
+// Play plays a scene with a seed.
+func Play(s *scene.Scene, seed uint64, make Maker) *Result {
+	d := &day{scene: s, make: make, dice: rand.New(rand.NewPCG(seed, 1)), net: rand.New(rand.NewPCG(seed, 2)), effects: map[uint64]*effect{}, handed: map[uint64]*handing{}}
+	d.Set(begins)
+	d.result = newResult(s, seed)
+	d.log = audit.New(d, func(dest int) bool { return s.Partners[d.group[dest]].Apart }, float64(s.Dispatch.KeyRest))
+	partners := rand.New(rand.NewPCG(seed, 3))
+	for g := range s.Partners {
+		p := &s.Partners[g]
+		for range p.Count {
+			d.dests = append(d.dests, partner.New(len(d.dests), s.Model(p), p.Targets, s.Zones, d, partners, &recorder{d.log, d}))
+			d.group = append(d.group, g)
+		}
+	}
+	for n := range s.Dispatch.Forwarders {
+		d.nodes = append(d.nodes, newNode(d, n, rand.New(rand.NewPCG(seed, uint64(100+n))).Uint64()))
+	}
+	for _, n := range d.nodes {
+		n.start()
+	}
+	d.arrive()
+	d.befall()
+	end := begins + float64(s.Length+s.Drain)
+	for at := begins + 1; at <= end+1e-9; at++ {
+		for d.Step(at) {
+		}
+		d.Set(at)
+		d.result.second(d)
+	}
+	d.result.finish(d)
+	return d.result
+}
+
+// recorder passes on what partners write down and counts the value of what took place.
+type recorder struct {
+	*audit.Log
+	day *day
+}
+
+func (r *recorder) Ran(run partner.Run) {
+	r.Log.Ran(run)
+	if e := r.day.effects[run.Doc.ID]; e != nil && run.Effect && !e.done {
+		e.done = true
+		r.day.result.delivered(e, run.Ended)
+	}
+}
+
+// arrive puts what clients want on the time line. All of it is drawn beforehand: nothing that happens moves an arrival.
+func (d *day) arrive() {
+	for _, e := range plan(d.scene, d.dice) {
+		d.At(e.handed, func() {
+			d.result.offered(e)
+			d.handIn(e, e.expiry, goes(e, d.net, len(d.nodes)))
+		})
+	}
+}
+
+// plan draws what clients want on a day.
+func plan(s *scene.Scene, dice *rand.Rand) []*effect {
+	shape := s.Shape()
+	for i := range shape {
+		shape[i].At += begins
+	}
+	end := begins + float64(s.Length)
+	moments := load.Even(shape, end)
+	if s.Load.Arrive == "poisson" {
+		moments = load.Poisson(shape, end, dice)
+	}
+	moments.From(begins)
+	var weights, parts, shares []float64
+	for _, p := range s.Partners {
+		for _, w := range load.Zipf(p.Count, p.Skew).Weights() {
+			weights = append(weights, w*p.Part)
+		}
+	}
+	for _, t := range s.Types {
+		parts = append(parts, t.Part)
+	}
+	for _, t := range s.Tenants {
+		shares = append(shares, t.Part)
+	}
+	dests, types, tenants := load.Weighted(weights), load.Weighted(parts), load.Weighted(shares)
+	var all []*effect
+	one := func(at float64, dest, tenant int, key uint64) {
+		e := &effect{handed: at, dest: dest, tenant: tenant}
+		e.typeNo = types.Pick(dice)
+		e.typ = &s.Types[e.typeNo]
+		e.expiry = at + float64(e.typ.Life)
+		if e.typ.Repeat == "numbered" {
+			e.mark = dice.Uint64() | 1
+		}
+		if e.typ.InOrder {
+			if e.key = key; key == 0 { // a key belongs to a destination
+				e.key = uint64(dest+1)<<32 | uint64(e.typeNo)<<24 | uint64(dice.IntN(e.typ.Keys)+1)
+			}
+		}
+		all = append(all, e)
+	}
+	tenant := func() int {
+		if len(s.Tenants) == 0 {
+			return 0
+		}
+		return tenants.Pick(dice)
+	}
+	for {
+		at, more := moments.Next()
+		if !more {
+			break
+		}
+		one(at, dests.Pick(dice), tenant(), 0)
+	}
+	for i, c := range s.Load.Clumps {
+		for range c.Count {
+			dest, who, key := c.Dest, tenant(), uint64(0)
+			if dest < 0 {
+				dest = dests.Pick(dice)
+			}
+			for t := range s.Tenants {
+				if s.Tenants[t].Name == c.Tenant {
+					who = t
+				}
+			}
+			if c.SameKey {
+				key = uint64(dest+1)<<32 | 0xff<<24 | uint64(i+1)
+			}
+			one(begins+float64(c.At), dest, who, key)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *effect) int { return cmp.Compare(a.handed, b.handed) })
+	return all
+}
+
+// goes is the forwarder to which a client goes: any, but for a key always the same, as forwarders share nothing.
+func goes(e *effect, dice *rand.Rand, forwarders int) int {
+	if e.key != 0 {
+		return int((e.key * 0x9e3779b97f4a7c15 >> 33) % uint64(forwarders))
+	}
+	return dice.IntN(forwarders)
+}
+
+// next is the one to which it goes when that one is not there.
+func next(e *effect, n, forwarders int) int {
+	if e.key != 0 {
+		return n
+	}
+	return (n + 1) % forwarders
+}
+
+// handIn hands an effect in at a forwarder, as a document of its own.
+func (d *day) handIn(e *effect, expiry float64, n int) {
+	d.After(float64(d.scene.Rest), func() {
+		node := d.nodes[n]
+		if !node.up { // refused: to another a little later
+			d.After(asksAgain, func() {
+				if d.Now() < expiry {
+					d.handIn(e, expiry, next(e, n, len(d.nodes)))
+				}
+			})
+			return
+		}
+		node.do(func() {
+			if d.Now() < expiry {
+				node.handedIn(e, expiry)
+			}
+		})
+	})
+}
+
+// again hands in anew what was turned away or rejected. A number is known for its memory only, so a numbered document
+// comes with no more time than that.
+func (d *day) again(e *effect, comeBack float64) {
+	expiry := e.expiry
+	if e.mark != 0 {
+		expiry = min(expiry, e.handed+float64(e.typ.Memory))
+	}
+	wait := comeBack + 0.1 + 0.2*d.net.Float64()
+	if !d.scene.ComesAgain || e.done || d.Now()+wait+0.05 >= expiry {
+		return
+	}
+	d.After(wait, func() { d.handIn(e, expiry, goes(e, d.net, len(d.nodes))) })
+}
+
+// tell tells a client a final answer.
+func (d *day) tell(h *handing, what string, comeBack float64) {
+	d.After(float64(d.scene.Rest), func() {
+		d.log.Final(h.id, what)
+		h.of.answer = what
+		if what == "returned" {
+			d.again(h.of, comeBack)
+		}
+	})
+}
--- /dev/null
+++ b/lab/sim/sim_test.go
@@ -0,0 +1,153 @@
+package sim
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/internal/config"
+	"spanflow/lab/audit"
+	"spanflow/lab/scene"
+)
+
+func kept(t *testing.T, name string) *scene.Scene {
+	s, err := scene.Read(name)
+	require.NoError(t, err)
+	return s
+}
+
+func broken(r *Result) map[audit.Rule]int {
+	n := map[audit.Rule]int{}
+	for _, b := range r.Breaches {
+		n[b.Rule]++
+	}
+	return n
+}
+
+func TestTheModuleKeepsTheRulesInEachKeptScene(t *testing.T) {
+	for _, name := range scene.Kept() {
+		r := Play(kept(t, name), 1, Module)
+		require.Empty(t, r.Breaches, name)
+		require.Greater(t, r.G, 0.6, name)
+		t.Logf("%-32s G %.3f, served %d of %d, late %d, refused %d", name, r.G, r.Served, r.Documents, r.Late, r.Refused)
+	}
+}
+
+func TestTheSameSceneAndSeedGiveTheSameBytes(t *testing.T) {
+	s := kept(t, "several-at-once")
+	want := Play(s, 7, Module).JSON()
+	for _, cores := range []int{1, 4} {
+		before := runtime.GOMAXPROCS(cores)
+		var wg sync.WaitGroup
+		got := make([][]byte, 4)
+		for i := range got {
+			wg.Go(func() { got[i] = Play(s, 7, Module).JSON() })
+		}
+		wg.Wait()
+		runtime.GOMAXPROCS(before)
+		for _, g := range got {
+			require.True(t, bytes.Equal(want, g))
+		}
+	}
+	require.NotEqual(t, want, Play(s, 8, Module).JSON())
+}
+
+// A forwarder that breaks one rule is caught at it, by that rule.
+func TestTheAuditCatchesEachRuleBrokenOnPurpose(t *testing.T) {
+	for _, c := range []struct {
+		fault fault
+		scene string
+		rule  audit.Rule
+	}{{overlaps, "calm", audit.NoDouble}, {disorders, "one-partner-hangs", audit.Order}, {ignoresWaits, "limits-cut", audit.Waits},
+		{callsDraining, "drains", audit.Drains}, {answersTwice, "one-partner-hangs", audit.OneAnswer}, {neverAnswers, "one-partner-hangs", audit.OneAnswer},
+		{answersLate, "one-partner-hangs", audit.OneAnswer}, {repeatsBinding, "several-at-once", audit.NoDouble}, {sound, "returns-cold", audit.Returns}} {
+		var s *scene.Scene
+		if c.scene == "drains" {
+			s = kept(t, "calm")
+			s.Troubles = []scene.Trouble{{Kind: "drain", At: 10, For: 5, Dest: []int{0, 1}, Target: []int{0}}}
+		} else {
+			s = kept(t, c.scene)
+		}
+		make := func(fault fault) Maker {
+			return func(terms choice.Terms, _ uint64, now float64, h choice.Host) Policy {
+				p := newPlain(terms, now, h)
+				p.fault = fault
+				return p
+			}
+		}
+		n := broken(Play(s, 1, make(c.fault)))
+		require.NotZero(t, n[c.rule], "%d in %s: %v", c.fault, c.scene, n)
+		if c.fault != sound {
+			require.Zero(t, broken(Play(s, 1, make(sound)))[c.rule], "without the fault %d in %s", c.fault, c.scene)
+		}
+	}
+}
+
+// random draws a scene: some partners, some troubles.
+func random(base *scene.Scene, seed uint64) *scene.Scene {
+	dice := rand.New(rand.NewPCG(seed, 9))
+	s := *base
+	s.Length, s.Drain, s.Zones = 20, 20, 1+dice.IntN(2)
+	s.Dispatch.Forwarders = 1 + dice.IntN(4)
+	s.Dispatch.Slots = 4 + dice.IntN(20)
+	s.Load.PerSecond = 5 + 60*dice.Float64()
+	s.Partners = append([]scene.Partner(nil), base.Partners...)
+	for i := range s.Partners {
+		p := &s.Partners[i]
+		p.Targets, p.Apart, p.Shows = 1+dice.IntN(3), dice.IntN(3) == 0, dice.IntN(2) == 0
+		if dice.IntN(3) == 0 {
+			p.Calls, p.Window, p.Tells = 20, 2, true
+		}
+	}
+	kinds := []string{"refuse", "hang", "silent", "slow", "err", "reset", "lose", "spoil", "reap", "cut", "drain", "stall", "restart", "move"}
+	s.Troubles = nil
+	for range dice.IntN(4) {
+		s.Troubles = append(s.Troubles, scene.Trouble{Kind: kinds[dice.IntN(len(kinds))], At: config.Span(4 + 8*dice.Float64()), For: config.Span(1 + 7*dice.Float64()),
+			Dest: []int{dice.IntN(8)}, Share: 0.2 + 0.6*dice.Float64(), By: 3})
+	}
+	return &s
+}
+
+func TestAFaultlessForwarderIsNeverAccused(t *testing.T) {
+	base := kept(t, "calm")
+	var wg sync.WaitGroup
+	accused := make([]string, 200)
+	places := make(chan struct{}, 4)
+	for seed := range accused {
+		wg.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			s := random(base, uint64(seed))
+			if r := Play(s, uint64(seed), Module); len(r.Breaches) > 0 {
+				accused[seed] = fmt.Sprintf("seed %d: %+v in %+v", seed, r.Breaches[0], s.Troubles)
+			}
+		})
+	}
+	wg.Wait()
+	for _, a := range accused {
+		require.Empty(t, a)
+	}
+}
+
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range [][2]int{{50, 80}, {260, 320}, {1000, 1000}} {
+		b.Run(fmt.Sprintf("%dx%d", size[0], size[1]), func(b *testing.B) {
+			s, err := scene.Read("one-partner-hangs")
+			require.NoError(b, err)
+			s.Dispatch.Forwarders = size[0]
+			s.Partners[0].Count, s.Partners[1].Count = size[1]*3/8, size[1]/8
+			s.Load.PerSecond = 480
+			s.Length, s.Drain = 30, 5
+			for b.Loop() {
+				Play(s, 1, Module)
+			}
+			b.ReportMetric(35*float64(b.N)/b.Elapsed().Seconds(), "x-real-time")
+		})
+	}
+}
