--- /dev/null
+++ b/choice/bench_test.go
@@ -0,0 +1,88 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// bare is a host that keeps only what is to be answered.
+type bare struct{ out []*Doc }
+
+func (b *bare) Transmit(d *Doc, _ *Target, _ float64) { b.out = append(b.out, d) }
+func (b *bare) Reject(*Doc, float64)                  {}
+func (b *bare) Abandon(*Doc)                          {}
+func (b *bare) Recall(*Target)                        {}
+func (b *bare) CloseIdle(*Target)                     {}
+func (b *bare) Release(*Target)                       {}
+func (b *bare) Wake(float64)                          {}
+func (b *bare) Watch()                                {}
+func (b *bare) Log(string)                            {}
+
+func benchTerms(room int) Terms {
+	t := terms
+	t.Types, t.Slots, t.Room = []DocType{{Repeat: Replayable, Agreed: 3, Life: 1e6}}, 256, room
+	return t
+}
+
+// decide takes a document, lets the module settle, ends the call and lets it settle: one document's decisions.
+func decide(f *Forwarder, h *bare, now *float64, to *Destination) {
+	*now += 0.001
+	f.Clock(*now)
+	f.Take(&Doc{Dest: to, Tenant: 9}, 0, 1e6)
+	f.Settle()
+	for _, d := range h.out {
+		f.Ended(d, Ending{Outcome: Delivered, Over: true, Took: 0.05})
+	}
+	h.out = h.out[:0]
+	f.Settle()
+}
+
+// BenchmarkDestinations is the cost of a document's decisions with so many destinations known, 100 of them in use.
+func BenchmarkDestinations(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h, now := &bare{}, 100.0
+			f := New(benchTerms(1000), 7, now, h)
+			var dests []*Destination
+			for i := range n {
+				d := f.NewDestination(uint64(i))
+				f.List(false, []Listing{{Target: &Target{Door: uint64(i)}, Dest: d, Standing: Ready}})
+				dests = append(dests, d)
+			}
+			f.Settle()
+			i := 0
+			for b.Loop() {
+				decide(f, h, &now, dests[i%min(n, 100)*(n/min(n, 100))])
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkHeld is the same with so many documents held for a destination that told a wait.
+func BenchmarkHeld(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h, now := &bare{}, 100.0
+			f := New(benchTerms(10*n), 7, now, h)
+			var dests []*Destination
+			for i := range 2 {
+				d := f.NewDestination(uint64(i))
+				f.List(false, []Listing{{Target: &Target{Door: uint64(i)}, Dest: d, Standing: Ready}})
+				dests = append(dests, d)
+			}
+			f.Clock(now)
+			f.Take(&Doc{Dest: dests[1], Tenant: 9}, 0, 1e6)
+			f.Settle()
+			f.Ended(h.out[0], Ending{Outcome: Full, Took: 0.05, Wait: 1e9})
+			h.out = h.out[:0]
+			for range n {
+				f.Take(&Doc{Dest: dests[1], Tenant: 9}, 0, 1e6)
+			}
+			f.Settle()
+			for b.Loop() {
+				decide(f, h, &now, dests[0])
+			}
+		})
+	}
+}
--- a/lab/experiment/search.go
+++ b/lab/experiment/search.go
@@ -89,6 +89,9 @@
 	}
 	var names []string
 	for name := range sim.Baselines {
+		if name == "oracle" { // what no forwarder can know is no reproach
+			continue
+		}
 		names = append(names, name)
 	}
 	sort.Strings(names)
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"spanflow/seam"
 )
@@ -106,6 +107,7 @@
 	down    int     // outages that are on
 	stuck   []*Call // taken up while it hangs
 	working []*Call
+	Coming  int // calls on their way to it, for Ready
 }
 
 // Trouble is what is wrong with a target now. Several may be on at once.
@@ -240,6 +242,52 @@
 	return float64(len(m.at))
 }
 
+const mostlyFails = 0.6 // from such a share of failures on it does not pay to try
+
+// Ready tells if a call that came now would be worked on at once and answered well. No forwarder can know it: it serves
+// the ceiling that others are compared with.
+func (t *Target) Ready(from int) bool {
+	d, r := t.Dest, &t.Trouble
+	if refused, silent := t.Up(); refused || silent || r.Hang > 0 || r.Draining || t.busy+t.Coming >= d.Terms.Places {
+		return false
+	}
+	if r.Err+r.Reset+r.Lose+r.Spoil > mostlyFails && !(r.Odd && from%2 == 0) {
+		return false
+	}
+	l, m, n, coming := &d.limit, &d.met, 0, 0
+	for _, o := range d.Targets {
+		coming += o.Coming
+		if !o.Trouble.Left && o.down == 0 {
+			n++
+		}
+	}
+	if d.Terms.Apart {
+		l, m, n, coming = &t.limit, &t.met, 1, t.Coming
+	}
+	now := d.clock.Now()
+	if share := t.share(); share < 1 && d.Terms.Fall > 0 {
+		met := coming + 1
+		for _, at := range m.at {
+			if at > now-1 {
+				met++
+			}
+		}
+		if float64(met) > math.Max(2, d.Terms.Fall*share*d.capacity(n)) {
+			return false
+		}
+	}
+	peek := limit{l.tokens, l.at, slices.Clone(l.let)}
+	for range coming + 1 {
+		if _, full := peek.take(&d.Terms, r.Cut, now); full {
+			return false
+		}
+	}
+	return true
+}
+
+// Busy is how many calls the target works on.
+func (t *Target) Busy() int { return t.busy }
+
 // Take takes a call whose last byte has come. Whoever calls has seen by Up that a connection stands.
 func (t *Target) Take(c *Call) {
 	d := t.Dest
--- a/lab/sim/baseline.go
+++ b/lab/sim/baseline.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"slices"
 
 	"spanflow/choice"
 )
 
-// Baselines to compare the module with. They are for the laboratory only.
+// Baselines to compare the module with. They are for the laboratory only. The oracle sees the true state of all targets
+// and is a ceiling that may be out of reach.
 var Baselines = map[string]Maker{
 	"fifo": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy { return newPlain(t, now, h) },
 	"backoff": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy {
@@ -19,6 +21,11 @@
 		p.backoff, p.bucket = true, true
 		return p
 	},
+	"oracle": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy {
+		p := newPlain(t, now, h)
+		p.seer = true
+		return p
+	},
 	"least-loaded": func(t choice.Terms, seed uint64, now float64, h choice.Host) Policy {
 		p := newPlain(t, now, h)
 		p.backoff, p.least = true, true
@@ -40,6 +47,8 @@
 	backoff bool // repeats wait twice as long each time
 	bucket  bool // a destination gets at most as many calls a second as it answered of late, and a quarter more
 	least   bool // the target with the fewest calls out, not the next in turn
+	seer    bool // sends only what would be worked on at once and answered well
+	sees    func(door uint64) (ready bool, busy int)
 	fault   fault
 }
 
@@ -223,7 +232,20 @@
 }
 
 func (p *plain) Settle() {
-	for _, x := range append([]*plainDoc(nil), p.held...) {
+	all := append([]*plainDoc(nil), p.held...)
+	if p.seer { // those that can be in time still, before those that are late already
+		late := func(x *plainDoc) bool { return p.now > x.expiry-x.typ.Life+x.typ.Agreed }
+		slices.SortStableFunc(all, func(a, b *plainDoc) int {
+			switch la, lb := late(a), late(b); {
+			case la == lb:
+				return 0
+			case lb:
+				return -1
+			}
+			return 1
+		})
+	}
+	for _, x := range all {
 		if x.out > 0 && !(p.fault == overlaps && x.out == 1 && p.now > x.next) {
 			continue
 		}
@@ -267,6 +289,7 @@
 		}
 	}
 	var best *plainTarget
+	least := 0
 	for i := range d.targets {
 		t := d.targets[(d.next+i)%len(d.targets)]
 		if t.standing != choice.Ready && p.fault != callsDraining || t.standing == choice.Gone || p.now < t.until+0.005 && p.fault != ignoresWaits {
@@ -275,6 +298,13 @@
 		if x.ran > 0 && x.typ.Repeat == choice.Numbered && x.typ.ZoneGroup && t.zone != x.zone {
 			continue
 		}
+		if p.seer {
+			ready, busy := p.sees(t.is.Door)
+			if ready && (best == nil || busy < least) {
+				best, least = t, busy
+			}
+			continue
+		}
 		if best == nil || p.least && t.out < best.out {
 			best = t
 		}
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -59,6 +59,12 @@
 	n.up = true
 	n.docs, n.byDoor, n.calls, n.out = map[uint64]*handing{}, map[uint64]*target{}, nil, nil
 	n.policy = n.day.make(d.scene.Terms(n.number), n.seed+uint64(n.life), d.Now(), n)
+	if p, ok := n.policy.(*plain); ok && p.seer {
+		p.sees = func(door uint64) (bool, int) {
+			t := d.dests[door>>32].Targets[uint32(door)]
+			return t.Ready(n.number), t.Busy()
+		}
+	}
 	n.dests, n.targets = nil, make([][]*target, len(d.dests))
 	var lines []choice.Listing
 	for i, dest := range d.dests {
@@ -224,6 +230,9 @@
 	rest := float64(d.scene.Rest)
 	way, dead := 3*rest, false // a new connection takes a way there and back before the call
 	life := float64(d.scene.Dispatch.IdleLife)
+	if p, ok := n.policy.(*plain); ok && p.seer { // it knows which connections are dead: a new one each time
+		t.idle = nil
+	}
 	for len(t.idle) > 0 {
 		used := t.idle[len(t.idle)-1]
 		t.idle = t.idle[:len(t.idle)-1]
@@ -235,6 +244,9 @@
 	fresh := way > rest
 	d.After(c.allow, func() { n.do(func() { c.giveUp() }) })
 	refused, silent := t.is.Up()
+	if dead || silent && fresh || refused {
+		t.is.Coming--
+	}
 	switch {
 	case dead:
 		c.arrived = true // as far as the forwarder can tell
@@ -249,6 +261,7 @@
 		return
 	}
 	d.After(way, func() {
+		t.is.Coming--
 		if c.done || c.back || c.life != n.life {
 			return
 		}
@@ -324,6 +337,7 @@
 			return
 		}
 	}
+	t.is.Coming++
 	n.calls = append(n.calls, &call{node: n, life: n.life, to: t, docs: []*handing{h}, allow: timeout})
 }
 
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"os/exec"
+	"path/filepath"
 	"runtime"
 	"sync"
 	"testing"
@@ -89,6 +92,38 @@
 	}
 }
 
+// The oracle is a ceiling: in no kept scene does the module or a baseline deliver much more.
+func TestTheOracleIsACeiling(t *testing.T) {
+	for _, name := range scene.Kept() {
+		s := kept(t, name)
+		top := Play(s, 1, Baselines["oracle"])
+		module := Play(s, 1, Module)
+		require.Greater(t, top.G, module.G-0.01, name)
+		t.Logf("%-32s oracle %.3f module %.3f fifo %.3f", name, top.G, module.G, Play(s, 1, Baselines["fifo"]).G)
+	}
+}
+
+// One short scene on real sockets: the built program as processes, the same model of partners.
+func TestASceneOnRealSockets(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "spanflow")
+	out, err := exec.Command("go", "build", "-o", program, "spanflow/cmd/spanflow").CombinedOutput()
+	require.NoError(t, err, string(out))
+	s := kept(t, "returns-cold")
+	s.Length, s.Drain, s.Dispatch.Forwarders = 6, 6, 2
+	for i := range s.Types {
+		s.Types[i].Life, s.Types[i].Memory = 5, min(s.Types[i].Memory, 4)
+	}
+	s.Troubles[0].At, s.Troubles[0].For = 2, 1
+	r, err := Real{Program: program, Folder: t.TempDir(), Memory: 64, Sockets: 256}.Play(context.Background(), s, 1)
+	require.NoError(t, err)
+	require.Empty(t, r.Breaches)
+	require.Greater(t, r.Documents, 150)
+	twin := Play(s, 1, Module)
+	require.Equal(t, twin.Documents, r.Documents, "the same load")
+	require.InDelta(t, twin.G, r.G, 0.15)
+	t.Logf("on sockets %.3f, simulated %.3f", r.G, twin.G)
+}
+
 // random draws a scene: some partners, some troubles.
 func random(base *scene.Scene, seed uint64) *scene.Scene {
 	dice := rand.New(rand.NewPCG(seed, 9))
