--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -29,7 +29,7 @@
 	Fall     float64 // it falls over when met with more than this multiple of its present capacity
 	FallFor  float64 // and is down for so long
 
-	Memory float64 // of numbers, from the transmission on
+	Memory float64 // of numbers, from the run on
 	Zoned  bool    // a number is known in one zone only
 }
 
@@ -450,18 +450,19 @@
 	}
 	effect := true
 	if doc.Mark != 0 && d.Terms.Memory > 0 {
-		effect = d.known[zone].learn(doc.Mark, c.came, now, d.Terms.Memory)
+		effect = d.known[zone].learn(doc.Mark, now, d.Terms.Memory)
 	}
 	d.record.Ran(Run{Doc: doc, Dest: d.Number, Target: t.Number, From: c.From, Came: c.came, Began: began, Ended: now, Effect: effect})
 }
 
-// numbers are those that a destination remembers; the memory counts from the transmission on.
+// numbers are those that a destination remembers, from the run on: never less than forwarders count on, who know only
+// when they transmitted.
 type numbers struct {
 	until map[uint64]float64
 	order []uint64
 }
 
-func (n *numbers) learn(mark uint64, came, now, memory float64) (fresh bool) {
+func (n *numbers) learn(mark uint64, now, memory float64) (fresh bool) {
 	for len(n.order) > 0 && n.until[n.order[0]] <= now {
 		delete(n.until, n.order[0])
 		n.order = n.order[1:]
@@ -475,7 +476,7 @@
 	if _, known := n.until[mark]; !known {
 		n.order = append(n.order, mark)
 	}
-	n.until[mark] = came + memory
+	n.until[mark] = now + memory
 	return true
 }
 
