--- a/choice/choice.go
+++ b/choice/choice.go
@@ -411,7 +411,9 @@
 		if r.pace > 0 {
 			r.tokens = math.Min(r.tokens+r.pace*dt, math.Max(1, r.pace*0.3))
 			if f.now >= r.closed {
-				r.pace *= 1 + 0.08*dt
+				// Faster the longer nothing was refused. Guards against a pace that a full queue taught in a clump
+				// being paid for long after; hurts at limits that refuse seldom.
+				r.pace *= 1 + 0.08*dt*(1+(f.now-r.heard)/2)
 			}
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -574,3 +574,38 @@
 	}
 	require.GreaterOrEqual(t, pace(6), pace(1))
 }
+
+// A clump that a full queue turns away teaches a pace far below what the destination takes. It is not paid for long.
+func TestAPaceThatMeetsNoRefusalGrowsFasterAndFaster(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for range 20 {
+		h.ends(h.out1(d), Delivered, 0)
+		h.now += 0.2
+	}
+	h.flood(d, status, 3)
+	h.settle()
+	h.answers(d, Full)
+	h.settle()
+	require.Positive(t, d.shared.pace)
+	grown := func(seconds float64) float64 {
+		before := d.shared.pace
+		for range int(seconds * 5) {
+			h.pass(0.2)
+			h.answers(d, Delivered)
+			h.flood(d, status, 1)
+		}
+		return d.shared.pace / before
+	}
+	first := grown(2)
+	grown(6)
+	late := grown(2)
+	require.Greater(t, late, first*1.3)
+	for d.out == 0 {
+		h.flood(d, status, 1)
+		h.pass(0.2)
+	}
+	h.answers(d, Full)
+	h.settle()
+	require.Less(t, grown(2), late, "a refusal begins it anew")
+}
