The first pace after a refusal also by the calls that are out

A full queue in a clump was taken for a limit at the usual load: the rate at the moment of the refusal is that of before the clump. By Little's law the calls that are out over their usual time tell what the destination takes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -384,6 +384,15 @@
 	} else if limited {
 		if r.pace > 0 {
 			cut = math.Min(cut, r.pace)
+		} else { // Little's law: what is out and answered in the usual time. Guards against a full queue in a clump
+			// being taken for a limit at the usual load; hurts where all that is out will be turned away.
+			out := 0
+			for _, o := range t.dest.targets {
+				if o.route == r {
+					out += len(o.calls)
+				}
+			}
+			cut = math.Max(cut, float64(out)/t.dest.took.slow)
 		}
 		r.pace = math.Max(0.7*cut, f.known(t))
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -609,3 +609,25 @@
 	h.settle()
 	require.Less(t, grown(2), late, "a refusal begins it anew")
 }
+
+// A clump of calls of which one meets a full queue while the others are worked on: the pace is what these come to.
+func TestAFirstRefusalAmongManyCallsOutLeavesThePaceThatTheyShow(t *testing.T) {
+	pace := func(out int) float64 {
+		h := start(terms)
+		d := h.receiver(0, 0)
+		for range 200 {
+			h.ends(h.out1(d), Delivered, 0)
+			h.now += 0.5
+		}
+		d.targets[0].places = 8
+		h.flood(d, status, out)
+		h.settle()
+		require.Equal(t, out, d.out)
+		h.now += 0.05
+		h.Clock(h.now)
+		h.ends(h.sent[len(h.sent)-1].doc, Full, 0)
+		return d.shared.pace
+	}
+	require.Greater(t, pace(6), 10.0, "six calls of a tenth of a second or so")
+	require.Less(t, pace(1), 10.0)
+}
