--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -173,4 +173,3 @@
 	}
 	return forward.AtStart
 }
-
--- a/internal/ledger/look.go
+++ b/internal/ledger/look.go
@@ -179,4 +179,6 @@
 }
 
 // States are the words of State.
-func States() []string { return []string{"held", "tried", "out", "may-have-run", "returned", "abandoned"} }
+func States() []string {
+	return []string{"held", "tried", "out", "may-have-run", "returned", "abandoned"}
+}
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -450,7 +450,7 @@
 	}
 	effect := true
 	if doc.Mark != 0 && d.Terms.Memory > 0 {
-		effect = d.known[zone].learn(doc.Mark, now, d.Terms.Memory)
+		effect = d.known[zone].learn(doc.Mark, c.came, now, d.Terms.Memory)
 	}
 	d.record.Ran(Run{Doc: doc, Dest: d.Number, Target: t.Number, From: c.From, Came: c.came, Began: began, Ended: now, Effect: effect})
 }
@@ -462,24 +462,29 @@
 	order []uint64
 }
 
-func (n *numbers) learn(mark uint64, now, memory float64) (fresh bool) {
-	for len(n.order) > 0 && n.until[n.order[0]] <= now {
+// learn tells if a number is new to a call that came at a moment and has run by now. It is looked up as of the coming:
+// a call that a hang kept for long is known by what was known then.
+func (n *numbers) learn(mark uint64, came, now, memory float64) (fresh bool) {
+	for len(n.order) > 0 && n.until[n.order[0]] <= now-keptBeyond {
 		delete(n.until, n.order[0])
 		n.order = n.order[1:]
 	}
 	if n.until == nil {
 		n.until = map[uint64]float64{}
 	}
-	if u, known := n.until[mark]; known && u > now {
+	until, known := n.until[mark]
+	if known && until > came {
 		return false
 	}
-	if _, known := n.until[mark]; !known {
+	if !known {
 		n.order = append(n.order, mark)
 	}
 	n.until[mark] = now + memory
 	return true
 }
 
+const keptBeyond = 120 // seconds: calls that came in time may run so much later
+
 // limit is a plain rate (a bucket that fills), a count within a span, or both.
 type limit struct {
 	tokens, at float64
