--- a/choice/choice.go
+++ b/choice/choice.go
@@ -102,7 +102,13 @@
 // What was out then may have run and is a retry now; what has no way left is answered by the next settling.
 func (f *Forwarder) Recover(d *Doc, typ int, left float64, past Past) {
 	f.Take(d, typ, left)
-	if past.Answered { // and is not transmitted any more
+	if past.Left { // Its caller may have come again with another document for the same effect. Guards against a second
+		// effect; hurts a caller that relied on this one. One that may still run lets its key rest.
+		if past.Sent > 0 && d.chain != nil {
+			d.chain.rest = math.Max(d.chain.rest, f.now+f.terms.KeyRest+0.001)
+		}
+		f.finish(d)
+	} else if past.Answered { // and is not transmitted any more
 		d.telling = true
 		f.finish(d)
 	} else if d.sent, d.ranFrom, d.ranZone = past.Sent, past.Ran, past.Zone; d.sent > 0 {
--- a/choice/port.go
+++ b/choice/port.go
@@ -47,6 +47,7 @@
 	Zone int     // of its target
 
 	Answered bool // it has its final answer, of which Told has not spoken yet
+	Left     bool // its caller waited for the final answer, and went with that process
 }
 
 // Outcome is how a transmission ended.
--- a/choice/socket_test.go
+++ b/choice/socket_test.go
@@ -198,3 +198,21 @@
 	h.settle()
 	require.NotContains(t, d.targets, first)
 }
+
+// What callers of an earlier process waited for is not sent. Where it may still run, its key rests.
+func TestWhatACallerThatLeftWaitedForIsNotSentAndLetsItsKeyRest(t *testing.T) {
+	for _, sent := range []int{0, 1} {
+		h := start(terms)
+		d := h.receiver(0, 0)
+		left := &Doc{Key: 5, Dest: d, Tenant: 9}
+		h.Recover(left, ticket, 20, Past{Sent: sent, Ran: h.now - 1, Left: true})
+		require.True(t, left.Over())
+		after := h.take(d, ticket, 5)
+		h.settle()
+		require.Equal(t, sent == 0, len(h.sent) == 1, "a key with nothing sent rests not")
+		h.pass(0.2)
+		require.Len(t, h.sent, 1)
+		require.Same(t, after, h.sent[0].doc)
+		require.Empty(t, h.done[left])
+	}
+}
--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -62,49 +61,13 @@
 	diskMB    int
 	sockets   int
 	cmd       *exec.Cmd
-	log       *logged
+	log       *standin.Log
 	ended     chan error
 }
 
-// logged lets a test wait for a line of the program's log.
-type logged struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-	more chan struct{}
-}
-
-func (l *logged) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case l.more <- struct{}{}:
-	default:
-	}
-	return l.text.Write(p)
-}
-
-func (l *logged) has(word string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.text.String(), word)
-}
-
-func (l *logged) count(word string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), word)
-}
-
 func (s *stage) await(word string) {
 	s.t.Helper()
-	late := time.After(15 * time.Second)
-	for !s.log.has(word) {
-		select {
-		case <-s.log.more:
-		case <-late:
-			s.t.Fatalf("no %q in the log:\n%s", word, s.log.text.String())
-		}
-	}
+	s.log.Await(s.t, word)
 }
 
 func newStage(t *testing.T, kind string) *stage {
@@ -131,7 +94,7 @@
 
 func (s *stage) start() *standin.Client {
 	s.t.Helper()
-	s.log = &logged{more: make(chan struct{}, 1)}
+	s.log = standin.NewLog()
 	s.cmd = exec.Command(program)
 	s.cmd.Env, s.cmd.Stderr = append(os.Environ(), s.order()...), s.log
 	require.NoError(s.t, s.cmd.Start())
@@ -140,7 +103,7 @@
 	go func() { ended <- cmd.Wait() }()
 	s.t.Cleanup(func() { cmd.Process.Kill() })
 	s.await(`"message":"ready"`)
-	_, text, _ := strings.Cut(s.log.text.String(), `"listen":"`)
+	_, text, _ := strings.Cut(s.log.String(), `"listen":"`)
 	s.listen, _, _ = strings.Cut(text, `"`)
 	return s.client()
 }
@@ -175,7 +138,7 @@
 	case c := <-s.target.Calls:
 		return c
 	case <-time.After(20 * time.Second):
-		s.t.Fatalf("no call came; log:\n%s", s.log.text.String())
+		s.t.Fatalf("no call came; log:\n%s", s.log.String())
 	}
 	panic("unreachable")
 }
@@ -186,7 +149,7 @@
 	case n := <-s.discovery.Notices:
 		return n
 	case <-time.After(20 * time.Second):
-		s.t.Fatalf("no notice came; log:\n%s", s.log.text.String())
+		s.t.Fatalf("no notice came; log:\n%s", s.log.String())
 	}
 	panic("unreachable")
 }
@@ -317,15 +280,15 @@
 	require.Equal(t, "d2", s.call().ID)
 	require.Empty(t, s.discovery.Notices)
 	s.stop()
-	require.True(t, s.log.has(`"delivered":2`), s.log.text.String())
+	require.True(t, s.log.Has(`"delivered":2`), s.log.String())
 }
 
 // again tells the program to read its order once more and waits for a line about it.
 func (s *stage) again(word string) {
 	s.t.Helper()
-	before := s.log.count(word)
+	before := s.log.Count(word)
 	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGHUP))
-	require.Eventually(s.t, func() bool { return s.log.count(word) > before }, 10*time.Second, 5*time.Millisecond)
+	require.Eventually(s.t, func() bool { return s.log.Count(word) > before }, 10*time.Second, 5*time.Millisecond)
 }
 
 func TestSeveralDocumentsTravelAsOneCallWithAnEndForEach(t *testing.T) {
@@ -434,7 +397,7 @@
 	s.stop()
 	require.Empty(t, s.target.Calls)
 	require.Empty(t, s.discovery.Notices)
-	require.True(t, s.log.has(`"owed":0`), s.log.text.String())
+	require.True(t, s.log.Has(`"owed":0`), s.log.String())
 }
 
 func (s *stage) stop() {
@@ -477,7 +440,7 @@
 	_, err := c.Hear()
 	require.Error(t, err, "the client is to go elsewhere")
 	require.NoError(t, <-s.ended)
-	require.True(t, s.log.has(`"owed":1`), s.log.text.String())
+	require.True(t, s.log.Has(`"owed":1`), s.log.String())
 	s.discovery.Set(standin.Entry{UID: "s2", Endpoint: s.target.Addr, Zone: "a", Kind: "single", Dest: 9, State: "active"})
 	s.start()
 	require.Equal(t, "far", s.call().ID)
@@ -612,7 +575,7 @@
 			case <-s.discovery.Notices:
 			case <-s.target.Calls:
 			case <-late:
-				t.Fatalf("not all has ended; log:\n%s", s.log.text.String())
+				t.Fatalf("not all has ended; log:\n%s", s.log.String())
 			}
 		}
 	}
@@ -620,5 +583,5 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	require.Empty(t, w.wrong)
-	require.True(t, s.log.has(`"owed":0`), s.log.text.String())
+	require.True(t, s.log.Has(`"owed":0`), s.log.String())
 }
--- a/cmd/spanflowctl/main_test.go
+++ b/cmd/spanflowctl/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -85,42 +83,13 @@
 	ear    *standin.Discovery
 	target *standin.Target
 	cmd    *exec.Cmd
-	log    *logged
+	log    *standin.Log
 	ended  chan error
 }
 
-type logged struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-	more chan struct{}
-}
-
-func (l *logged) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case l.more <- struct{}{}:
-	default:
-	}
-	return l.text.Write(p)
-}
-
-func (l *logged) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 func (s *stage) await(word string) {
 	s.t.Helper()
-	late := time.After(15 * time.Second)
-	for !strings.Contains(s.log.String(), word) {
-		select {
-		case <-s.log.more:
-		case <-late:
-			s.t.Fatalf("no %q in the log:\n%s", word, s.log)
-		}
-	}
+	s.log.Await(s.t, word)
 }
 
 func free(t *testing.T) string {
@@ -149,7 +118,7 @@
 
 func (s *stage) start(flags ...string) *stage {
 	s.t.Helper()
-	s.log = &logged{more: make(chan struct{}, 1)}
+	s.log = standin.NewLog()
 	cmd := exec.Command(filepath.Join(dir, "spanflow"), append([]string{"run", "--config", s.file}, flags...)...)
 	cmd.Stderr = s.log
 	require.NoError(s.t, cmd.Start())
@@ -203,8 +172,12 @@
 	}
 	require.NoError(t, json.Unmarshal([]byte(out), &r), out)
 	require.Equal(t, []any{"a", "out", "resp", 1}, []any{r.ID, r.State, r.Front, r.Transmissions})
-	out, _ = spanflow("ledger", "list", "-c", s.file, "--json", "--dest", "8")
-	require.Empty(t, out)
+	for _, none := range [][]string{{"--dest", "8"}, {"--expires-within", "1s"}, {"--expired-for", "1s"}} {
+		out, _ = spanflow(append([]string{"ledger", "list", "-c", s.file, "--json"}, none...)...)
+		require.Empty(t, out, none)
+	}
+	out, _ = spanflow("ledger", "list", "-c", s.file, "--json", "--expires-within", "1m")
+	require.Contains(t, out, `"id":"a"`)
 	s.cmd.Process.Kill()
 	<-s.ended
 	close(hold)
@@ -226,10 +199,11 @@
 	s.write(extra + "zone = \"z\"\n")
 	s.cmd.Process.Signal(syscall.SIGHUP)
 	s.await(`targets[1].zone: \"z\" is none of zones`)
-	s.write(extra + "[limits]\nmemory = \"96MB\"\n")
+	s.write(extra + "[limits]\nmemory = \"96MB\"\n[metrics]\ntoken_file = \"other\"\n[log]\nformat = \"console\"\n")
+	require.NoError(t, os.WriteFile(filepath.Join(filepath.Dir(s.file), "other"), []byte("x"), 0o600))
 	s.cmd.Process.Signal(syscall.SIGHUP)
-	s.await("order taken up")
-	s.await(`"at_next_start":["limits"]`)
+	s.await("INF order taken up")
+	s.await(`at_next_start=["metrics","limits"]`)
 	s.put("a", "c=status,d=5000,dest=8")
 	require.Equal(t, "a", (<-other.Calls).ID)
 }
--- a/forward/config.go
+++ b/forward/config.go
@@ -20,7 +20,6 @@
 	Name      string
 	Fronts    []Front
 	Discovery string     // its address; empty: the list is Static
-	Notices   string     // where final answers go that no caller waits for; empty: into the log alone
 	Static    *seam.List // a list of the order's own
 	Folder    string     // the folder that lasts
 	Seed      uint64
@@ -33,9 +32,11 @@
 	Terms     choice.Terms
 	Names     terms.Names
 
-	KindOutlet map[string]string // by which carriage targets of a kind are reached, if not by the usual
+	Outlets    []Outlet          // beside the usual, named http
+	KindOutlet map[string]string // by which outlet targets of a kind are reached, if not by the usual
 	Log        Log
 	Metrics    string // where metrics are served; empty: nowhere
+	TokenFile  string // what readers of metrics have to show stands there
 
 	// Meter makes what serves metrics at an address; nil: there is none.
 	Meter func(addr, forwarder string, fronts []string, levels []seam.Level) (seam.Meter, error)
@@ -47,10 +48,20 @@
 
 	Reread func() (*Order, error) // the order as it is told by now; nil: it never changes
 	told   string                 // discovery as the text has it, whatever the variables say
+
+	toldNotices string // where notices go, if not to discovery
 }
 
-// Tell says what the order's text has as discovery, whatever its variables say.
-func (o *Order) Tell(discovery string) { o.told = discovery }
+// Tell says what the order's text has as discovery, whatever its variables say, and where notices go if not there.
+func (o *Order) Tell(discovery, notices string) { o.told, o.toldNotices = discovery, notices }
+
+// Notices is where final answers go that no caller waits for; empty: into the log alone.
+func (o *Order) Notices() string {
+	if o.toldNotices != "" {
+		return o.toldNotices
+	}
+	return o.Discovery
+}
 
 // The least limits with which a forwarder runs.
 const (
@@ -114,7 +125,6 @@
 		Discovery: first("PROXY_DISCOVERY", c.Discovery), Folder: first("PROXY_STATE", c.State),
 		MemoryMB: c.Limits.MemoryMB, Sockets: c.Limits.Sockets, DiskMB: c.Limits.DiskMB, Cores: c.Limits.Cores,
 		Known: c.Known, told: c.Discovery, Log: Log{Level: zerolog.TraceLevel}}
-	o.Notices = o.Discovery
 	for _, f := range []struct{ name, value string }{{"listen", o.Fronts[0].Listen}, {"discovery", o.Discovery}} {
 		if !IsAddress(f.value) {
 			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
--- a/forward/exchange_test.go
+++ b/forward/exchange_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +89,61 @@
 	require.InDelta(t, 1000, of(Log{Sample: 0.1}), 200)
 	require.Equal(t, 2, of(Log{Keys: []uint64{7}, IDs: []string{"9ns"}}))
 }
+
+// moved writes down where it was moved to.
+type moved struct{ to []string }
+
+func (m *moved) Move(addr string, _ int64) { m.to = append(m.to, addr) }
+
+// PROXY_DISCOVERY goes before the file at the start. A word to read again, with the file as it was, changes nothing.
+func TestAVariableThatWentBeforeTheFileStandsUntilTheFileChanges(t *testing.T) {
+	read := func(text string, variable string) *Order {
+		o, err := ReadOrder([]byte(text), func(name string) string {
+			return map[string]string{"PROXY_DISCOVERY": variable}[name]
+		})
+		require.NoError(t, err)
+		return o
+	}
+	m, notices := &moved{}, &moved{}
+	o := &owner{order: read(config, "127.0.0.9:1"), moves: m, notices: notices}
+	o.asRead = o.order.Terms
+	require.Equal(t, "127.0.0.9:1", o.order.Notices())
+	require.NoError(t, o.takeUp(read(config, "")))
+	require.Empty(t, m.to)
+	other := strings.Replace(config, "127.0.0.5:8500", "127.0.0.6:8500", 1)
+	require.NoError(t, o.takeUp(read(other, "")))
+	require.Equal(t, []string{"127.0.0.6:8500"}, m.to)
+	require.Equal(t, "127.0.0.6:8500", o.order.Notices())
+	o.order.Movable = true
+	next := read(other, "")
+	next.Movable, next.Seed, next.toldNotices = true, o.order.Seed, "127.0.0.7:1"
+	require.ErrorContains(t, o.takeUp(next), "discovery.notices")
+	o.order.toldNotices = "127.0.0.8:1"
+	require.NoError(t, o.takeUp(next))
+	require.Equal(t, []string{"127.0.0.7:1"}, notices.to)
+	require.Len(t, m.to, 1)
+}
+
+func TestNoMoreWaitsAtAGateThanItsBound(t *testing.T) {
+	x := newExchange()
+	few, small := x.gate("few", "few", 3, 0), x.gate("small", "small", 0, 100)
+	const each = 5000
+	for _, g := range []*gate{few, small} {
+		go func() {
+			for range each {
+				g.Ask(seam.Asked{Paper: &seam.Handed{Body: make([]byte, 60)}})
+			}
+		}()
+	}
+	for left := 2 * each; left > 0; {
+		<-x.bell
+		news, _ := x.take()
+		n := map[*gate]int{}
+		for _, a := range news {
+			n[a.(*asked).front]++
+		}
+		require.LessOrEqual(t, n[few], 3)
+		require.LessOrEqual(t, n[small], 2, "the second goes over its bytes, a third waits")
+		left -= len(news)
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -13,6 +13,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -51,7 +52,7 @@
 func Run(ctx context.Context, order *Order, again <-chan os.Signal, logTo io.Writer, ready func(addr string)) error {
 	own := *order
 	order, asRead := &own, own.Terms
-	log := order.Log.to(logTo).With().Timestamp().Str("forwarder", order.Name).Logger()
+	log := order.Log.to(logTo, order.Name)
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
@@ -71,7 +72,7 @@
 	x := newExchange()
 	o := &owner{order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
-		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{},
+		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{}, logTo: logTo,
 		said: map[string]time.Time{}}
 	for i, name := range order.Names.Types {
 		o.types[name] = i
@@ -137,20 +138,32 @@
 		connect = connectAtMost
 	}
 	terms := Carrier{Connect: connect, KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second)), Limit: order.Names.Limit}
-	o.outlets = map[string]seam.Outlet{usualCarriage: order.carriage(usualCarriage)(dialer, terms, x)}
-	for kind, name := range order.KindOutlet {
-		if o.outlets[name] != nil {
+	o.outlets = map[string]seam.Outlet{}
+	for _, w := range append(slices.Clone(order.Outlets), Outlet{Name: usualCarriage, Protocol: usualCarriage}) {
+		if o.outlets[w.Name] != nil { // the order's own in place of the usual
 			continue
 		}
-		c := order.carriage(name)
+		t := terms
+		if w.Connect > 0 {
+			t.Connect = time.Duration(w.Connect * float64(time.Second))
+		}
+		c := order.carriage(w.Protocol)
 		if c == nil {
+			return fmt.Errorf("outlets: %s: unknown protocol %q", w.Name, w.Protocol)
+		}
+		o.outlets[w.Name] = c(dialer, t, x)
+	}
+	for kind, name := range order.KindOutlet {
+		if o.outlets[name] == nil {
 			return fmt.Errorf("kinds: %s: unknown outlet %q", kind, name)
 		}
-		o.outlets[name] = c(dialer, terms, x)
 	}
 	if order.Discovery != "" {
-		o.dir = directory.New(dialer, order.Discovery, connect, x)
-		o.source = o.dir
+		d := directory.New(dialer, order.Discovery, connect, x)
+		o.source, o.moves = d, d
+		if order.toldNotices == "" {
+			o.teller = d
+		}
 	} else {
 		o.own = &static{board: x}
 		if order.Static != nil {
@@ -159,13 +172,9 @@
 		order.Known = o.own.list
 		o.source = o.own
 	}
-	switch {
-	case order.Notices == "":
-	case o.dir != nil && order.Notices == order.Discovery:
-		o.teller = o.dir
-	default:
-		o.notices = directory.New(dialer, order.Notices, connect, x)
-		o.teller = o.notices
+	if order.toldNotices != "" {
+		d := directory.New(dialer, order.toldNotices, connect, x)
+		o.teller, o.notices = d, d
 	}
 	return nil
 }
--- a/forward/log.go
+++ b/forward/log.go
@@ -32,12 +32,21 @@
 	IDs     []string
 }
 
-func (l Log) to(w io.Writer) zerolog.Logger {
+func (l Log) to(w io.Writer, forwarder string) zerolog.Logger {
 	if l.Console {
-		_, plain := w.(*os.File)
-		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly, NoColor: !plain}
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly, NoColor: !terminal(w)}
 	}
-	return zerolog.New(w).Level(l.Level)
+	return zerolog.New(w).Level(l.Level).With().Timestamp().Str("forwarder", forwarder).Logger()
+}
+
+// terminal tells if what is written is seen by a person at once.
+func terminal(w io.Writer) bool {
+	f, is := w.(*os.File)
+	if !is {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
 
 // trace picks documents whose course is logged. The same id is picked each time within a process.
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -9,7 +10,6 @@
 	"github.com/rs/zerolog"
 
 	"spanflow/choice"
-	"spanflow/internal/directory"
 	"spanflow/internal/ledger"
 	"spanflow/seam"
 )
@@ -25,10 +25,11 @@
 	leaving  []*listener // that have gone from the order, until their callers have
 	outlets  map[string]seam.Outlet
 	source   seam.Source
-	teller   seam.Teller          // nil: the log alone
-	dir      *directory.Directory // the source, if it is discovery
-	notices  *directory.Directory // the teller, if it is not the same
-	own      *static              // the source, if it is the order's own list
+	teller   seam.Teller // nil: the log alone
+	moves    seam.Mover  // the source, if it is discovery
+	notices  seam.Mover  // the teller, if it is not the same
+	logTo    io.Writer
+	own      *static // the source, if it is the order's own list
 	meter    seam.Meter
 	metered  bool
 	trace    trace
@@ -113,10 +114,10 @@
 			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
 		}
 		p := o.paper(e, typ)
+		past.Left = e.Held
 		switch past.Answered = e.Answer != ledger.None; {
-		case e.Held: // its caller's connection died with that process: told to nobody, and sent no more
-			o.withdrawHeld(p, past)
-			past.Answered = true
+		case e.Held: // its caller's connection died with that process: told to nobody
+			o.counts.withdrawn++
 		case e.Answer == ledger.Returned:
 			o.tell(p, seam.Returned, e.After)
 		case e.Answer == ledger.Abandoned:
@@ -124,24 +125,14 @@
 		}
 		o.f.Recover(p.doc, typ, float64(e.Expiry)/1e6-o.clock(now), past)
 		o.counts.recovered++
+		if p.withdrawn = e.Held; p.withdrawn {
+			o.forget(p)
+		}
 	}
 	o.f.Settle()
 	o.flush()
 }
 
-// withdrawHeld ends a recovered document whose caller waited for its final answer. Its caller saw its call break and
-// may have come again with another document for the same effect, so that a transmission now could be a second one. It
-// stays in front of its key's later documents for the key's rest, as one of its transmissions may still run.
-func (o *owner) withdrawHeld(p *paper, past choice.Past) {
-	o.counts.withdrawn++
-	told := func() { o.exchange.Told([]uint64{p.Door}) }
-	if past.Sent == 0 {
-		told()
-		return
-	}
-	time.AfterFunc(time.Duration(o.order.Terms.KeyRest*float64(time.Second)), told)
-}
-
 // withdraw ends a document whose caller waited for its final answer and has gone.
 func (o *owner) withdraw(id string) {
 	p := o.byID[id]
--- a/forward/reread.go
+++ b/forward/reread.go
@@ -30,16 +30,23 @@
 var Parts = []Part{
 	{"name", []string{"name"}, AtStart, func(o *Order) any { return o.Name }},
 	{"listen", []string{"fronts"}, AtOnce, func(o *Order) any { return o.Fronts }},
-	{"discovery", []string{"discovery"}, AtOnce, func(o *Order) any { return [2]string{o.told, o.Notices} }},
+	{"notices", []string{"discovery.notices"}, AtOnce, func(o *Order) any { return o.toldNotices }},
+	{"discovery", []string{"discovery"}, AtOnce, func(o *Order) any { return o.told }},
 	{"targets", []string{"targets"}, AtOnce, func(o *Order) any { return o.Static }},
 	{"log", []string{"log"}, AtOnce, func(o *Order) any { return o.Log }},
-	{"metrics", []string{"metrics"}, AtStart, func(o *Order) any { return o.Metrics }},
+	{"metrics", []string{"metrics"}, AtStart, func(o *Order) any { return [2]string{o.Metrics, o.TokenFile} }},
+	{"seed", []string{"seed"}, AtStart, func(o *Order) any {
+		if o.Movable && !o.SeedDrawn { // the platform's is another at each start
+			return o.Seed
+		}
+		return o.SeedDrawn
+	}},
 	{"state", []string{"ledger.folder"}, AtStart, func(o *Order) any { return o.Folder }},
 	{"limits", []string{"limits", "ledger.disk"}, AtStart, func(o *Order) any {
 		return [4]float64{float64(o.MemoryMB), float64(o.Sockets), float64(o.DiskMB), o.Cores}
 	}},
 	{"settings", []string{"types", "kinds", "tenants", "zones", "zone", "dispatch", "outlets"}, AtStart, func(o *Order) any {
-		return []any{o.Terms, o.Names, o.KindOutlet}
+		return []any{o.Terms, o.Names, o.Outlets, o.KindOutlet}
 	}},
 }
 
@@ -84,6 +91,9 @@
 	if changed["discovery"] && (was.told == "") != (next.told == "") {
 		return fmt.Errorf("discovery: a list of the order's own and one that discovery tells take each other's place only at a start")
 	}
+	if changed["notices"] && (was.toldNotices == "") != (next.toldNotices == "") {
+		return fmt.Errorf("discovery.notices: an address beside discovery's comes and goes only at a start")
+	}
 	if changed["listen"] { // first of all, as it alone can fail
 		if err := o.move(next.Fronts); err != nil {
 			return err
@@ -91,14 +101,15 @@
 		was.Fronts = next.Fronts
 	}
 	if changed["discovery"] { // else a variable at the start may have gone before it
-		was.told, was.Discovery, was.Notices = next.told, next.told, next.Notices
-		if o.dir != nil && was.Discovery != "" {
-			o.dir.Move(was.Discovery, o.rev)
-		}
-		if o.notices != nil && was.Notices != "" {
-			o.notices.Move(was.Notices, 0)
+		was.told, was.Discovery = next.told, next.told
+		if o.moves != nil {
+			o.moves.Move(was.Discovery, o.rev)
 		}
 	}
+	if changed["notices"] {
+		was.toldNotices = next.toldNotices
+		o.notices.Move(was.toldNotices, 0)
+	}
 	if changed["targets"] && o.own != nil {
 		was.Static = next.Static
 		o.own.list = *next.Static
@@ -107,7 +118,7 @@
 	}
 	if changed["log"] {
 		was.Log = next.Log
-		o.log = o.log.Level(was.Log.Level)
+		o.log = was.Log.to(o.logTo, was.Name)
 		o.trace = newTrace(was.Log)
 	}
 	e := o.log.Info().Str("discovery", was.Discovery).Strs("at_next_start", later)
--- a/forward/seam_test.go
+++ b/forward/seam_test.go
@@ -82,47 +82,11 @@
 	fronts map[string]*memory
 	hands  *hands
 	again  chan os.Signal
-	log    *lines
+	log    *standin.Log
 	addr   string
 	stop   func()
 }
 
-// lines are a log that tests wait on.
-type lines struct {
-	mu   sync.Mutex
-	text strings.Builder
-	more chan struct{}
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	select {
-	case l.more <- struct{}{}:
-	default:
-	}
-	return l.text.Write(p)
-}
-
-func (l *lines) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
-func (l *lines) await(t *testing.T, word string) string {
-	t.Helper()
-	late := time.After(10 * time.Second)
-	for !strings.Contains(l.String(), word) {
-		select {
-		case <-l.more:
-		case <-late:
-			t.Fatalf("no %q in the log:\n%s", word, l.String())
-		}
-	}
-	return l.String()
-}
-
 func newHouse(t *testing.T, fronts ...forward.Front) *house {
 	h := &house{t: t, fronts: map[string]*memory{}, hands: &hands{calls: make(chan *seam.Call, 100)}, again: make(chan os.Signal, 1)}
 	h.order = &forward.Order{Name: "n1", Folder: t.TempDir(), MemoryMB: 64, Sockets: 256, DiskMB: 3, Cores: 1, Seed: 7, Movable: true,
@@ -131,7 +95,8 @@
 		Terms: choice.Terms{Types: []choice.DocType{{Repeat: choice.Replayable, Agreed: 3, Life: 20}, {Repeat: choice.Binding, InOrder: true, Agreed: 3, Life: 20}},
 			KindBatch: []int{1}, Forwarders: 1, Slots: 8, Room: 100, Transmissions: 6, KeyRest: 0.05, ColdFrom: 0.2, ColdFor: 10, IdleLife: 10, FallMultiple: 2, ComeBackMost: 2},
 		Names:      terms.Names{Types: []string{"status", "payment"}, Kinds: []string{"k"}, Zones: []string{""}, Connect: 1},
-		KindOutlet: map[string]string{"k": "hands"},
+		Outlets:    []forward.Outlet{{Name: "by-hand", Protocol: "hands"}},
+		KindOutlet: map[string]string{"k": "by-hand"},
 		Protocols: map[string]forward.Protocol{"memory": func(f forward.Front, _ int, desk seam.Desk) (seam.Front, error) {
 			h.fronts[f.Name] = &memory{desk, f.Name}
 			return h.fronts[f.Name], nil
@@ -146,7 +111,7 @@
 func (h *house) start() *house {
 	h.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	h.log = &lines{more: make(chan struct{}, 1)}
+	h.log = standin.NewLog()
 	ready, ended := make(chan string, 1), make(chan error, 1)
 	go func() {
 		ended <- forward.Run(ctx, h.order, h.again, h.log, func(addr string) { ready <- addr })
@@ -207,7 +172,7 @@
 	in.desk.Withdraw("nobody")
 	h.hands.end(out, seam.TurnedAway) // not sent again: its caller has gone
 	require.Equal(t, "c", (<-h.hands.calls).Papers[0].ID)
-	h.log.await(t, "ready")
+	h.log.Await(t, "ready")
 	v, err := ledger.Look(h.order.Folder)
 	require.NoError(t, err)
 	require.Len(t, v.Owed, 1)
@@ -312,7 +277,7 @@
 	reload := func(listen, says string) {
 		next.Fronts = append([]forward.Front{{Name: "resp", Protocol: "resp", Listen: listen}}, h.order.Fronts[1:]...)
 		h.again <- os.Interrupt
-		h.log.await(t, says)
+		h.log.Await(t, says)
 	}
 	reload(taken.Addr().String(), "order not taken up") // an address that cannot be had changes nothing
 	answer, err := c.Say(standin.Command("PING"))
@@ -332,7 +297,7 @@
 	h.hands.end(<-h.hands.calls, seam.Took)
 	fail = fmt.Errorf("limits.memory: c.toml:5: wrong")
 	h.again <- os.Interrupt
-	h.log.await(t, "c.toml:5")
+	h.log.Await(t, "c.toml:5")
 	require.NotEqual(t, old, addr)
 }
 
@@ -346,7 +311,7 @@
 	next.Static = &seam.List{All: true, Targets: []seam.Target{{UID: "t2", Endpoint: "127.0.0.1:8", Kind: "k", Dest: 8, State: "active"}}}
 	next.MemoryMB = 128
 	h.again <- os.Interrupt
-	text := h.log.await(t, "order taken up")
+	text := h.log.Await(t, "order taken up")
 	require.Contains(t, text, `"at_next_start":["limits"]`)
 	c := h.fronts["inner"].hand(seam.Handed{ID: "b", Type: "status", Dest: 8})
 	require.Equal(t, seam.Taken, (<-c.door).Word)
--- a/forward/wiring.go
+++ b/forward/wiring.go
@@ -21,6 +21,13 @@
 	WaitingBytes int // of documents among them; 0: the usual
 }
 
+// Outlet is what an order says of one outlet.
+type Outlet struct {
+	Name     string
+	Protocol string  // of a carriage
+	Connect  float64 // seconds in which a connection comes up or never does; 0: the order's
+}
+
 // Protocol opens a front that leaves what its callers want at the desk. most is the bound of its connections.
 type Protocol func(f Front, most int, desk seam.Desk) (seam.Front, error)
 
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,23 +19,11 @@
 	"spanflow/forward"
 	"spanflow/internal/config"
 	"spanflow/internal/ledger"
+	"spanflow/internal/shell"
 )
 
-// Exit codes.
-const (
-	Fine   = 0
-	Failed = 1 // it ran and found something wrong, or could not do what was asked
-	Usage  = 2 // the command line cannot be understood
-)
-
-// failure is an error of a command that was understood.
-type failure struct{ error }
-
-// errFound says that what is wrong has been printed.
-var errFound = failure{errors.New("")}
-
-// shell is what the commands work with.
-type shell struct {
+// session is what the commands work with.
+type session struct {
 	environ  []string
 	out, err io.Writer
 	json     bool
@@ -46,27 +33,11 @@
 
 // Main runs a command line and returns the exit code.
 func Main(args, environ []string, out, errOut io.Writer) int {
-	s := &shell{environ: environ, out: out, err: errOut}
-	root := s.root()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	err := root.Execute()
-	var f failure
-	switch {
-	case err == nil:
-		return Fine
-	case errors.As(err, &f):
-		if f.Error() != "" {
-			fmt.Fprintln(errOut, "spanflow:", f.error)
-		}
-		return Failed
-	}
-	fmt.Fprintf(errOut, "spanflow: %v\nTry 'spanflow --help'.\n", err)
-	return Usage
+	s := &session{environ: environ, out: out, err: errOut}
+	return shell.Main(s.root(), args, out, errOut)
 }
 
-func (s *shell) getenv(name string) string {
+func (s *session) getenv(name string) string {
 	for _, e := range slices.Backward(s.environ) {
 		if n, v, ok := strings.Cut(e, "="); ok && n == name {
 			return v
@@ -75,18 +46,7 @@
 	return ""
 }
 
-// run wraps a command's work: an error of it is a failure, not a wrong command line.
-func run(work func(args []string) error) func(*cobra.Command, []string) error {
-	return func(_ *cobra.Command, args []string) error {
-		err := work(args)
-		if f := (failure{}); err != nil && !errors.As(err, &f) {
-			return failure{err}
-		}
-		return err
-	}
-}
-
-func (s *shell) root() *cobra.Command {
+func (s *session) root() *cobra.Command {
 	root := &cobra.Command{Use: "spanflow", Short: "A dispatcher of documents to outside receivers",
 		Long: `spanflow takes documents for destinations, holds them for seconds if need be, and transmits each to one of the
 destination's targets, with order, repeats, told waits and cold returns minded.
@@ -95,7 +55,7 @@
 a configuration of their own, in TOML; SPANFLOW_CONFIG names it where --config does not.
 
 Exit codes: 0 fine; 1 something is wrong, and has been named; 2 the command line cannot be understood.`,
-		SilenceErrors: true, SilenceUsage: true, Args: cobra.NoArgs,
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.PersistentFlags().BoolVar(&s.json, "json", false, "output for programs, as JSON")
 	root.CompletionOptions.SetDefaultShellCompDirective(cobra.ShellCompDirectiveDefault)
@@ -104,7 +64,7 @@
 }
 
 // configured gives a command the flags that name a configuration.
-func (s *shell) configured(c *cobra.Command) *cobra.Command {
+func (s *session) configured(c *cobra.Command) *cobra.Command {
 	c.Flags().StringVarP(&s.path, "config", "c", "", "configuration (TOML, or the platform's form where it ends in .json)")
 	c.Flags().StringArrayVar(&s.set, "set", nil, "FIELD=VALUE that goes before file and variables, say limits.memory=48MB")
 	c.MarkFlagFilename("config", "toml", "json")
@@ -112,7 +72,7 @@
 }
 
 // file is the configuration that is asked for, and whether it is in the platform's form.
-func (s *shell) file() (path string, platform bool, err error) {
+func (s *session) file() (path string, platform bool, err error) {
 	if path = s.path; path == "" {
 		path = s.getenv(config.ConfigVariable)
 	}
@@ -121,13 +81,13 @@
 		platform = path != ""
 	}
 	if path == "" {
-		return "", false, failure{errors.New("no configuration: use --config FILE or SPANFLOW_CONFIG")}
+		return "", false, errors.New("no configuration: use --config FILE or SPANFLOW_CONFIG")
 	}
 	return path, platform || strings.HasSuffix(path, ".json"), nil
 }
 
 // order reads the configuration, whichever form it has.
-func (s *shell) order() (*forward.Order, error) {
+func (s *session) order() (*forward.Order, error) {
 	path, platform, err := s.file()
 	if err != nil {
 		return nil, err
@@ -146,14 +106,14 @@
 	})
 }
 
-func (s *shell) runCommand() *cobra.Command {
+func (s *session) runCommand() *cobra.Command {
 	return s.configured(&cobra.Command{Use: "run", Short: "Run a forwarder", Args: cobra.NoArgs,
 		Long: `Runs a forwarder in the foreground. Its log goes to standard error.
 
 SIGTERM ends it: it finishes what it can for up to 3.2 s, the rest stays owed in the ledger's folder. SIGHUP makes it
 read its configuration again; 'spanflow config show' tells which fields are taken up then and which at a restart.`,
 		Example: "  spanflow run --config example/spanflow.toml\n  spanflow run -c spanflow.toml --set log.format=console",
-		RunE: run(func([]string) error {
+		RunE: shell.Run(func([]string) error {
 			order, err := s.order()
 			if err != nil {
 				return s.problems(err)
@@ -168,7 +128,7 @@
 }
 
 // problems prints what is wrong with a configuration, a line each.
-func (s *shell) problems(err error) error {
+func (s *session) problems(err error) error {
 	var wrong config.Problems
 	if !errors.As(err, &wrong) {
 		return err
@@ -176,15 +136,15 @@
 	for _, p := range wrong {
 		fmt.Fprintln(s.err, p)
 	}
-	return errFound
+	return shell.ErrFound
 }
 
-func (s *shell) checkCommand() *cobra.Command {
+func (s *session) checkCommand() *cobra.Command {
 	return s.configured(&cobra.Command{Use: "check", Short: "Check a configuration and tell what would run", Args: cobra.NoArgs,
 		Long: `Reads everything a run would read, without opening a port or the ledger, and prints what would run. Each thing that is
 wrong is named by file, line and field; then the exit code is 1.`,
 		Example: "  spanflow check --config deploy/spanflow.toml",
-		RunE:    run(func([]string) error { return s.check() })})
+		RunE:    shell.Run(func([]string) error { return s.check() })})
 }
 
 // plan is what would run.
@@ -210,7 +170,7 @@
 	Connections int    `json:"connections"`
 }
 
-func (s *shell) check() error {
+func (s *session) check() error {
 	path, platform, err := s.file()
 	if err != nil {
 		return err
@@ -240,12 +200,12 @@
 		}
 	}
 	if s.json {
-		err = s.print(p)
+		err = shell.Print(s.out, p)
 	} else {
 		p.write(s.out)
 	}
 	if err == nil && !p.Fine {
-		err = errFound
+		err = shell.ErrFound
 	}
 	return err
 }
@@ -261,7 +221,7 @@
 	if p.List = "discovery at " + o.Discovery; o.Discovery == "" {
 		p.List = fmt.Sprintf("%d targets of the file", len(o.Static.Targets))
 	}
-	if p.Answers = "notices to " + o.Notices; o.Notices == "" {
+	if p.Answers = "notices to " + o.Notices(); o.Notices() == "" {
 		p.Answers = "log"
 	}
 }
@@ -289,15 +249,15 @@
 	fmt.Fprintln(w, "fine")
 }
 
-func (s *shell) configCommand() *cobra.Command {
+func (s *session) configCommand() *cobra.Command {
 	c := &cobra.Command{Use: "config", Short: "Look at the configuration", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	c.AddCommand(s.configured(&cobra.Command{Use: "show", Short: "Show what is in force, and where each value comes from", Args: cobra.NoArgs,
 		Long: `Shows each field with its value, its source (default, file with line, variable, flag) and whether a running forwarder
 takes a change up when it reads its configuration again (reload) or at the next start (restart). Secrets stand in files
 of their own; only the paths of those are shown.`,
-		RunE: run(func([]string) error { return s.show() })}),
-		&cobra.Command{Use: "schema", Short: "Print the form as JSON Schema", Args: cobra.NoArgs, RunE: run(func([]string) error {
+		RunE: shell.Run(func([]string) error { return s.show() })}),
+		&cobra.Command{Use: "schema", Short: "Print the form as JSON Schema", Args: cobra.NoArgs, RunE: shell.Run(func([]string) error {
 			b, err := config.Schema()
 			if err == nil {
 				_, err = fmt.Fprintf(s.out, "%s\n", b)
@@ -314,7 +274,7 @@
 	Change string `json:"change"`
 }
 
-func (s *shell) show() error {
+func (s *session) show() error {
 	path, platform, err := s.file()
 	if err != nil {
 		return err
@@ -343,7 +303,7 @@
 		}
 	}
 	if s.json {
-		return s.print(all)
+		return shell.Print(s.out, all)
 	}
 	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "FIELD\tVALUE\tSOURCE\tCHANGE")
@@ -354,7 +314,7 @@
 }
 
 // platformShown is what the platform's form and its variables say.
-func (s *shell) platformShown(o *forward.Order, path string) []shown {
+func (s *session) platformShown(o *forward.Order, path string) []shown {
 	from := func(variable string) string {
 		if s.getenv(variable) != "" {
 			return "variable " + variable
@@ -368,8 +328,8 @@
 		{"settings", fmt.Sprintf("%d document types, %d slots", len(o.Terms.Types), o.Terms.Slots), path, "restart"}}
 }
 
-func (s *shell) versionCommand() *cobra.Command {
-	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, RunE: run(func([]string) error {
+func (s *session) versionCommand() *cobra.Command {
+	return &cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, RunE: shell.Run(func([]string) error {
 		v := struct {
 			Version  string `json:"version"`
 			Go       string `json:"go"`
@@ -391,15 +351,9 @@
 			}
 		}
 		if s.json {
-			return s.print(v)
+			return shell.Print(s.out, v)
 		}
 		_, err := fmt.Fprintln(s.out, strings.TrimSpace(fmt.Sprintf("spanflow %s %s %s", v.Version, v.Go, v.Revision)))
 		return err
 	})}
 }
-
-func (s *shell) print(v any) error {
-	e := json.NewEncoder(s.out)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
--- a/internal/command/ledger.go
+++ b/internal/command/ledger.go
@@ -13,16 +13,17 @@
 
 	"spanflow/internal/config"
 	"spanflow/internal/ledger"
+	"spanflow/internal/shell"
 )
 
 // looking are the flags of the ledger's commands.
 type looking struct {
 	folder, dest, tenant, key, front, kind, state string
-	expired                                       time.Duration
+	expired, within                               time.Duration
 	most                                          int
 }
 
-func (s *shell) ledgerCommand() *cobra.Command {
+func (s *session) ledgerCommand() *cobra.Command {
 	c := &cobra.Command{Use: "ledger", Short: "Look at what is owed", Args: cobra.NoArgs,
 		Long: `Reads a ledger's folder, whether a forwarder has it or not. Nothing is altered and no forwarder waits for it; with
 one running, what is printed is as of a moment ago.`,
@@ -37,7 +38,7 @@
 		Long: `Lists documents in the order of their taking on. States: held (not transmitted yet), tried (transmitted, surely never
 run), out (a transmission is out), may-have-run, returned and abandoned (answered; the answer is not confirmed yet).`,
 		Example: "  spanflow ledger list -f /var/lib/spanflow --dest 7 --state may-have-run\n  spanflow ledger list -f state --expired-for 10s --json",
-		RunE:    run(func([]string) error { return s.list(l) })})
+		RunE:    shell.Run(func([]string) error { return s.list(l) })})
 	f := list.Flags()
 	f.StringVar(&l.dest, "dest", "", "only for this destination")
 	f.StringVar(&l.tenant, "tenant", "", "only of this tenant, by number, or by name with a configuration")
@@ -46,21 +47,22 @@
 	f.StringVar(&l.kind, "type", "", "only of this document type")
 	f.StringVar(&l.state, "state", "", "only in this state")
 	f.DurationVar(&l.expired, "expired-for", 0, "only those whose expiry is past for so long")
+	f.DurationVar(&l.within, "expires-within", 0, "only those whose expiry is past or comes within so long")
 	f.IntVar(&l.most, "limit", 0, "so many at most")
 	c.AddCommand(list,
 		add(&cobra.Command{Use: "show ID", Short: "Show one document with its body", Args: cobra.ExactArgs(1),
-			RunE: run(func(args []string) error { return s.showEntry(l, args[0]) })}),
+			RunE: shell.Run(func(args []string) error { return s.showEntry(l, args[0]) })}),
 		add(&cobra.Command{Use: "stat", Short: "Sum up what is owed, by state and destination", Args: cobra.NoArgs,
-			RunE: run(func([]string) error { return s.stat(l) })}),
+			RunE: shell.Run(func([]string) error { return s.stat(l) })}),
 		add(&cobra.Command{Use: "verify", Short: "Read every record and tell what is damaged", Args: cobra.NoArgs,
 			Long: `Reads every record. A torn end, left by a process that was killed while writing or is writing now, is told and is no
 damage. Anything else that cannot be read is damage: then the exit code is 1.`,
-			RunE: run(func([]string) error { return s.verify(l) })}))
+			RunE: shell.Run(func([]string) error { return s.verify(l) })}))
 	return c
 }
 
 // look reads the folder that is asked for; the names of tenants come with a configuration, if there is one.
-func (s *shell) look(l *looking) (*ledger.View, []string, error) {
+func (s *session) look(l *looking) (*ledger.View, []string, error) {
 	folder := l.folder
 	var tenants []string
 	if folder == "" || s.path != "" {
@@ -125,7 +127,13 @@
 	if l.expired > 0 {
 		f.Older = time.Now().Add(-l.expired).UnixMicro()
 	}
+	if l.within > 0 {
+		f.Older = time.Now().Add(l.within).UnixMicro()
+	}
 	f.Type, f.State = l.kind, l.state
+	if l.expired > 0 && l.within > 0 && err == nil {
+		err = fmt.Errorf("--expired-for and --expires-within: one of them")
+	}
 	if known := ledger.States(); l.state != "" && !slices.Contains(known, l.state) && err == nil {
 		err = fmt.Errorf("--state: %q is none of %q", l.state, known)
 	}
@@ -171,7 +179,7 @@
 	return r
 }
 
-func (s *shell) list(l *looking) error {
+func (s *session) list(l *looking) error {
 	v, tenants, err := s.look(l)
 	if err != nil {
 		return err
@@ -206,7 +214,7 @@
 	return t.Flush()
 }
 
-func (s *shell) showEntry(l *looking, id string) error {
+func (s *session) showEntry(l *looking, id string) error {
 	v, tenants, err := s.look(l)
 	if err != nil {
 		return err
@@ -218,7 +226,7 @@
 	r := rowOf(v.Owed[i], tenants)
 	r.Body = v.Owed[i].Body
 	if s.json {
-		return s.print(r)
+		return shell.Print(s.out, r)
 	}
 	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 	line := func(name string, value any) { fmt.Fprintf(t, "%s\t%v\n", name, value) }
@@ -266,7 +274,7 @@
 	Late int    `json:"past_expiry"`
 }
 
-func (s *shell) stat(l *looking) error {
+func (s *session) stat(l *looking) error {
 	v, _, err := s.look(l)
 	if err != nil {
 		return err
@@ -294,7 +302,7 @@
 	}
 	slices.SortFunc(sum.Dests, func(a, b destSum) int { return cmp.Or(cmp.Compare(b.Owed, a.Owed), cmp.Compare(a.Dest, b.Dest)) })
 	if s.json {
-		return s.print(sum)
+		return shell.Print(s.out, sum)
 	}
 	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(t, "folder\t%s\nowner\t%s\nfiles\t%d, %d bytes on disk\nowed\t%d documents, %d bytes\n", sum.Folder, owner(sum.Owner), sum.Files, sum.Bytes, sum.Owed, sum.Live)
@@ -319,14 +327,14 @@
 	return fmt.Sprintf("pid %d", pid)
 }
 
-func (s *shell) verify(l *looking) error {
+func (s *session) verify(l *looking) error {
 	v, _, err := s.look(l)
 	if err != nil {
 		return err
 	}
 	damaged := v.Damaged()
 	if s.json {
-		err = s.print(struct {
+		err = shell.Print(s.out, struct {
 			Folder  string            `json:"folder"`
 			Damaged bool              `json:"damaged"`
 			Owed    int               `json:"owed"`
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -286,6 +286,17 @@
 }
 
 func (c *checker) kinds() {
+	outlets := map[string]bool{}
+	for i, o := range c.Outlets {
+		at := func(name string) string { return fmt.Sprintf("outlets[%d].%s", i, name) }
+		if !plainName.MatchString(o.Name) || outlets[o.Name] {
+			c.bad(at("name"), "%q is not made of up to 63 small letters, digits and hyphens, or used before", o.Name)
+		}
+		outlets[o.Name] = true
+		if !forward.KnowsCarriage(o.Protocol) {
+			c.bad(at("protocol"), "unknown protocol %q", o.Protocol)
+		}
+	}
 	names := map[string]bool{}
 	for i, k := range c.Kinds {
 		at := func(name string) string { return fmt.Sprintf("kinds[%d].%s", i, name) }
@@ -296,8 +307,8 @@
 		if k.Batch < 1 || k.Batch > 1000 {
 			c.bad(at("batch"), "%d is not between 1 and 1000", k.Batch)
 		}
-		if !forward.KnowsCarriage(k.Outlet) {
-			c.bad(at("outlet"), "unknown outlet %q", k.Outlet)
+		if !outlets[k.Outlet] {
+			c.bad(at("outlet"), "%q is the name of none of outlets", k.Outlet)
 		}
 	}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,6 +96,8 @@
 		{"[[targets]]\n", "[discovery]\naddress = \"127.0.0.1:1\"\n[[targets]]\n", "targets: discovery.address is told as well"},
 		{`dest = 7`, `dest = -7`, "c.toml:21: targets.dest"},
 		{`per_second = 2.5`, `per_second = nan`, "c.toml:17: tenants[0].per_second: NaN is not a rate"},
+		{"[[tenants]]\n", "[[kinds]]\nname = \"k\"\noutlet = \"smtp\"\n[[tenants]]\n", `kinds[0].outlet: "smtp" is the name of none of outlets`},
+		{"[[tenants]]\n", "[[outlets]]\nprotocol = \"smtp\"\n[[tenants]]\n", `outlets[0].protocol: unknown protocol "smtp"`},
 		{`[limits]`, "[limits]\ndescriptors = 64\n[ledger]\nfolder = \"c.toml\"\n[limitz]", "limitz"}} {
 		text := strings.Replace(whole, c.old, c.new, 1)
 		require.NotEqual(t, whole, text)
@@ -161,11 +163,14 @@
 	require.Equal(t, []any{"one", false}, []any{string(text), steady})
 	_, steady, err = readOnce(path, func(string) (os.FileInfo, error) {
 		other := file(t, "two")
+		was, err := os.Stat(path)
+		require.NoError(t, err)
+		require.NoError(t, os.Chtimes(other, was.ModTime(), was.ModTime()))
 		require.NoError(t, os.Rename(other, path))
 		return os.Stat(path)
 	})
 	require.NoError(t, err)
-	require.False(t, steady, "another file of the same length")
+	require.False(t, steady, "another file of the same length and time")
 	_, steady, err = readOnce(path, func(string) (os.FileInfo, error) { return nil, os.ErrNotExist })
 	require.True(t, err == nil && !steady)
 	text, err = read(path)
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -81,6 +82,7 @@
 	Log       Log       `toml:"log"`
 	Metrics   Metrics   `toml:"metrics"`
 	Fronts    []Front   `toml:"fronts" jsonschema_description:"Where documents come in."`
+	Outlets   []Outlet  `toml:"outlets" jsonschema_description:"How targets are called. The one named http is there if it is not told."`
 	Types     []Type    `toml:"types" jsonschema_description:"Document types."`
 	Kinds     []Kind    `toml:"kinds" jsonschema_description:"Kinds of destinations."`
 	Tenants   []Tenant  `toml:"tenants" jsonschema_description:"Tenants with a share. Documents of others share a lane."`
@@ -148,6 +150,13 @@
 	WaitingBytes Size   `toml:"waiting_bytes" jsonschema_description:"Bytes of documents among them. 0B: 4 MiB."`
 }
 
+// Outlet is one way out.
+type Outlet struct {
+	Name     string `toml:"name" jsonschema_description:"By which kinds name it."`
+	Protocol string `toml:"protocol" jsonschema_description:"http"`
+	Connect  Span   `toml:"connect" jsonschema_description:"A connection that takes longer never comes up. 0s: dispatch.connect."`
+}
+
 // Type is a document type.
 type Type struct {
 	Name    string `toml:"name" jsonschema_description:"As clients name it."`
@@ -164,7 +173,7 @@
 	Name        string `toml:"name"`
 	Batch       int    `toml:"batch" jsonschema_description:"Documents that one call carries at most."`
 	RoutesApart bool   `toml:"routes_apart" jsonschema_description:"Targets have limits and outages of their own."`
-	Outlet      string `toml:"outlet" jsonschema_description:"Protocol by which its targets are called: http."`
+	Outlet      string `toml:"outlet" jsonschema_description:"Name of the outlet by which its targets are called."`
 }
 
 // Tenant is one with a share.
@@ -184,6 +193,8 @@
 	PerSecond float64 `toml:"per_second" jsonschema_description:"Calls a second that the destination takes. 0: not known."`
 }
 
+const usualOutlet = "http"
+
 // Defaults are what holds where nothing is said.
 func Defaults() File {
 	return File{Name: "spanflow", Zones: []string{"a"}, Zone: "a",
@@ -200,27 +211,35 @@
 		f.Kinds = []Kind{{Name: "partners"}}
 	}
 	for i := range f.Fronts {
-		or(&f.Fronts[i].Protocol, "resp")
-		or(&f.Fronts[i].Name, f.Fronts[i].Protocol)
+		Or(&f.Fronts[i].Protocol, "resp")
+		Or(&f.Fronts[i].Name, f.Fronts[i].Protocol)
+	}
+	for i := range f.Outlets {
+		Or(&f.Outlets[i].Protocol, "http")
+		Or(&f.Outlets[i].Name, f.Outlets[i].Protocol)
+	}
+	if !slices.ContainsFunc(f.Outlets, func(o Outlet) bool { return o.Name == usualOutlet }) {
+		f.Outlets = append(f.Outlets, Outlet{Name: usualOutlet, Protocol: "http"})
 	}
 	for i := range f.Kinds {
-		or(&f.Kinds[i].Batch, 1)
-		or(&f.Kinds[i].Outlet, "http")
+		Or(&f.Kinds[i].Batch, 1)
+		Or(&f.Kinds[i].Outlet, usualOutlet)
 	}
 	for i := range f.Types {
-		or(&f.Types[i].Group, "all")
+		Or(&f.Types[i].Group, "all")
 	}
 	for i := range f.Targets {
 		t := &f.Targets[i]
-		or(&t.State, "active")
-		or(&t.Kind, f.Kinds[0].Name)
+		Or(&t.State, "active")
+		Or(&t.Kind, f.Kinds[0].Name)
 		if len(f.Zones) > 0 {
-			or(&t.Zone, f.Zones[0])
+			Or(&t.Zone, f.Zones[0])
 		}
 	}
 }
 
-func or[T comparable](v *T, other T) {
+// Or sets what was not told.
+func Or[T comparable](v *T, other T) {
 	var none T
 	if *v == none {
 		*v = other
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -82,13 +82,10 @@
 	if err != nil {
 		return nil, err
 	}
-	o := &forward.Order{Name: l.Name, Discovery: l.Discovery.Address, Notices: l.Discovery.Notices, Folder: folder,
+	o := &forward.Order{Name: l.Name, Discovery: l.Discovery.Address, Folder: folder,
 		MemoryMB: int(l.Limits.Memory / 1e6), Sockets: l.Limits.Descriptors, DiskMB: int(l.Ledger.Disk / 1e6), Cores: l.Limits.Cores,
-		KindOutlet: map[string]string{}, Metrics: l.Metrics.Listen, Movable: true}
-	o.Tell(l.Discovery.Address)
-	if o.Notices == "" {
-		o.Notices = o.Discovery
-	}
+		KindOutlet: map[string]string{}, Metrics: l.Metrics.Listen, TokenFile: l.Metrics.TokenFile, Movable: true}
+	o.Tell(l.Discovery.Address, l.Discovery.Notices)
 	if l.Seed == "" {
 		o.Seed, o.SeedDrawn = rand.Uint64(), true
 	} else if o.Seed, err = strconv.ParseUint(l.Seed, 16, 64); err != nil {
@@ -99,6 +96,9 @@
 			Waiting: f.Waiting, WaitingBytes: int(f.WaitingBytes)})
 	}
 	o.Terms, o.Names = l.terms()
+	for _, w := range l.Outlets {
+		o.Outlets = append(o.Outlets, forward.Outlet{Name: w.Name, Protocol: w.Protocol, Connect: float64(w.Connect)})
+	}
 	for _, k := range l.Kinds {
 		o.KindOutlet[k.Name] = k.Outlet
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -40,6 +40,7 @@
 	watch   *watch
 	out     *report
 	waiting []seam.Final // not in a call
+	watched bool         // the list was asked for: not where only notices go
 	stopped bool
 }
 
@@ -72,8 +73,11 @@
 		d.out.drop()
 	}
 	d.report()
+	watched := d.watched
 	d.mu.Unlock()
-	d.Watch(rev)
+	if watched {
+		d.Watch(rev)
+	}
 }
 
 // watch is one connection with an open answer.
@@ -98,7 +102,7 @@
 		d.watch.close()
 	}
 	w := &watch{dir: d}
-	d.watch = w
+	d.watch, d.watched = w, true
 	w.line = d.dialer.Dial(d.addr, d.connect, w)
 	path := "/v1/endpoints?stream=1&index=" + strconv.FormatInt(rev, 10)
 	w.line.Write(append(http1.Begin(nil, "GET", path, d.addr), "\r\n"...))
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -101,3 +101,14 @@
 	c.Write([]byte(open + "1\r\n\n\r\n"))
 	require.Equal(t, "silent", <-k.ended)
 }
+
+func TestWhereOnlyNoticesGoTheListIsNotAskedForAfterAMove(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Move(d.addr, 7)
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
+	c, said := accept()
+	require.Contains(t, said, "POST /v1/notices")
+	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
+	require.Equal(t, []uint64{1}, <-k.told)
+	require.Nil(t, d.watch)
+}
--- a/internal/ledger/look.go
+++ b/internal/ledger/look.go
@@ -52,8 +52,8 @@
 
 const mostLooks = 20 // files may be freed while they are read
 
-// Look reads a folder, in use or not. If files are freed meanwhile it begins anew, as what they owed has been written
-// to later ones.
+// Look reads a folder, in use or not. If a file was freed before it was read it begins anew, as what it owed has been
+// written to later ones.
 func Look(dir string) (*View, error) {
 	for range mostLooks {
 		v, err := look(dir)
@@ -84,13 +84,6 @@
 		v.read(l, &f, text, i == len(all)-1)
 		v.Files = append(v.Files, f)
 	}
-	again, err := numbers(dir)
-	if err != nil {
-		return nil, err
-	}
-	if len(all) > 0 && (len(again) == 0 || again[0] != all[0]) {
-		return nil, fs.ErrNotExist // some were freed: an entry may have moved to a file that was read before
-	}
 	v.Owed = slices.SortedFunc(maps.Values(l.entries), func(a, b *Entry) int { return cmp.Compare(a.Seq, b.Seq) })
 	for _, e := range v.Owed {
 		i := slices.IndexFunc(v.Files, func(f FileView) bool { return f.Number == e.file })
--- /dev/null
+++ b/internal/shell/shell.go
@@ -0,0 +1,62 @@
+// Package shell is what the command lines share: exit codes, and the telling of errors.
+package shell
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	Fine   = 0
+	Failed = 1 // it ran and found something wrong, or could not do what was asked
+	Usage  = 2 // the command line cannot be understood
+)
+
+// failure is an error of a command that was understood.
+type failure struct{ error }
+
+// ErrFound says that what is wrong has been printed.
+var ErrFound error = failure{errors.New("")}
+
+// Run wraps a command's work: an error of it is a failure, not a wrong command line.
+func Run(work func(args []string) error) func(*cobra.Command, []string) error {
+	return func(_ *cobra.Command, args []string) error {
+		if err := work(args); err != nil {
+			return failure{err}
+		}
+		return nil
+	}
+}
+
+// Main runs a command line and returns the exit code.
+func Main(root *cobra.Command, args []string, out, errOut io.Writer) int {
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.Execute()
+	var f failure
+	switch {
+	case err == nil:
+		return Fine
+	case errors.As(err, &f):
+		if f.Error() != "" {
+			fmt.Fprintf(errOut, "%s: %v\n", root.Name(), f.error)
+		}
+		return Failed
+	}
+	fmt.Fprintf(errOut, "%s: %v\nTry '%s --help'.\n", root.Name(), err, root.Name())
+	return Usage
+}
+
+// Print writes a value as JSON.
+func Print(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +19,7 @@
 
 	"github.com/spf13/cobra"
 
+	"spanflow/internal/shell"
 	"spanflow/lab/experiment"
 	"spanflow/lab/load"
 	"spanflow/lab/report"
@@ -27,10 +27,8 @@
 	"spanflow/lab/sim"
 )
 
-// failure is an error of a command that was understood.
-type failure struct{ error }
-
-type shell struct {
+// session is what the commands work with.
+type session struct {
 	ctx      context.Context
 	out, err io.Writer
 	json     bool
@@ -40,38 +38,14 @@
 	seeds    int
 }
 
-// Main runs a command line. Exit codes: 0 fine, 1 it ran and a rule was broken or it could not be done, 2 the command
-// line cannot be understood.
+// Main runs a command line and returns the exit code.
 func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
-	s := &shell{ctx: ctx, out: out, err: errOut}
-	root := s.root()
-	root.SetArgs(args)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	err := root.Execute()
-	var f failure
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &f):
-		fmt.Fprintln(errOut, "spanlab:", f.error)
-		return 1
-	}
-	fmt.Fprintf(errOut, "spanlab: %v\nTry 'spanlab --help'.\n", err)
-	return 2
+	s := &session{ctx: ctx, out: out, err: errOut}
+	return shell.Main(s.root(), args, out, errOut)
 }
 
-func run(work func(args []string) error) func(*cobra.Command, []string) error {
-	return func(_ *cobra.Command, args []string) error {
-		if err := work(args); err != nil {
-			return failure{err}
-		}
-		return nil
-	}
-}
-
-func (s *shell) root() *cobra.Command {
-	root := &cobra.Command{Use: "spanlab", Short: "The laboratory of spanflow", SilenceErrors: true, SilenceUsage: true, Args: cobra.NoArgs,
+func (s *session) root() *cobra.Command {
+	root := &cobra.Command{Use: "spanlab", Short: "The laboratory of spanflow", Args: cobra.NoArgs,
 		Long: `Plays scenes: partners with places, queues, limits and troubles, forwarders that are the real decision module, and
 open-loop load. Simulated days give the same result for the same scene and seed. 'spanlab load' loads a real forwarder.
 
@@ -83,7 +57,7 @@
 	return root
 }
 
-func (s *shell) played(c *cobra.Command) *cobra.Command {
+func (s *session) played(c *cobra.Command) *cobra.Command {
 	c.Flags().StringVar(&s.policy, "policy", "module", "who decides: module, "+strings.Join(slices.Sorted(maps.Keys(sim.Baselines)), ", "))
 	c.Flags().Uint64Var(&s.seed, "seed", 0, "the first seed; 0: the scene's")
 	c.Flags().IntVar(&s.seeds, "seeds", 1, "how many seeds")
@@ -100,7 +74,7 @@
 	return nil, fmt.Errorf("unknown policy %q", name)
 }
 
-func (s *shell) arm(name string) (experiment.Arm, error) {
+func (s *session) arm(name string) (experiment.Arm, error) {
 	sc, err := scene.Read(name)
 	if err != nil {
 		return experiment.Arm{}, err
@@ -109,7 +83,7 @@
 	return experiment.Arm{Name: sc.Name, Scene: sc, Make: m}, err
 }
 
-func (s *shell) from(sc *scene.Scene) []uint64 {
+func (s *session) from(sc *scene.Scene) []uint64 {
 	from := s.seed
 	if from == 0 {
 		from = sc.Seed
@@ -118,7 +92,7 @@
 }
 
 // progress tells how many of so many are done, and the time left.
-func (s *shell) progress(all int) func() {
+func (s *session) progress(all int) func() {
 	if s.quiet || s.json {
 		return nil
 	}
@@ -135,15 +109,9 @@
 	}
 }
 
-func (s *shell) print(v any) error {
-	e := json.NewEncoder(s.out)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
-
-func (s *shell) scenes() *cobra.Command {
+func (s *session) scenes() *cobra.Command {
 	return &cobra.Command{Use: "scenes", Short: "List the scenes that come with the laboratory, and the troubles there are", Args: cobra.NoArgs,
-		RunE: run(func([]string) error {
+		RunE: shell.Run(func([]string) error {
 			t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 			for _, name := range scene.Kept() {
 				sc, err := scene.Read(name)
@@ -160,11 +128,11 @@
 		})}
 }
 
-func (s *shell) run() *cobra.Command {
+func (s *session) run() *cobra.Command {
 	html := ""
 	c := s.played(&cobra.Command{Use: "run SCENE", Short: "Play a scene, simulated", Args: cobra.ExactArgs(1),
 		Example: "  spanlab run one-partner-hangs --seeds 8\n  spanlab run my.toml --html report.html",
-		RunE: run(func(args []string) error {
+		RunE: shell.Run(func(args []string) error {
 			arm, err := s.arm(args[0])
 			if err != nil {
 				return err
@@ -181,7 +149,7 @@
 				}
 			}
 			if s.json {
-				if err := s.print(results); err != nil {
+				if err := shell.Print(s.out, results); err != nil {
 					return err
 				}
 			} else {
@@ -198,7 +166,7 @@
 	return c
 }
 
-func (s *shell) results(results []*sim.Result) {
+func (s *session) results(results []*sim.Result) {
 	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "SEED\tG\tDOCUMENTS\tSERVED\tLATE\tTURNED AWAY\tRETURNED\tABANDONED\tP50\tP99\tRULES")
 	for _, r := range results {
@@ -216,13 +184,13 @@
 	t.Flush()
 }
 
-func (s *shell) compare() *cobra.Command {
+func (s *session) compare() *cobra.Command {
 	other := ""
 	c := s.played(&cobra.Command{Use: "compare SCENE [SCENE]", Short: "Play two arms in pairs by seed and tell what differs", Args: cobra.RangeArgs(1, 2),
 		Long: `Plays two scenes with one policy, or one scene with --policy and --with, each pair with the same seed. The differences of
 the pairs are resampled; where the middle 95% hold 0 it says that no difference is seen.`,
 		Example: "  spanlab compare returns-cold --policy backoff --with module --seeds 32",
-		RunE: run(func(args []string) error {
+		RunE: shell.Run(func(args []string) error {
 			a, err := s.arm(args[0])
 			if err != nil {
 				return err
@@ -244,7 +212,7 @@
 			seeds := s.from(a.Scene)
 			r := experiment.Compare(a, b, seeds, s.progress(2*len(seeds)))
 			if s.json {
-				return s.print(r)
+				return shell.Print(s.out, r)
 			}
 			t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 			fmt.Fprintln(t, "ARM\tMEAN G\tWORST G\tMEAN P99\tRULES BROKEN")
@@ -259,11 +227,11 @@
 	return c
 }
 
-func (s *shell) sweep() *cobra.Command {
+func (s *session) sweep() *cobra.Command {
 	axis, values := "", ""
 	c := s.played(&cobra.Command{Use: "sweep SCENE", Short: "Play a scene along an axis", Args: cobra.ExactArgs(1),
 		Example: "  spanlab sweep monday-morning --axis load --values 0.5,1,2,4 --seeds 4",
-		RunE: run(func(args []string) error {
+		RunE: shell.Run(func(args []string) error {
 			arm, err := s.arm(args[0])
 			if err != nil {
 				return err
@@ -286,7 +254,7 @@
 				steps = append(steps, step{x, experiment.SumUp(v, experiment.Play(at, seeds, s.progress(len(seeds))))})
 			}
 			if s.json {
-				return s.print(steps)
+				return shell.Print(s.out, steps)
 			}
 			t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 			fmt.Fprintf(t, "%s\tMEAN G\tWORST G\tMEAN P99\tRULES BROKEN\n", strings.ToUpper(axis))
@@ -300,12 +268,12 @@
 	return c
 }
 
-func (s *shell) search() *cobra.Command {
+func (s *session) search() *cobra.Command {
 	lasts, most, keep, folder := time.Minute, 1<<30, 3, ""
 	c := s.played(&cobra.Command{Use: "search [SCENE]", Short: "Draw scenes in which the policy does badly, and shrink the worst", Args: cobra.MaximumNArgs(1),
 		Long: `Draws sizes, load and troubles on the partners of a scene (calm, if none is named). A broken rule counts most, then what
 the best baseline that keeps the rules delivers more. The worst are shrunk as long as three quarters of the loss stay.`,
-		RunE: run(func(args []string) error {
+		RunE: shell.Run(func(args []string) error {
 			arm, err := s.arm(append(args, "calm")[0])
 			if err != nil {
 				return err
@@ -342,14 +310,14 @@
 	return c
 }
 
-func (s *shell) real() *cobra.Command {
+func (s *session) real() *cobra.Command {
 	r, html := sim.Real{Memory: 192, Sockets: 1024}, ""
 	c := &cobra.Command{Use: "real SCENE", Short: "Play a scene with forwarder processes and sockets, in real time", Args: cobra.ExactArgs(1),
 		Long: `Starts a built forwarder for each of the scene's, with partners, discovery and clients on loopback, and plays the scene in
 real time; then the same seed simulated. Beyond loopback without privileges, and left out: reap and list; silence is a
 partner that takes calls and says nothing.`,
 		Example: "  spanlab real forwarders-restart-in-a-wave --program bin/spanflow --logs logs",
-		RunE: run(func(args []string) error {
+		RunE: shell.Run(func(args []string) error {
 			sc, err := scene.Read(args[0])
 			if err != nil {
 				return err
@@ -384,7 +352,7 @@
 				}
 			}
 			if s.json {
-				return s.print([]*sim.Result{result, twin})
+				return shell.Print(s.out, []*sim.Result{result, twin})
 			}
 			fmt.Fprintln(s.out, "on sockets, then simulated:")
 			s.results([]*sim.Result{result, twin})
@@ -403,7 +371,7 @@
 	return c
 }
 
-func (s *shell) load() *cobra.Command {
+func (s *session) load() *cobra.Command {
 	r := load.Run{Prefix: fmt.Sprintf("%x-", time.Now().UnixNano())}
 	var rate, seconds, life, speed, skew float64
 	var shape, trace, kinds string
@@ -416,7 +384,7 @@
 A shape is a list of SECOND:SHARE points of --rate, joined by straight lines: 0:1,10:1,20:4. A trace is JSON lines
 (.jsonl) or CSV with a head (.csv): at (seconds), dest, type, and if told tenant, key, number, life, bytes.`,
 		Example: "  spanlab load 127.0.0.1:6379 --rate 200 --for 30 --shape 0:1,10:3 --types status-update\n  spanlab load 127.0.0.1:6379 --trace monday.jsonl --speed 10",
-		RunE: run(func(args []string) error {
+		RunE: shell.Run(func(args []string) error {
 			r.Addr, r.Life = args[0], life
 			if !s.quiet && !s.json {
 				r.Progress = func(sent, open int) { fmt.Fprintf(s.err, "\r%d sent, %d open   ", sent, open) }
@@ -467,7 +435,7 @@
 				return t.Err
 			}
 			if s.json {
-				return s.print(rep)
+				return shell.Print(s.out, rep)
 			}
 			fmt.Fprintf(s.out, "\n%d sent in %.1f s: %v; the tool itself late by %.3f s at most\n", rep.Sent, rep.Lasted, rep.Answers, rep.MostLate)
 			w := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
--- a/lab/scene/scene.go
+++ b/lab/scene/scene.go
@@ -174,33 +174,26 @@
 func (s *Scene) fill() {
 	for i := range s.Types {
 		t := &s.Types[i]
-		or(&t.Group, "all")
-		or(&t.Part, 1)
-		or(&t.Value, 1)
-		or(&t.Keys, 1000)
+		config.Or(&t.Group, "all")
+		config.Or(&t.Part, 1)
+		config.Or(&t.Value, 1)
+		config.Or(&t.Keys, 1000)
 	}
 	for i := range s.Tenants {
-		or(&s.Tenants[i].Part, 1)
+		config.Or(&s.Tenants[i].Part, 1)
 	}
 	for i := range s.Partners {
 		p := &s.Partners[i]
-		or(&p.Count, 1)
-		or(&p.Targets, 1)
-		or(&p.Batch, 1)
-		or(&p.Service, "lognormal")
+		config.Or(&p.Count, 1)
+		config.Or(&p.Targets, 1)
+		config.Or(&p.Batch, 1)
+		config.Or(&p.Service, "lognormal")
 		if p.Service == "lognormal" {
-			or(&p.Wide, 0.5)
+			config.Or(&p.Wide, 0.5)
 		}
-		or(&p.Places, 4)
-		or(&p.Part, 1)
-		or(&p.FallsFor, 5)
-	}
-}
-
-func or[T comparable](v *T, other T) {
-	var none T
-	if *v == none {
-		*v = other
+		config.Or(&p.Places, 4)
+		config.Or(&p.Part, 1)
+		config.Or(&p.FallsFor, 5)
 	}
 }
 
--- a/lab/sim/real.go
+++ b/lab/sim/real.go
@@ -384,12 +384,8 @@
 }
 
 func (d *realDay) again(e *effect, comeBack float64) {
-	expiry := e.expiry
-	if e.mark != 0 {
-		expiry = min(expiry, e.handed+float64(e.typ.Memory))
-	}
-	wait := comeBack + 0.1 + 0.2*d.dice.Float64()
-	if !d.scene.ComesAgain || e.done || d.Now()+wait+0.05 >= expiry {
+	expiry, wait, comes := e.comesAgain(d.scene, d.Now(), comeBack, d.dice)
+	if !comes {
 		return
 	}
 	n := goes(e, d.dice, len(d.nodes))
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -263,17 +263,22 @@
 // again hands in anew what was turned away or rejected. A number is known for its memory only, so a numbered document
 // comes with no more time than that.
 func (d *day) again(e *effect, comeBack float64) {
-	expiry := e.expiry
-	if e.mark != 0 {
-		expiry = min(expiry, e.handed+float64(e.typ.Memory))
-	}
-	wait := comeBack + 0.1 + 0.2*d.net.Float64()
-	if !d.scene.ComesAgain || e.done || d.Now()+wait+0.05 >= expiry {
+	expiry, wait, comes := e.comesAgain(d.scene, d.Now(), comeBack, d.net)
+	if !comes {
 		return
 	}
 	d.After(wait, func() { d.handIn(e, expiry, goes(e, d.net, len(d.nodes))) })
 }
 
+// comesAgain tells if a client hands an effect in anew, after what time, and with what expiry.
+func (e *effect) comesAgain(s *scene.Scene, now, comeBack float64, dice *rand.Rand) (expiry, wait float64, comes bool) {
+	if expiry = e.expiry; e.mark != 0 {
+		expiry = min(expiry, e.handed+float64(e.typ.Memory))
+	}
+	wait = comeBack + 0.1 + 0.2*dice.Float64()
+	return expiry, wait, s.ComesAgain && !e.done && now+wait+0.05 < expiry
+}
+
 // tell tells a client a final answer.
 func (d *day) tell(h *handing, what string, comeBack float64) {
 	d.After(float64(d.scene.Rest), func() {
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -179,6 +179,11 @@
 	Stop()
 }
 
+// Mover is a source or a teller that can leave its address for another.
+type Mover interface {
+	Move(addr string, rev int64)
+}
+
 // Ear is where a teller says which final answers were heard.
 type Ear interface {
 	NoticesLost(why string)
