Upgrades beside the running process: inherited socket, operators' yes, folder handed over

The clients' socket is now taken from PROXY_INHERITED_FD when it is set, checked to be a listening TCP socket. The operators' address (admin, PROXY_ADMIN) is served by internal/admin on net/http, one call a connection, silent and half callers cut off within 0.6 s, at most 12 at once.

Stories: an upgrade with a call out across SIGTERM, each document delivered once; the address answers in time with 30 silent and half callers; a handed-down file that is no socket.

--- a/choice/state.go
+++ b/choice/state.go
@@ -416,3 +416,6 @@
 	}
 	return list
 }
+
+// Out tells how many transmissions are out.
+func (f *Forwarder) Out() int { return f.out }
--- /dev/null
+++ b/cmd/spanflow/daily_test.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/internal/standin"
+)
+
+// Stories of the operators' days: their address, upgrades beside a running process, drains, bans and figures.
+
+// freeAddress is a loopback address that nobody listens at just now.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// process is one forwarder of a stage started with an operators' address and perhaps a handed-down socket.
+type process struct {
+	cmd   *exec.Cmd
+	log   *standin.Log
+	admin string
+	ended chan error
+}
+
+// launch starts a forwarder of the stage with an operators' address of its own; socket, if not nil, is handed down.
+func (s *stage) launch(socket *os.File) *process {
+	s.t.Helper()
+	p := &process{log: standin.NewLog(), admin: freeAddress(s.t), ended: make(chan error, 1)}
+	p.cmd = exec.Command(program)
+	p.cmd.Env, p.cmd.Stderr = append(os.Environ(), append(s.order(), "PROXY_ADMIN="+p.admin)...), p.log
+	if socket != nil {
+		p.cmd.ExtraFiles = []*os.File{socket}
+		p.cmd.Env = append(p.cmd.Env, "PROXY_INHERITED_FD=3")
+	}
+	require.NoError(s.t, p.cmd.Start())
+	cmd, ended := p.cmd, p.ended
+	go func() { ended <- cmd.Wait() }()
+	s.t.Cleanup(func() { cmd.Process.Kill() })
+	return p
+}
+
+// ask makes one call of the operators' address and returns its status and text.
+func ask(t *testing.T, addr, method, path string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+addr+path, nil)
+	require.NoError(t, err)
+	began := time.Now()
+	resp, err := (&http.Client{Timeout: 2 * time.Second}).Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	require.Less(t, time.Since(began), time.Second, "%s %s answered late", method, path)
+	return resp.StatusCode, strings.TrimSpace(string(body))
+}
+
+// ready tells if the process says yes; one that does not listen yet says no.
+func (p *process) ready(t *testing.T) bool {
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + p.admin + "/_ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func TestTheOperatorsAddressAnswersInTimeWhateverCallersDo(t *testing.T) {
+	s := newStage(t, "single")
+	p := s.launch(nil)
+	p.log.Await(t, `"message":"ready"`)
+	require.True(t, p.ready(t))
+	// Callers that say nothing, or half a call, and stay: they hold no place that others need.
+	var quiet []net.Conn
+	for i := range 30 {
+		c, err := net.Dial("tcp", p.admin)
+		require.NoError(t, err)
+		if i%2 == 0 {
+			c.Write([]byte("GET /_ready HTTP/1.1\r\nHost: x\r\n"))
+		}
+		quiet = append(quiet, c)
+	}
+	for range 5 {
+		require.True(t, p.ready(t))
+	}
+	for path, want := range map[string]int{"/nothing": 404, "/_targets/detach": 400, "/_targets/attach?name=": 400} {
+		code, text := ask(t, p.admin, "POST", path)
+		require.Equal(t, want, code, "%s: %s", path, text)
+	}
+	code, _ := ask(t, p.admin, "POST", "/_ready")
+	require.Equal(t, http.StatusMethodNotAllowed, code)
+	for _, c := range quiet { // each was let go within the second
+		c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err := bufio.NewReader(c).ReadString('\n')
+		if err == nil { // a half call may be told off
+			continue
+		}
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
+
+// A second process starts beside the first on the same socket and folder, says yes, and the first is told to stop:
+// every document handed in, before, during and after, reaches the target once, and none is turned away at the door.
+func TestAnUpgradeBesideTheRunningProcessLosesNothing(t *testing.T) {
+	s := newStage(t, "single")
+	hold := make(chan struct{})
+	var once sync.Once
+	s.target.Do(func(c standin.Call) standin.Reply {
+		if c.ID == "d5" { // out while the first process is told to stop
+			return standin.Reply{Hold: hold}
+		}
+		return standin.Reply{}
+	})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	socket, err := l.(*net.TCPListener).File()
+	require.NoError(t, err)
+	l.Close()
+	s.listen = l.Addr().String()
+	first := s.launch(socket)
+	first.log.Await(t, `"message":"ready"`)
+
+	sent := 0
+	put := func(n int) {
+		for range n {
+			c, err := standin.NewClient(s.listen)
+			require.NoError(t, err)
+			got, err := c.Put(zero, fmt.Sprint("d", sent), "c=status,d=8000,dest=7", "b")
+			require.NoError(t, err)
+			require.Equal(t, "+OK", got, "d%d", sent)
+			c.Close()
+			sent++
+		}
+	}
+	put(10)
+	second := s.launch(socket)
+	require.Eventually(t, func() bool { return second.ready(t) }, 6*time.Second, 20*time.Millisecond)
+	require.NoError(t, first.cmd.Process.Signal(syscall.SIGTERM))
+	put(10) // taken by the first and kept for the second, or taken by the second
+	once.Do(func() { close(hold) })
+	select {
+	case err := <-first.ended:
+		require.NoError(t, err, first.log.String())
+	case <-time.After(4 * time.Second):
+		t.Fatalf("the first process did not end; log:\n%s", first.log.String())
+	}
+	second.log.Await(t, `"message":"ready"`)
+	put(10)
+	seen := map[string]int{}
+	for len(seen) < sent {
+		select {
+		case c := <-s.target.Calls:
+			seen[c.ID]++
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%d of %d documents came; first:\n%s\nsecond:\n%s", len(seen), sent, first.log.String(), second.log.String())
+		}
+	}
+	for id, n := range seen {
+		require.Equal(t, 1, n, "%s came %d times", id, n)
+	}
+	require.True(t, first.log.Has(`"message":"handing over"`))
+}
+
+func TestAHandedDownDescriptorThatIsNoSocketIsNamed(t *testing.T) {
+	s := newStage(t, "single")
+	f, err := os.CreateTemp(t.TempDir(), "plain")
+	require.NoError(t, err)
+	p := s.launch(f)
+	select {
+	case err := <-p.ended:
+		require.Error(t, err)
+		require.Contains(t, p.log.String(), "PROXY_INHERITED_FD: descriptor 3 is not a socket")
+	case <-time.After(5 * time.Second):
+		t.Fatal("it started")
+	}
+}
--- a/forward/config.go
+++ b/forward/config.go
@@ -35,6 +35,8 @@
 	Outlets    []Outlet          // beside the usual, named http
 	KindOutlet map[string]string // by which outlet targets of a kind are reached, if not by the usual
 	Log        Log
+	Admin      string // the operators' address; empty: none
+	Inherited  int    // a listening socket handed down for the clients, in place of Fronts[0].Listen; 0: none
 	Metrics    string // where metrics are served; empty: nowhere
 	TokenFile  string // what readers of metrics have to show stands there
 
@@ -101,8 +103,8 @@
 // ReadOrder reads an order; variables that are set go before the text's fields.
 func ReadOrder(text []byte, getenv func(string) string) (*Order, error) {
 	var c struct {
-		Name, Listen, Discovery, Seed, State string
-		Limits                               struct {
+		Name, Listen, Discovery, Seed, State, Admin string
+		Limits                                      struct {
 			Cores    float64
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
@@ -124,12 +126,22 @@
 		Fronts:    []Front{{Name: "resp", Protocol: "resp", Listen: first("PROXY_LISTEN", c.Listen)}},
 		Discovery: first("PROXY_DISCOVERY", c.Discovery), Folder: first("PROXY_STATE", c.State),
 		MemoryMB: c.Limits.MemoryMB, Sockets: c.Limits.Sockets, DiskMB: c.Limits.DiskMB, Cores: c.Limits.Cores,
-		Known: c.Known, told: c.Discovery, Log: Log{Level: zerolog.TraceLevel}}
+		Known: c.Known, told: c.Discovery, Log: Log{Level: zerolog.TraceLevel}, Admin: first("PROXY_ADMIN", c.Admin)}
 	for _, f := range []struct{ name, value string }{{"listen", o.Fronts[0].Listen}, {"discovery", o.Discovery}} {
 		if !IsAddress(f.value) {
 			return nil, fmt.Errorf("%s: %q is not an address with a port", f.name, f.value)
 		}
 	}
+	if o.Admin != "" && !IsAddress(o.Admin) {
+		return nil, fmt.Errorf("admin: %q is not an address with a port", o.Admin)
+	}
+	if fd := getenv("PROXY_INHERITED_FD"); fd != "" {
+		n, err := strconv.ParseUint(fd, 10, 16)
+		if err != nil || n < 3 {
+			return nil, fmt.Errorf("PROXY_INHERITED_FD: %q is not the number of a descriptor beyond 2", fd)
+		}
+		o.Inherited = int(n)
+	}
 	if o.Folder == "" {
 		return nil, errors.New("PROXY_STATE is not set")
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"spanflow/choice"
+	"spanflow/internal/admin"
 	"spanflow/internal/dial"
 	"spanflow/internal/directory"
 	"spanflow/internal/ledger"
@@ -56,7 +57,31 @@
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
-	led, err := ledger.Open(order.Folder, int64(order.DiskMB)*1_000_000)
+	x := newExchange()
+	operators := &desk{x: x}
+	if order.Admin != "" {
+		a, err := admin.Open(order.Admin, operators)
+		if err != nil {
+			return fmt.Errorf("admin: %w", err)
+		}
+		defer a.Stop()
+	}
+	wait := time.Duration(0)
+	if order.Inherited > 0 {
+		l, err := inherit(order.Inherited)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		order.Fronts = slices.Clone(order.Fronts)
+		order.Fronts[0].Listener = l
+		// It can serve once the process that it replaces has gone, and that one is told to go by this yes.
+		operators.ready.Store(true)
+		if wait = handOverWait; ledger.Owner(order.Folder) != 0 {
+			log.Info().Int("pid", ledger.Owner(order.Folder)).Msg("waiting for the folder")
+		}
+	}
+	led, err := ledger.OpenWaiting(order.Folder, int64(order.DiskMB)*1_000_000, wait)
 	if err != nil {
 		return fmt.Errorf("PROXY_STATE: %w", err)
 	}
@@ -69,8 +94,7 @@
 	defer dialer.Stop()
 	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
 	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
-	x := newExchange()
-	o := &owner{order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
+	o := &owner{operators: operators, order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
 		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{}, logTo: logTo,
 		said: map[string]time.Time{}}
@@ -121,6 +145,7 @@
 	if o.metered {
 		said = said.Str("metrics", o.meter.Addr())
 	}
+	operators.ready.Store(true)
 	said.Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).Int("targets", len(o.targets)).Msg("ready")
 	if ready != nil {
 		ready(o.fronts[0].Addr())
@@ -195,6 +220,7 @@
 	defer report.Stop()
 	asked := ctx.Done()
 	var coming, end, look <-chan time.Time
+	handing, shut := false, false
 	for {
 		if o.wakeAt.IsZero() {
 			timer.Stop()
@@ -212,8 +238,18 @@
 			continue
 		case <-asked:
 			asked = nil
+			o.operators.ready.Store(false)
+			end = time.After(killAfter - killMargin)
+			if handing = o.order.Inherited > 0; handing {
+				// Another process takes the clients from the shared socket and what is owed from the folder: its
+				// order goes on there once this one has its calls back.
+				o.log.Info().Int("held", len(o.docs)).Int("out", o.f.Out()).Msg("handing over")
+				o.exchange.leave(stopping(0))
+				look = time.Tick(lookEvery)
+				break
+			}
 			o.log.Info().Int("held", len(o.docs)).Msg("stopping")
-			coming, end = time.After(comingFor), time.After(killAfter-killMargin)
+			coming = time.After(comingFor)
 			o.exchange.leave(stopping(killAfter - killMargin))
 		case <-coming:
 			coming = nil
@@ -233,7 +269,18 @@
 		if len(o.leaving) > 0 {
 			o.gone()
 		}
-		if o.turn() && coming == nil && clients == 0 {
+		done := o.turn()
+		if handing && !shut && o.f.Out() == 0 {
+			// Clients are taken and kept for the successor until the calls are back, so that the socket is without
+			// anybody who accepts for as short a time as can be: the successor starts once the folder is free.
+			shut = true
+			for _, l := range o.fronts {
+				l.Shut()
+				l.Leave()
+			}
+			continue
+		}
+		if (done || shut) && coming == nil && clients == 0 {
 			return
 		}
 	}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -16,43 +16,44 @@
 
 // owner is what the one goroutine that owns the module works with.
 type owner struct {
-	order    *Order
-	asRead   choice.Terms // as the order has them
-	log      zerolog.Logger
-	exchange *Exchange
-	ledger   *ledger.Ledger
-	fronts   []*listener
-	leaving  []*listener // that have gone from the order, until their callers have
-	outlets  map[string]seam.Outlet
-	source   seam.Source
-	teller   seam.Teller // nil: the log alone
-	moves    seam.Mover  // the source, if it is discovery
-	notices  seam.Mover  // the teller, if it is not the same
-	logTo    io.Writer
-	own      *static // the source, if it is the order's own list
-	meter    seam.Meter
-	metered  bool
-	trace    trace
-	f        *choice.Forwarder
-	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
-	docs     map[uint64]*paper
-	byID     map[string]*paper // the same, by the clients' ids
-	past     recent            // ids of documents that were let go of
-	heard    bool              // discovery has told its list since the start
-	dests    map[uint64]*choice.Destination
-	sweepAt  int                // so many destinations are looked through for those that clients alone have named
-	targets  map[uint64]*target // by number
-	lastDoor uint64             // number of the latest target
-	byUID    map[string]*target
-	types    map[string]int
-	rev      int64
-	wakeAt   time.Time // zero: none set
-	calls    []pending
-	unknown  map[string]bool // names that came with documents
-	counts   counts
-	held     atomic.Int64         // documents, for the meter
-	onDisk   atomic.Int64         // the ledger's bytes, for the meter
-	said     map[string]time.Time // when lines that may come in floods were last written
+	order     *Order
+	asRead    choice.Terms // as the order has them
+	log       zerolog.Logger
+	exchange  *Exchange
+	ledger    *ledger.Ledger
+	fronts    []*listener
+	leaving   []*listener // that have gone from the order, until their callers have
+	outlets   map[string]seam.Outlet
+	source    seam.Source
+	teller    seam.Teller // nil: the log alone
+	moves     seam.Mover  // the source, if it is discovery
+	notices   seam.Mover  // the teller, if it is not the same
+	logTo     io.Writer
+	own       *static // the source, if it is the order's own list
+	meter     seam.Meter
+	metered   bool
+	trace     trace
+	f         *choice.Forwarder
+	epoch     time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
+	docs      map[uint64]*paper
+	byID      map[string]*paper // the same, by the clients' ids
+	past      recent            // ids of documents that were let go of
+	heard     bool              // discovery has told its list since the start
+	dests     map[uint64]*choice.Destination
+	sweepAt   int                // so many destinations are looked through for those that clients alone have named
+	targets   map[uint64]*target // by number
+	lastDoor  uint64             // number of the latest target
+	byUID     map[string]*target
+	types     map[string]int
+	rev       int64
+	wakeAt    time.Time // zero: none set
+	calls     []pending
+	unknown   map[string]bool // names that came with documents
+	counts    counts
+	held      atomic.Int64         // documents, for the meter
+	onDisk    atomic.Int64         // the ledger's bytes, for the meter
+	said      map[string]time.Time // when lines that may come in floods were last written
+	operators *desk
 }
 
 // paper is a document that is owed or was until just now.
@@ -224,6 +225,8 @@
 		}
 	case stopping:
 		o.f.Stop(time.Duration(n).Seconds())
+	case operation:
+		o.operate(n)
 	}
 }
 
--- a/forward/reread.go
+++ b/forward/reread.go
@@ -34,6 +34,7 @@
 	{"discovery", []string{"discovery"}, AtOnce, func(o *Order) any { return o.told }},
 	{"targets", []string{"targets"}, AtOnce, func(o *Order) any { return o.Static }},
 	{"log", []string{"log"}, AtOnce, func(o *Order) any { return o.Log }},
+	{"admin", []string{"admin"}, AtStart, func(o *Order) any { return o.Admin }},
 	{"metrics", []string{"metrics"}, AtStart, func(o *Order) any { return [2]string{o.Metrics, o.TokenFile} }},
 	{"seed", []string{"seed"}, AtStart, func(o *Order) any {
 		if o.Movable && !o.SeedDrawn { // the platform's is another at each start
--- a/forward/wiring.go
+++ b/forward/wiring.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"spanflow/choice"
@@ -16,9 +17,10 @@
 	Name         string // as the ledger and the log have it; "resp" and "" are the platform's own
 	Protocol     string
 	Listen       string
-	Connections  int // at most; 0: an even part of what the descriptors leave
-	Waiting      int // requests that may wait for the owner; 0: the usual
-	WaitingBytes int // of documents among them; 0: the usual
+	Listener     net.Listener // handed down, taken in place of Listen; nil: Listen is opened
+	Connections  int          // at most; 0: an even part of what the descriptors leave
+	Waiting      int          // requests that may wait for the owner; 0: the usual
+	WaitingBytes int          // of documents among them; 0: the usual
 }
 
 // Outlet is what an order says of one outlet.
@@ -49,6 +51,9 @@
 )
 
 func openRESP(f Front, most int, desk seam.Desk) (seam.Front, error) {
+	if f.Listener != nil {
+		return intake.OpenOn(f.Listener, most-spareClients, most, intake.Patience{Silent: choice.KeepSilent, Quiet: choice.KeepQuiet}, desk)
+	}
 	return intake.Open(f.Listen, most-spareClients, most, intake.Patience{Silent: choice.KeepSilent, Quiet: choice.KeepQuiet}, desk)
 }
 
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,250 @@
+// Package admin serves the operators' address: HTTP/1.1, one call a connection, each answered within a second. It
+// carries calls to the forwarder's owner and its answers back; it decides nothing.
+//
+//	GET  /_ready                   200 once the process can serve, else 503
+//	GET  /_vars                    200 with the figures, one statsd line each
+//	POST /_targets/detach?name=ID  200 once the target is out, 404 if nobody has it
+//	POST /_targets/attach?name=ID  200 once it is back, 404 if nobody has it
+//	POST /_lameduck/on             200 once clients are sent away
+//	POST /_lameduck/off            200 once they are let in again
+//
+// Any other path is a 404, another method a 405, a call without a name a 400; an owner that does not answer in time
+// gets a 503. Each answer is plain text with a reason.
+package admin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Do is what a call asks for.
+type Do uint8
+
+const (
+	Vars Do = iota
+	Detach
+	Attach
+	LameOn
+	LameOff
+)
+
+// calls are the paths with their methods.
+var calls = map[string]string{"/_ready": "GET", "/_vars": "GET", "/_targets/detach": "POST", "/_targets/attach": "POST",
+	"/_lameduck/on": "POST", "/_lameduck/off": "POST"}
+
+var doNames = [...]string{"vars", "detach", "attach", "lameduck on", "lameduck off"}
+
+func (d Do) String() string { return doNames[d] }
+
+// Call is one call that the owner answers.
+type Call struct {
+	Do   Do
+	Name string // of a target, for Detach and Attach
+}
+
+// Answer is the owner's answer: Yes is a 200, else Status (4xx or 5xx) with Text as the reason.
+type Answer struct {
+	Yes    bool
+	Status int
+	Text   string
+}
+
+// Desk is the way to the owner. Ask must not wait: the answer is given to reply, at most once, from any goroutine.
+type Desk interface {
+	Ready() bool
+	Ask(c Call, reply func(Answer))
+}
+
+// Times of a call. Callers that send nothing, or half a call, are cut off before an answer would be late; the owner
+// has what is left of the second.
+const (
+	Due         = time.Second
+	readWithin  = 600 * time.Millisecond
+	ownerWithin = 300 * time.Millisecond
+	writeWithin = 50 * time.Millisecond
+	mostHead    = 4 << 10
+	// Connections at once. Guards against silent callers eating descriptors meant for clients and targets; each
+	// lives under a second. Hurts when more operators than this call in the same second.
+	MostCalls = 12
+)
+
+// Admin is the served address.
+type Admin struct {
+	server *http.Server
+	ln     *bounded
+	done   chan struct{}
+}
+
+// Open listens at addr.
+func Open(addr string, desk Desk) (*Admin, error) {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(l, desk), nil
+}
+
+// Serve answers calls that come by l until Stop.
+func Serve(l net.Listener, desk Desk) *Admin {
+	b := &bounded{Listener: l, most: MostCalls, conns: map[net.Conn]*state{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /_ready", func(w http.ResponseWriter, _ *http.Request) {
+		if desk.Ready() {
+			write(w, Answer{Yes: true, Text: "ready"})
+		} else {
+			write(w, Answer{Status: http.StatusServiceUnavailable, Text: "not ready"})
+		}
+	})
+	ask := func(do Do, named bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			c := Call{Do: do}
+			if named {
+				if c.Name = r.URL.Query().Get("name"); c.Name == "" {
+					write(w, Answer{Status: http.StatusBadRequest, Text: "name: missing; say which target, ?name=ID"})
+					return
+				}
+			}
+			write(w, wait(desk, c))
+		}
+	}
+	mux.HandleFunc("GET /_vars", ask(Vars, false))
+	mux.HandleFunc("POST /_targets/detach", ask(Detach, true))
+	mux.HandleFunc("POST /_targets/attach", ask(Attach, true))
+	mux.HandleFunc("POST /_lameduck/on", ask(LameOn, false))
+	mux.HandleFunc("POST /_lameduck/off", ask(LameOff, false))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		if method, known := calls[r.URL.Path]; known {
+			w.Header().Set("Allow", method)
+			write(w, Answer{Status: http.StatusMethodNotAllowed, Text: r.URL.Path + " takes " + method + ", not " + r.Method})
+			return
+		}
+		write(w, Answer{Status: http.StatusNotFound, Text: "no such call: " + r.URL.Path})
+	})
+	a := &Admin{ln: b, done: make(chan struct{}), server: &http.Server{Handler: mux,
+		ReadHeaderTimeout: readWithin, ReadTimeout: readWithin, WriteTimeout: readWithin + ownerWithin + writeWithin,
+		MaxHeaderBytes: mostHead, ConnState: b.track, ErrorLog: nil}}
+	a.server.SetKeepAlivesEnabled(false)
+	go func() {
+		defer close(a.done)
+		a.server.Serve(b)
+	}()
+	return a
+}
+
+// Addr is where it listens.
+func (a *Admin) Addr() string { return a.ln.Addr().String() }
+
+// Stop closes the address and every connection to it.
+func (a *Admin) Stop() {
+	a.server.Close()
+	<-a.done
+}
+
+// wait carries a call to the owner and waits for its answer, not beyond what the second leaves.
+func wait(desk Desk, c Call) Answer {
+	got := make(chan Answer, 1)
+	desk.Ask(c, func(a Answer) {
+		select {
+		case got <- a:
+		default:
+		}
+	})
+	t := time.NewTimer(ownerWithin)
+	defer t.Stop()
+	select {
+	case a := <-got:
+		return a
+	case <-t.C:
+		return Answer{Status: http.StatusServiceUnavailable, Text: "the forwarder did not answer in time"}
+	}
+}
+
+func write(w http.ResponseWriter, a Answer) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Connection", "close")
+	status := a.Status
+	if a.Yes {
+		status = http.StatusOK
+	} else if status < 400 {
+		status = http.StatusInternalServerError
+	}
+	w.WriteHeader(status)
+	text := a.Text
+	if len(text) == 0 || text[len(text)-1] != '\n' {
+		text += "\n"
+	}
+	w.Write([]byte(text))
+}
+
+// state is what is known of a connection: whether a call has come whole on it, and since when it is open.
+type state struct {
+	since  time.Time
+	active bool
+}
+
+// bounded is a listener that keeps at most so many connections: for a new one over the bound, the oldest on which no
+// call has come whole is closed, else the new one.
+type bounded struct {
+	net.Listener
+	most  int
+	mu    sync.Mutex
+	conns map[net.Conn]*state
+}
+
+func (b *bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := b.Listener.Accept()
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() || errors.Is(err, context.DeadlineExceeded) {
+				continue
+			}
+			return nil, err
+		}
+		b.mu.Lock()
+		var oldest net.Conn
+		if len(b.conns) >= b.most {
+			for o, s := range b.conns {
+				if !s.active && (oldest == nil || s.since.Before(b.conns[oldest].since)) {
+					oldest = o
+				}
+			}
+			if oldest == nil {
+				b.mu.Unlock()
+				c.Close()
+				continue
+			}
+			delete(b.conns, oldest)
+		}
+		b.conns[c] = &state{since: time.Now()}
+		b.mu.Unlock()
+		if oldest != nil {
+			oldest.Close()
+		}
+		return c, nil
+	}
+}
+
+// track follows the server's view of each connection.
+func (b *bounded) track(c net.Conn, s http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		if st := b.conns[c]; st != nil {
+			st.active = true
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(b.conns, c)
+	}
+}
+
+// Open tells how many connections are open.
+func (a *Admin) Open() int {
+	a.ln.mu.Lock()
+	defer a.ln.mu.Unlock()
+	return len(a.ln.conns)
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -94,12 +94,23 @@
 
 // Open listens at an address; most and hard bound the connections.
 func Open(addr string, most, hard int, patience Patience, desk seam.Desk) (*Intake, error) {
+	return open(addr, net.Listen, most, hard, patience, desk)
+}
+
+// OpenOn takes connections by a socket that listens already, such as one handed down by the platform, which other
+// processes may share: the connections are taken from the time of the call on.
+func OpenOn(l net.Listener, most, hard int, patience Patience, desk seam.Desk) (*Intake, error) {
+	return open(l.Addr().String(), func(string, string) (net.Listener, error) { return l, nil }, most, hard, patience, desk)
+}
+
+func open(addr string, listen func(network, addr string) (net.Listener, error), most, hard int, patience Patience,
+	desk seam.Desk) (*Intake, error) {
 	in := &Intake{desk: desk, patience: patience, most: most, hard: hard, clients: map[*Client]struct{}{},
 		stop: make(chan struct{})}
 	in.engine = nbio.NewEngine(nbio.Config{Name: "intake", Network: "tcp", Addrs: []string{addr}, NPoller: 1,
 		ReadBufferSize: 72 << 10, MaxWriteBufferSize: 256 << 10, MaxConnReadTimesPerEventLoop: 8,
 		Listen: func(network, addr string) (net.Listener, error) {
-			l, err := net.Listen(network, addr)
+			l, err := listen(network, addr)
 			in.ln = l
 			return door{l, in}, err
 		}})
