Lameduck by the operators: PING says no, clients are let go, documents still taken

POST /_lameduck/on sets the owner's flag: PING is answered -ERR lameduck, every front leaves (idle connections closed at once, others after their answer); /_lameduck/off has the fronts stay again and PING says +PONG, with no restart. One log line at each change, with clients and held documents.

Story: a client idle and one in the middle of a document; the first is let go, the second answered +OK and let go, the document delivered; after the second call a client keeps its connection.

--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -187,3 +187,32 @@
 		t.Fatal("it started")
 	}
 }
+
+// The operators empty the forwarder: its front hears no at PING, a client idle is let go, one in the middle of a
+// document is answered and then let go, and the document reaches the target. At the second call it says yes again.
+func TestALameduckSendsClientsAwayAndLosesNoDocument(t *testing.T) {
+	s := newStage(t, "single")
+	p := s.launch(nil)
+	_, text, _ := strings.Cut(p.log.Await(t, `"message":"ready"`), `"listen":"`)
+	s.listen, _, _ = strings.Cut(text, `"`)
+	idle, midway := s.client(), s.client()
+	raw := standin.Command("MSG.PUT", zero, "d1", "c=status,d=8000,dest=7", "body")
+	midway.Write([]byte(raw[:25]))
+	s.say(s.client(), standin.Command("PING"), "+PONG") // the piece has been read by now
+	code, said := ask(t, p.admin, "POST", "/_lameduck/on")
+	require.Equal(t, http.StatusOK, code, said)
+	asker, err := standin.NewClient(s.listen)
+	require.NoError(t, err)
+	s.say(asker, standin.Command("PING"), "-ERR lameduck: this forwarder is being emptied")
+	_, err = idle.Hear()
+	require.ErrorIs(t, err, io.EOF, "an idle client is let go")
+	s.say(midway, raw[25:], "+OK")
+	_, err = midway.Hear()
+	require.ErrorIs(t, err, io.EOF, "so is one that was answered")
+	require.Equal(t, "d1", s.call().ID)
+	code, said = ask(t, p.admin, "POST", "/_lameduck/off")
+	require.Equal(t, http.StatusOK, code, said)
+	c := s.client() // says +PONG
+	s.put(c, zero, "d2", "c=status,d=8000,dest=7", "+OK")
+	s.say(c, standin.Command("PING"), "+PONG") // and keeps its connection
+}
--- a/forward/daily.go
+++ b/forward/daily.go
@@ -58,6 +58,20 @@
 // operate answers a call of the operators.
 func (o *owner) operate(c operation) {
 	switch c.Do {
+	case admin.LameOn, admin.LameOff:
+		if on := c.Do == admin.LameOn; on != o.lame {
+			o.lame = on
+			clients := 0
+			for _, l := range o.fronts {
+				if clients += l.Clients(); on {
+					l.Leave()
+				} else {
+					l.Stay()
+				}
+			}
+			o.log.Info().Bool("lameduck", on).Int("clients", clients).Int("held", len(o.docs)).Msg("lameduck")
+		}
+		c.reply(admin.Answer{Yes: true, Text: c.Do.String()})
 	default:
 		c.reply(admin.Answer{Status: http.StatusNotImplemented, Text: c.Do.String() + ": not served by this version"})
 	}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -54,6 +54,7 @@
 	onDisk    atomic.Int64         // the ledger's bytes, for the meter
 	said      map[string]time.Time // when lines that may come in floods were last written
 	operators *desk
+	lame      bool // clients are sent elsewhere, by the operators' word
 }
 
 // paper is a document that is owed or was until just now.
@@ -249,6 +250,8 @@
 
 func (o *owner) asked(a *asked) {
 	switch {
+	case a.Alive && o.lame: // clients are sent elsewhere: their front asks, and takes this for a no
+		a.From.Answer(seam.Reply{Word: seam.Declined, Why: "lameduck: this forwarder is being emptied"})
 	case a.Alive:
 		a.From.Answer(seam.Reply{Word: seam.Alive})
 	case a.Paper != nil:
--- a/forward/seam_test.go
+++ b/forward/seam_test.go
@@ -35,6 +35,7 @@
 func (m *memory) Tally() seam.Tally { return seam.Tally{} }
 func (m *memory) Clients() int      { return 0 }
 func (m *memory) Leave()            {}
+func (m *memory) Stay()             {}
 func (m *memory) Shut()             {}
 func (m *memory) Stop()             {}
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -218,6 +218,13 @@
 	}
 }
 
+// Stay keeps connections again after Leave, as they were before.
+func (in *Intake) Stay() {
+	in.mu.Lock()
+	in.leaving = false
+	in.mu.Unlock()
+}
+
 // Clients tells how many connections there are.
 func (in *Intake) Clients() int {
 	in.mu.Lock()
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -114,6 +114,7 @@
 	Tally() Tally
 	Clients() int
 	Leave() // ends each connection once it waits for no answer, so that callers go elsewhere
+	Stay()  // keeps connections again after Leave
 	Shut()  // takes no new connections
 	Stop()  // ends all
 }
