Targets out by hand over restarts and upgrades, figures at /_vars

internal/rota keeps the ids out by hand (at most 1024; two calls out, one back; an id nobody has is a 404). The owner tells the module such a target as draining, before the turn's Settle, and at the call back as ready and cold (Listing.Cold: state back, one place, paced by the recovery the module has). The set is written whole to the folder and renamed before the yes, read at each start. /_vars gives fulfilled, throttled, faulted for each type, relayed (End.Written), reloads taken up or not, and open_requests, registry_entries, out_of_rotation from the owner's state.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -69,6 +69,10 @@
 		if f.hear(d); l.Standing != Ready && len(t.calls) > 0 {
 			f.recall = append(f.recall, t)
 		}
+		if l.Cold && l.Standing == Ready {
+			t.state, t.since, t.places = back, f.now, 1
+			t.next = math.Max(t.next, f.now+f.gap(t)*f.dice.unit())
+		}
 		t.zone, t.standing, d.batch = l.Zone, l.Standing, 1
 		if l.Kind < len(f.terms.KindBatch) {
 			d.batch = max(1, f.terms.KindBatch[l.Kind])
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -631,3 +631,28 @@
 	require.Greater(t, pace(6), 10.0, "six calls of a tenth of a second or so")
 	require.Less(t, pace(1), 10.0)
 }
+
+// A target that operators restarted while it was out returns cold: it is paced up as after an outage, not given
+// all that waited for it at once.
+func TestATargetBackFromOperatorsIsPacedUp(t *testing.T) {
+	sentIn := func(cold bool) int {
+		h := start(terms)
+		d := h.receiver(0, 0)
+		tgt := d.targets[0]
+		h.List(false, []Listing{{Target: tgt, Dest: d, Standing: Draining}})
+		h.flood(d, status, 30)
+		h.pass(0.5)
+		require.Empty(t, h.sent)
+		h.List(false, []Listing{{Target: tgt, Dest: d, Standing: Ready, Cold: cold}})
+		for range 25 { // a second, each call answered at once
+			h.pass(0.04)
+			h.answers(d, Delivered)
+		}
+		return len(h.sent)
+	}
+	warm, cold := sentIn(false), sentIn(true)
+	require.GreaterOrEqual(t, warm, 25)
+	t.Logf("warm %d, cold %d", warm, cold)
+	require.LessOrEqual(t, cold, warm/3)
+	require.Positive(t, cold)
+}
--- a/choice/port.go
+++ b/choice/port.go
@@ -89,6 +89,7 @@
 	Zone     int
 	Rate     float64 // calls a second that the destination takes; 0 unknown
 	Standing Standing
+	Cold     bool // ready again after it was restarted: it is paced as one that returns from an outage
 }
 
 // Host carries out what a forwarder decides. All calls are made from within Settle.
--- a/choice/state.go
+++ b/choice/state.go
@@ -419,3 +419,6 @@
 
 // Out tells how many transmissions are out.
 func (f *Forwarder) Out() int { return f.out }
+
+// Sick tells that a target is tried at a trickle only, after it failed.
+func (t *Target) Sick() bool { return t.state == sick }
--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -216,3 +216,101 @@
 	s.put(c, zero, "d2", "c=status,d=8000,dest=7", "+OK")
 	s.say(c, standin.Command("PING"), "+PONG") // and keeps its connection
 }
+
+// upgrade starts a second process on the same handed-down socket, waits for its yes and tells the first to stop.
+func (s *stage) upgrade(first *process, socket *os.File) *process {
+	s.t.Helper()
+	second := s.launch(socket)
+	require.Eventually(s.t, func() bool { return second.ready(s.t) }, 6*time.Second, 20*time.Millisecond)
+	require.NoError(s.t, first.cmd.Process.Signal(syscall.SIGTERM))
+	select {
+	case err := <-first.ended:
+		require.NoError(s.t, err, first.log.String())
+	case <-time.After(4 * time.Second):
+		s.t.Fatalf("the first process did not end; log:\n%s", first.log.String())
+	}
+	second.log.Await(s.t, `"message":"ready"`)
+	return second
+}
+
+// handedDown is a listening socket as the platform hands it down.
+func (s *stage) handedDown() *os.File {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	socket, err := l.(*net.TCPListener).File()
+	require.NoError(s.t, err)
+	l.Close()
+	s.listen = l.Addr().String()
+	return socket
+}
+
+// A target taken out by hand gets nothing new, also from the process that replaces the first, until it is put back;
+// an id that nobody has is owed a no.
+func TestATargetOutByHandStaysOutOverAnUpgrade(t *testing.T) {
+	s := newStage(t, "single")
+	socket := s.handedDown()
+	first := s.launch(socket)
+	first.log.Await(t, `"message":"ready"`)
+	code, said := ask(t, first.admin, "POST", "/_targets/detach?name=nobody")
+	require.Equal(t, http.StatusNotFound, code, said)
+	for range 2 { // two calls out need one call back
+		code, said = ask(t, first.admin, "POST", "/_targets/detach?name=s1")
+		require.Equal(t, http.StatusOK, code, said)
+	}
+	c := s.client()
+	s.put(c, zero, "d1", "c=status,d=20000,dest=7", "+OK")
+	c.Close()
+	second := s.upgrade(first, socket)
+	c = s.client()
+	s.put(c, zero, "d2", "c=status,d=20000,dest=7", "+OK")
+	select {
+	case call := <-s.target.Calls:
+		t.Fatalf("%s went to a target out by hand; log:\n%s", call.ID, second.log.String())
+	case <-time.After(time.Second):
+	}
+	code, said = ask(t, second.admin, "POST", "/_targets/attach?name=s1")
+	require.Equal(t, http.StatusOK, code, said)
+	got := []string{s.call().ID, s.call().ID}
+	require.ElementsMatch(t, []string{"d1", "d2"}, got)
+}
+
+// vars reads the figures as a map of names to values.
+func vars(t *testing.T, addr string) map[string]string {
+	code, text := ask(t, addr, "GET", "/_vars")
+	require.Equal(t, http.StatusOK, code, text)
+	got := map[string]string{}
+	for _, line := range strings.Split(text, "\n") {
+		name, value, found := strings.Cut(line, ":")
+		require.True(t, found, line)
+		got[name] = value
+	}
+	return got
+}
+
+// The figures agree with a count that the test keeps: documents delivered, turned away at the door, written to the
+// target, owed, and targets listed and out by hand.
+func TestTheFiguresAgreeWithWhatHappened(t *testing.T) {
+	s := newStage(t, "single")
+	p := s.launch(nil)
+	_, text, _ := strings.Cut(p.log.Await(t, `"message":"ready"`), `"listen":"`)
+	s.listen, _, _ = strings.Cut(text, `"`)
+	c := s.client()
+	for i := range 5 {
+		s.put(c, zero, fmt.Sprint("d", i), "c=status,d=8000,dest=7", "+OK")
+		s.call()
+	}
+	s.put(c, zero, "late", "c=status,d=0,dest=7", "-BUSY 1000")
+	require.Eventually(t, func() bool { return vars(t, p.admin)["proxy.fulfilled.status"] == "5|c" }, 5*time.Second, 20*time.Millisecond)
+	got := vars(t, p.admin)
+	for name, want := range map[string]string{"proxy.throttled.status": "1|c", "proxy.faulted.status": "0|c",
+		"proxy.fulfilled.ticket": "0|c", "proxy.relayed": "5|c", "proxy.open_requests": "0|g",
+		"proxy.registry_entries": "2|g", "proxy.out_of_rotation": "0|g", "proxy.cfg_accepted": "0|c"} {
+		require.Equal(t, want, got[name], name)
+	}
+	code, said := ask(t, p.admin, "POST", "/_targets/detach?name=s1")
+	require.Equal(t, http.StatusOK, code, said)
+	s.put(c, zero, "held", "c=status,d=8000,dest=7", "+OK")
+	got = vars(t, p.admin)
+	require.Equal(t, "1|g", got["proxy.out_of_rotation"])
+	require.Equal(t, "1|g", got["proxy.open_requests"])
+}
--- a/forward/daily.go
+++ b/forward/daily.go
@@ -1,16 +1,19 @@
 package forward
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"spanflow/choice"
 	"spanflow/internal/admin"
+	"spanflow/internal/rota"
 )
 
 // handOverWait is how long a process whose clients' socket is handed down waits for the folder of the one it
@@ -58,6 +61,8 @@
 // operate answers a call of the operators.
 func (o *owner) operate(c operation) {
 	switch c.Do {
+	case admin.Vars:
+		c.reply(admin.Answer{Yes: true, Text: o.vars()})
 	case admin.LameOn, admin.LameOff:
 		if on := c.Do == admin.LameOn; on != o.lame {
 			o.lame = on
@@ -72,9 +77,117 @@
 			o.log.Info().Bool("lameduck", on).Int("clients", clients).Int("held", len(o.docs)).Msg("lameduck")
 		}
 		c.reply(admin.Answer{Yes: true, Text: c.Do.String()})
-	default:
-		c.reply(admin.Answer{Status: http.StatusNotImplemented, Text: c.Do.String() + ": not served by this version"})
+	case admin.Detach, admin.Attach:
+		t := o.byUID[c.Name]
+		listed := t != nil && t.line.Standing != choice.Gone
+		verdict, change := o.rota.Detach(c.Name, listed)
+		if c.Do == admin.Attach {
+			verdict, change = o.rota.Attach(c.Name, listed)
+		}
+		if change != rota.Same {
+			if err := keepOut(o.order.Folder, o.rota.Kept()); err != nil {
+				o.rota = rota.New(readOut(o.order.Folder))
+				c.reply(admin.Answer{Status: http.StatusInternalServerError, Text: "not kept in the folder: " + err.Error()})
+				return
+			}
+			o.log.Info().Str("target", c.Name).Bool("out", change == rota.TakenOut).Int("out_by_hand", o.rota.Len()).
+				Msg("target by hand")
+		}
+		if t != nil && change != rota.Same {
+			line := t.line
+			line.Standing, line.Cold = o.rota.Standing(t.uid, line.Standing), change == rota.Returned
+			o.f.List(false, []choice.Listing{line}) // before this turn's Settle: nothing new goes to it from here on
+		}
+		switch verdict {
+		case rota.Yes:
+			c.reply(admin.Answer{Yes: true, Text: c.Do.String() + " " + c.Name})
+		case rota.Unknown:
+			c.reply(admin.Answer{Status: http.StatusNotFound, Text: "name: " + verdict.String()})
+		default:
+			c.reply(admin.Answer{Status: http.StatusBadRequest, Text: "name: " + verdict.String()})
+		}
+	}
+}
+
+// outFile keeps the ids of targets out by hand in the folder, one a line, so that a ban lasts over a restart and is
+// taken up by the process that replaces this one.
+const outFile = "out-by-hand"
+
+// keepOut writes the set whole and puts it in place of the old one, so that a process killed meanwhile leaves one or
+// the other, never a part.
+func keepOut(dir string, ids []string) error {
+	text := strings.Join(ids, "\n")
+	if len(ids) > 0 {
+		text += "\n"
+	}
+	fresh := filepath.Join(dir, outFile+".new")
+	if err := os.WriteFile(fresh, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(fresh, filepath.Join(dir, outFile))
+}
+
+// readOut reads the set as it was kept; none if there is no file.
+func readOut(dir string) []string {
+	text, err := os.ReadFile(filepath.Join(dir, outFile))
+	if err != nil {
+		return nil
+	}
+	var ids []string
+	for _, id := range strings.Split(string(text), "\n") {
+		if id != "" {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// figures are the counts that the operators read at /_vars, each process from 0, kept by the owner as things happen.
+type figures struct {
+	fulfilled, throttled, faulted []int // by type of document
+	relayed                       int   // documents written whole to targets
+	accepted, invalid             int   // orders read again and taken up, or not
+}
+
+func (f *figures) count(by *[]int, typ int) {
+	if typ >= len(*by) {
+		*by = append(*by, make([]int, typ+1-len(*by))...)
 	}
+	(*by)[typ]++
 }
 
-var errNoAdmin = errors.New("admin: not set")
+// vars writes the figures in statsd's form, one a line: counters, then gauges read from the owner's own state.
+func (o *owner) vars() string {
+	var b strings.Builder
+	for _, c := range []struct {
+		name string
+		by   []int
+	}{{"fulfilled", o.figures.fulfilled}, {"throttled", o.figures.throttled}, {"faulted", o.figures.faulted}} {
+		for typ, name := range o.order.Names.Types {
+			n := 0
+			if typ < len(c.by) {
+				n = c.by[typ]
+			}
+			fmt.Fprintf(&b, "proxy.%s.%s:%d|c\n", c.name, name, n)
+		}
+	}
+	listed, avoided := 0, 0
+	for _, t := range o.targets {
+		if t.line.Standing == choice.Gone {
+			continue
+		}
+		if listed++; t.line.Standing == choice.Ready && (o.rota.Out(t.uid) || t.module.Sick()) {
+			avoided++
+		}
+	}
+	open := 0
+	for _, p := range o.docs {
+		if !p.doc.Over() {
+			open++
+		}
+	}
+	fmt.Fprintf(&b, "proxy.relayed:%d|c\nproxy.cfg_accepted:%d|c\nproxy.cfg_invalid:%d|c\n", o.figures.relayed,
+		o.figures.accepted, o.figures.invalid)
+	fmt.Fprintf(&b, "proxy.open_requests:%d|g\nproxy.registry_entries:%d|g\nproxy.out_of_rotation:%d|g\n", open, listed, avoided)
+	return b.String()
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -25,6 +25,7 @@
 	"spanflow/internal/dial"
 	"spanflow/internal/directory"
 	"spanflow/internal/ledger"
+	"spanflow/internal/rota"
 	"spanflow/seam"
 )
 
@@ -94,7 +95,7 @@
 	defer dialer.Stop()
 	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
 	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
-	o := &owner{operators: operators, order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
+	o := &owner{operators: operators, rota: rota.New(readOut(order.Folder)), order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
 		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{}, logTo: logTo,
 		said: map[string]time.Time{}}
--- a/forward/host.go
+++ b/forward/host.go
@@ -50,12 +50,16 @@
 
 func (o *owner) Reject(d *choice.Doc, comeBack float64) {
 	o.counts.returned++
-	o.answer(o.docs[d.Door], ledger.Returned, int(comeBack*1000))
+	p := o.docs[d.Door]
+	o.figures.count(&o.figures.throttled, p.typ)
+	o.answer(p, ledger.Returned, int(comeBack*1000))
 }
 
 func (o *owner) Abandon(d *choice.Doc) {
 	o.counts.abandoned++
-	o.answer(o.docs[d.Door], ledger.Abandoned, 0)
+	p := o.docs[d.Door]
+	o.figures.count(&o.figures.faulted, p.typ)
+	o.answer(p, ledger.Abandoned, 0)
 }
 
 // answer records a final answer and tells it.
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -11,6 +11,7 @@
 
 	"spanflow/choice"
 	"spanflow/internal/ledger"
+	"spanflow/internal/rota"
 	"spanflow/seam"
 )
 
@@ -54,7 +55,9 @@
 	onDisk    atomic.Int64         // the ledger's bytes, for the meter
 	said      map[string]time.Time // when lines that may come in floods were last written
 	operators *desk
-	lame      bool // clients are sent elsewhere, by the operators' word
+	lame      bool       // clients are sent elsewhere, by the operators' word
+	rota      *rota.Rota // targets out by hand
+	figures   figures
 }
 
 // paper is a document that is owed or was until just now.
@@ -75,6 +78,7 @@
 	zone, batch int
 	outlet      seam.Outlet
 	module      *choice.Target
+	line        choice.Listing // as the list has it last
 }
 
 // counts are for the log.
@@ -257,6 +261,9 @@
 	case a.Paper != nil:
 		reply := o.handedIn(a)
 		o.meter.Asked(a.front.front, reply.Word)
+		if typ, known := o.types[a.Paper.Type]; known && reply.Word == seam.Busy {
+			o.figures.count(&o.figures.throttled, typ)
+		}
 		if reply.Word != seam.Taken && !a.From.Gone() {
 			a.From.Answer(reply)
 		}
@@ -347,13 +354,19 @@
 		o.log.Info().Str("id", p.ID).Stringer("end", end).Dur("took_ms", e.Took).Msg("trace: end of a transmission")
 	}
 	outcome, over := end.Outcome()
+	if end.Written() {
+		o.figures.relayed++
+	}
 	if over {
 		o.over(p)
 		final := seam.Abandoned
 		if outcome == choice.Delivered {
 			final = seam.Delivered
 			o.counts.delivered++
+			o.figures.count(&o.figures.fulfilled, p.typ)
 			o.meter.Final(final, time.Since(p.came))
+		} else {
+			o.figures.count(&o.figures.faulted, p.typ)
 		}
 		if p.holder != nil && !p.withdrawn {
 			p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
@@ -419,6 +432,8 @@
 			o.log.Warn().Str("target", e.UID).Str("state", e.State).Msg("unknown state in the list")
 			line.Standing = choice.Draining
 		}
+		t.line = line
+		line.Standing = o.rota.Standing(t.uid, line.Standing)
 		lines = append(lines, line)
 	}
 	o.f.List(whole, lines)
--- a/forward/reread.go
+++ b/forward/reread.go
@@ -70,8 +70,11 @@
 		err = o.takeUp(next)
 	}
 	if err != nil {
+		o.figures.invalid++
 		o.log.Error().Str("why", err.Error()).Msg("order not taken up")
+		return
 	}
+	o.figures.accepted++
 }
 
 func (o *owner) takeUp(next *Order) error {
--- /dev/null
+++ b/internal/rota/rota.go
@@ -0,0 +1,115 @@
+// Package rota keeps the targets that operators took out by hand, and says what the module is to be told of each. It
+// does no I/O: the owner keeps the set in the folder and tells the module.
+//
+// A target taken out stays out until it is put back, whatever the list says, over restarts and upgrades. Two calls
+// out need one call back. An id that nobody has is owed a no: neither listed now nor out by hand.
+package rota
+
+import (
+	"slices"
+	"strings"
+
+	"spanflow/choice"
+)
+
+// Most is the number of targets that may be out by hand at once. Guards against a caller that names ids without end,
+// which would grow the set and its file; hurts a fleet with more targets out than this, which then hears no.
+const Most = 1024
+
+// Verdict is the answer to a call.
+type Verdict uint8
+
+const (
+	Yes      Verdict = iota // done, or it was so already
+	Unknown                 // nobody has that id
+	TooMany                 // the set is full
+	BadName                 // the id cannot be kept
+)
+
+func (v Verdict) String() string {
+	return [...]string{"yes", "no target of that id is listed or out", "too many targets are out by hand", "the id holds bytes it may not"}[v]
+}
+
+// Change is what the owner has to carry out after a call.
+type Change uint8
+
+const (
+	Same     Change = iota // nothing changed
+	TakenOut               // the target is to get nothing new from now on
+	Returned               // the target is back, and cold: operators restarted it meanwhile
+)
+
+// Rota is the set of targets out by hand.
+type Rota struct {
+	out []string // sorted
+}
+
+// New starts with the ids that were out before, as kept; ids that cannot be kept are passed over.
+func New(kept []string) *Rota {
+	r := &Rota{}
+	for _, id := range kept {
+		if len(r.out) < Most && fit(id) && !r.Out(id) {
+			r.out = append(r.out, id)
+		}
+	}
+	slices.Sort(r.out)
+	return r
+}
+
+// fit tells that an id can be kept, one a line.
+func fit(id string) bool {
+	return id != "" && len(id) <= 256 && !strings.ContainsAny(id, "\r\n\x00")
+}
+
+// Out tells if a target is out by hand.
+func (r *Rota) Out(id string) bool {
+	_, found := slices.BinarySearch(r.out, id)
+	return found
+}
+
+// Detach takes a target out; listed says that the list has it now.
+func (r *Rota) Detach(id string, listed bool) (Verdict, Change) {
+	switch i, found := slices.BinarySearch(r.out, id); {
+	case !fit(id):
+		return BadName, Same
+	case found:
+		return Yes, Same
+	case !listed:
+		return Unknown, Same
+	case len(r.out) >= Most:
+		return TooMany, Same
+	default:
+		r.out = slices.Insert(r.out, i, id)
+		return Yes, TakenOut
+	}
+}
+
+// Attach puts a target back.
+func (r *Rota) Attach(id string, listed bool) (Verdict, Change) {
+	i, found := slices.BinarySearch(r.out, id)
+	switch {
+	case found:
+		r.out = slices.Delete(r.out, i, i+1)
+		return Yes, Returned
+	case listed:
+		return Yes, Same
+	case !fit(id):
+		return BadName, Same
+	default:
+		return Unknown, Same
+	}
+}
+
+// Standing is what the module is told of a listed target: a target out by hand drains, whatever the list says.
+func (r *Rota) Standing(id string, listed choice.Standing) choice.Standing {
+	if listed == choice.Ready && r.Out(id) {
+		return choice.Draining
+	}
+	return listed
+}
+
+// Kept is the set as it is to be kept, one id a line.
+func (r *Rota) Kept() []string { return slices.Clone(r.out) }
+
+// Len is the number of targets out by hand.
+func (r *Rota) Len() int { return len(r.out) }
--- a/seam/end.go
+++ b/seam/end.go
@@ -33,6 +33,15 @@
 // Ran tells if the document may have run.
 func (e End) Ran() bool { return e <= Failed || e == Broken || e == Garbled || e == GivenUp }
 
+// Written tells if the call was written whole before the connection ended.
+func (e End) Written() bool {
+	switch e {
+	case Refused, NeverUp, BrokenEarly, GivenUpEarly, Unsent, Recalled:
+		return false
+	}
+	return true
+}
+
 // Outcome is the one place where an end becomes a word of the module; over: the document is over by it.
 func (e End) Outcome() (o choice.Outcome, over bool) {
 	switch e {
