--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -20,10 +20,10 @@
 type Verdict uint8
 
 const (
-	Yes      Verdict = iota // done, or it was so already
-	Unknown                 // nobody has that id
-	TooMany                 // the set is full
-	BadName                 // the id cannot be kept
+	Yes     Verdict = iota // done, or it was so already
+	Unknown                // nobody has that id
+	TooMany                // the set is full
+	BadName                // the id cannot be kept
 )
 
 func (v Verdict) String() string {
