The operators' address in the TOML configuration too, PROXY_ADMIN before it

Other installations set admin in their file as the platform does in its JSON; the variable goes first, a value that is no address is named by its field.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -139,6 +139,9 @@
 			c.note("metrics.token_file", "has no use, as metrics.listen is empty")
 		}
 	}
+	if c.Admin != "" {
+		c.address("admin", c.Admin)
+	}
 	if c.Metrics.Listen != "" {
 		c.address("metrics.listen", c.Metrics.Listen)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -252,3 +252,18 @@
 		}
 	})
 }
+
+func TestTheOperatorsAddressComesFromTheFileOrTheVariable(t *testing.T) {
+	path := file(t, "admin = \"127.0.0.1:9800\"\n"+whole)
+	l, err := Load(path, nil, nil)
+	require.NoError(t, err)
+	o, err := l.Order()
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:9800", o.Admin)
+	l, err = Load(path, []string{"PROXY_ADMIN=127.0.0.1:9801"}, nil)
+	require.NoError(t, err)
+	o, err = l.Order()
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:9801", o.Admin)
+	require.Contains(t, wrong(t, "admin = \"nowhere\"\n"+whole, nil, nil), "admin")
+}
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -81,6 +81,7 @@
 	Dispatch  Dispatch  `toml:"dispatch"`
 	Log       Log       `toml:"log"`
 	Metrics   Metrics   `toml:"metrics"`
+	Admin     string    `toml:"admin" jsonschema_description:"The operators' address, HTTP/1.1: readiness, figures, targets out by hand, lameduck. Empty: none."`
 	Fronts    []Front   `toml:"fronts" jsonschema_description:"Where documents come in."`
 	Outlets   []Outlet  `toml:"outlets" jsonschema_description:"How targets are called. The one named http is there if it is not told."`
 	Types     []Type    `toml:"types" jsonschema_description:"Document types."`
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -295,7 +295,7 @@
 
 // The platform's variables and the fields that they go before.
 var platform = []struct{ name, field string }{{"PROXY_NAME", "name"}, {"PROXY_LISTEN", "fronts.resp.listen"},
-	{"PROXY_DISCOVERY", "discovery.address"}, {"PROXY_STATE", "ledger.folder"}}
+	{"PROXY_DISCOVERY", "discovery.address"}, {"PROXY_STATE", "ledger.folder"}, {"PROXY_ADMIN", "admin"}}
 
 const prefix = "SPANFLOW_"
 
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -84,7 +84,8 @@
 	}
 	o := &forward.Order{Name: l.Name, Discovery: l.Discovery.Address, Folder: folder,
 		MemoryMB: int(l.Limits.Memory / 1e6), Sockets: l.Limits.Descriptors, DiskMB: int(l.Ledger.Disk / 1e6), Cores: l.Limits.Cores,
-		KindOutlet: map[string]string{}, Metrics: l.Metrics.Listen, TokenFile: l.Metrics.TokenFile, Movable: true}
+		KindOutlet: map[string]string{}, Metrics: l.Metrics.Listen, TokenFile: l.Metrics.TokenFile, Movable: true,
+		Admin: l.Admin}
 	o.Tell(l.Discovery.Address, l.Discovery.Notices)
 	if l.Seed == "" {
 		o.Seed, o.SeedDrawn = rand.Uint64(), true
