--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -124,12 +124,7 @@
 		}
 		return standin.Reply{}
 	})
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	socket, err := l.(*net.TCPListener).File()
-	require.NoError(t, err)
-	l.Close()
-	s.listen = l.Addr().String()
+	socket := s.handedDown()
 	first := s.launch(socket)
 	first.log.Await(t, `"message":"ready"`)
 
@@ -146,18 +141,10 @@
 		}
 	}
 	put(10)
-	second := s.launch(socket)
-	require.Eventually(t, func() bool { return second.ready(t) }, 6*time.Second, 20*time.Millisecond)
-	require.NoError(t, first.cmd.Process.Signal(syscall.SIGTERM))
-	put(10) // taken by the first and kept for the second, or taken by the second
-	once.Do(func() { close(hold) })
-	select {
-	case err := <-first.ended:
-		require.NoError(t, err, first.log.String())
-	case <-time.After(4 * time.Second):
-		t.Fatalf("the first process did not end; log:\n%s", first.log.String())
-	}
-	second.log.Await(t, `"message":"ready"`)
+	second := s.upgrade(first, socket, func() {
+		put(10) // taken by the first and kept for the second, or taken by the second
+		once.Do(func() { close(hold) })
+	})
 	put(10)
 	seen := map[string]int{}
 	for len(seen) < sent {
@@ -217,12 +204,14 @@
 	s.say(c, standin.Command("PING"), "+PONG") // and keeps its connection
 }
 
-// upgrade starts a second process on the same handed-down socket, waits for its yes and tells the first to stop.
-func (s *stage) upgrade(first *process, socket *os.File) *process {
+// upgrade starts a second process on the same handed-down socket, waits for its yes and tells the first to stop; meanwhile
+// is done after the word to stop, before the first has ended.
+func (s *stage) upgrade(first *process, socket *os.File, meanwhile func()) *process {
 	s.t.Helper()
 	second := s.launch(socket)
 	require.Eventually(s.t, func() bool { return second.ready(s.t) }, 6*time.Second, 20*time.Millisecond)
 	require.NoError(s.t, first.cmd.Process.Signal(syscall.SIGTERM))
+	meanwhile()
 	select {
 	case err := <-first.ended:
 		require.NoError(s.t, err, first.log.String())
@@ -260,7 +249,7 @@
 	c := s.client()
 	s.put(c, zero, "d1", "c=status,d=20000,dest=7", "+OK")
 	c.Close()
-	second := s.upgrade(first, socket)
+	second := s.upgrade(first, socket, func() {})
 	c = s.client()
 	s.put(c, zero, "d2", "c=status,d=20000,dest=7", "+OK")
 	select {
