One place counts each final answer, for the operators' figures and the metrics alike

Seen in the owner: the metrics were told of a document failed by a target's 410 nowhere, while the operators' figures counted it as faulted; the figures were counted in three places beside the metrics' one. Now owner.final counts every final answer once, where it is decided, for both. A stopping process no longer lets lameduck off keep its clients.

Story: a delivered document and one the target says is gone reach the metrics as delivered and abandoned; before, the second was missing.

--- a/forward/daily.go
+++ b/forward/daily.go
@@ -14,6 +14,7 @@
 	"spanflow/choice"
 	"spanflow/internal/admin"
 	"spanflow/internal/rota"
+	"spanflow/seam"
 )
 
 // handOverWait is how long a process whose clients' socket is handed down waits for the folder of the one it
@@ -64,7 +65,8 @@
 	case admin.Vars:
 		c.reply(admin.Answer{Yes: true, Text: o.vars()})
 	case admin.LameOn, admin.LameOff:
-		if on := c.Do == admin.LameOn; on != o.lame {
+		// A stopping process goes on leaving: its clients are to go elsewhere whatever the operators say.
+		if on := c.Do == admin.LameOn; on != o.lame && (on || !o.stopping) {
 			o.lame = on
 			clients := 0
 			for _, l := range o.fronts {
@@ -149,6 +151,20 @@
 	accepted, invalid             int   // orders read again and taken up, or not
 }
 
+// final counts a document's final answer, once, where it is decided: the one source of the operators' figures and of
+// the metrics.
+func (o *owner) final(p *paper, outcome seam.Outcome) {
+	switch outcome {
+	case seam.Delivered:
+		o.figures.count(&o.figures.fulfilled, p.typ)
+	case seam.Returned:
+		o.figures.count(&o.figures.throttled, p.typ)
+	default:
+		o.figures.count(&o.figures.faulted, p.typ)
+	}
+	o.meter.Final(outcome, time.Since(p.came))
+}
+
 func (f *figures) count(by *[]int, typ int) {
 	if typ >= len(*by) {
 		*by = append(*by, make([]int, typ+1-len(*by))...)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -238,7 +238,7 @@
 			o.reread()
 			continue
 		case <-asked:
-			asked = nil
+			asked, o.stopping = nil, true
 			o.operators.ready.Store(false)
 			end = time.After(killAfter - killMargin)
 			if handing = o.order.Inherited > 0; handing {
--- a/forward/host.go
+++ b/forward/host.go
@@ -50,16 +50,12 @@
 
 func (o *owner) Reject(d *choice.Doc, comeBack float64) {
 	o.counts.returned++
-	p := o.docs[d.Door]
-	o.figures.count(&o.figures.throttled, p.typ)
-	o.answer(p, ledger.Returned, int(comeBack*1000))
+	o.answer(o.docs[d.Door], ledger.Returned, int(comeBack*1000))
 }
 
 func (o *owner) Abandon(d *choice.Doc) {
 	o.counts.abandoned++
-	p := o.docs[d.Door]
-	o.figures.count(&o.figures.faulted, p.typ)
-	o.answer(p, ledger.Abandoned, 0)
+	o.answer(o.docs[d.Door], ledger.Abandoned, 0)
 }
 
 // answer records a final answer and tells it.
@@ -71,7 +67,7 @@
 	if a == ledger.Returned {
 		outcome = seam.Returned
 	}
-	o.meter.Final(outcome, time.Since(p.came))
+	o.final(p, outcome)
 	o.tell(p, outcome, after)
 }
 
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -58,6 +58,7 @@
 	lame      bool       // clients are sent elsewhere, by the operators' word
 	rota      *rota.Rota // targets out by hand
 	figures   figures
+	stopping  bool // told to stop
 }
 
 // paper is a document that is owed or was until just now.
@@ -363,11 +364,8 @@
 		if outcome == choice.Delivered {
 			final = seam.Delivered
 			o.counts.delivered++
-			o.figures.count(&o.figures.fulfilled, p.typ)
-			o.meter.Final(final, time.Since(p.came))
-		} else {
-			o.figures.count(&o.figures.faulted, p.typ)
 		}
+		o.final(p, final)
 		if p.holder != nil && !p.withdrawn {
 			p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
 		}
--- a/forward/seam_test.go
+++ b/forward/seam_test.go
@@ -342,3 +342,39 @@
 	}
 	require.Equal(t, map[string]int{"doc0": 3}, seen)
 }
+
+// finals is a meter that keeps the final answers it is told.
+type finals struct {
+	mu   sync.Mutex
+	seen []seam.Outcome
+}
+
+func (f *finals) Asked(string, seam.Word)     {}
+func (f *finals) End(seam.End, time.Duration) {}
+func (f *finals) Final(o seam.Outcome, _ time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = append(f.seen, o)
+}
+func (f *finals) Turn(int, time.Duration) {}
+func (f *finals) Addr() string            { return "" }
+func (f *finals) Stop()                   {}
+
+// A document that a target says is gone is failed: the metrics count it as the operators' figures do.
+func TestTheMetricsCountEveryFinalAnswerOnce(t *testing.T) {
+	h := newHouse(t)
+	m := &finals{}
+	h.order.Metrics = "in the test"
+	h.order.Meter = func(string, string, []string, []seam.Level) (seam.Meter, error) { return m, nil }
+	h.start()
+	for _, end := range []seam.End{seam.Took, seam.Gone} {
+		c := h.fronts["inner"].hand(seam.Handed{ID: end.String(), Type: "status", Dest: 7})
+		require.Equal(t, seam.Taken, (<-c.door).Word)
+		h.hands.end(<-h.hands.calls, end)
+		<-c.final
+	}
+	h.stop()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	require.Equal(t, []seam.Outcome{seam.Delivered, seam.Abandoned}, m.seen)
+}
