Waits told to a process are kept in the folder and heeded by the next one

At fault: the route's closed time lives in the module alone (choice/state.go Route.closed), and a new process starts with every route open.

At its end a process writes, for each target whose route is shut beyond now, the uid and until when (wall-clock seconds) to the folder's waits file, whole and renamed; the next process reads it and tells the module (Forwarder.Close) as the targets are listed, before its first Settle.

--- a/choice/state.go
+++ b/choice/state.go
@@ -422,3 +422,10 @@
 
 // Sick tells that a target is tried at a trickle only, after it failed.
 func (t *Target) Sick() bool { return t.state == sick }
+
+// Closed tells until when a target's route takes no call: a wait that it told, or a pause after refusals.
+func (t *Target) Closed() float64 { return t.route.closed }
+
+// Close keeps a target's route shut until then, as an earlier process of this forwarder was told to. Called after the
+// target is listed.
+func (f *Forwarder) Close(t *Target, until float64) { t.route.closed = math.Max(t.route.closed, until) }
--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -303,3 +304,27 @@
 	require.Equal(t, "1|g", got["proxy.out_of_rotation"])
 	require.Equal(t, "1|g", got["proxy.open_requests"])
 }
+
+// A target tells the first process to wait; the process that replaces it in an upgrade heeds the wait, and sends
+// again only after it.
+func TestAWaitToldBeforeAnUpgradeIsHeededAfterIt(t *testing.T) {
+	s := newStage(t, "single")
+	var told atomic.Int64
+	s.target.Do(func(c standin.Call) standin.Reply {
+		if c.ID == "d1" && told.CompareAndSwap(0, time.Now().UnixNano()) {
+			return standin.Reply{Status: 429, Fields: map[string]string{"Retry-After": "3"}}
+		}
+		return standin.Reply{}
+	})
+	socket := s.handedDown()
+	first := s.launch(socket)
+	first.log.Await(t, `"message":"ready"`)
+	c := s.client()
+	s.put(c, zero, "d1", "c=status,d=20000,dest=7", "+OK")
+	c.Close()
+	require.Equal(t, "d1", s.call().ID) // told to wait
+	s.upgrade(first, socket, func() {})
+	again := s.call()
+	require.Equal(t, "d1", again.ID)
+	require.GreaterOrEqual(t, time.Since(time.Unix(0, told.Load())), 3*time.Second, "sent again within the wait")
+}
--- a/forward/daily.go
+++ b/forward/daily.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -115,18 +116,23 @@
 // taken up by the process that replaces this one.
 const outFile = "out-by-hand"
 
-// keepOut writes the set whole and puts it in place of the old one, so that a process killed meanwhile leaves one or
-// the other, never a part.
+// keepOut keeps the set of targets out by hand.
 func keepOut(dir string, ids []string) error {
 	text := strings.Join(ids, "\n")
 	if len(ids) > 0 {
 		text += "\n"
 	}
-	fresh := filepath.Join(dir, outFile+".new")
+	return writeWhole(dir, outFile, text)
+}
+
+// writeWhole writes a file of the folder whole and puts it in place of the old one, so that a process killed meanwhile
+// leaves one or the other, never a part.
+func writeWhole(dir, name, text string) error {
+	fresh := filepath.Join(dir, name+".new")
 	if err := os.WriteFile(fresh, []byte(text), 0o600); err != nil {
 		return err
 	}
-	return os.Rename(fresh, filepath.Join(dir, outFile))
+	return os.Rename(fresh, filepath.Join(dir, name))
 }
 
 // readOut reads the set as it was kept; none if there is no file.
@@ -207,3 +213,54 @@
 	fmt.Fprintf(&b, "proxy.open_requests:%d|g\nproxy.registry_entries:%d|g\nproxy.out_of_rotation:%d|g\n", open, listed, avoided)
 	return b.String()
 }
+
+// waitsFile keeps, at the end of a process, until when each target's route is shut: a wait that it told, or a pause
+// after refusals. The process that follows on the folder heeds them. Guards against an upgrade or a restart sending
+// to a destination that told the old process to wait; the two are one forwarder to it.
+const (
+	waitsFile = "waits"
+	mostWaits = 1 << 14 // lines read; one a target
+)
+
+// keepWaits writes the waits that go beyond now, in seconds of the wall clock, one target a line.
+func (o *owner) keepWaits(now float64) {
+	var b strings.Builder
+	for _, t := range o.targets {
+		if until := t.module.Closed(); until > now {
+			fmt.Fprintf(&b, "%s %.3f\n", t.uid, until)
+		}
+	}
+	if err := writeWhole(o.order.Folder, waitsFile, b.String()); err != nil {
+		o.log.Error().Err(err).Msg("waits not kept")
+	}
+}
+
+// readWaits reads the waits that an earlier process kept and that go beyond now.
+func readWaits(dir string, now float64) map[string]float64 {
+	text, err := os.ReadFile(filepath.Join(dir, waitsFile))
+	if err != nil {
+		return nil
+	}
+	waits := map[string]float64{}
+	for i, line := range strings.Split(string(text), "\n") {
+		uid, at, _ := strings.Cut(line, " ")
+		until, err := strconv.ParseFloat(at, 64)
+		if i < mostWaits && err == nil && until > now {
+			waits[uid] = until
+		}
+	}
+	return waits
+}
+
+// heedWaits tells the module the waits of an earlier process for the targets that are listed by now.
+func (o *owner) heedWaits() {
+	now := o.clock(time.Now())
+	for uid, until := range o.waits {
+		if until < now {
+			delete(o.waits, uid)
+		} else if t := o.byUID[uid]; t != nil {
+			o.f.Close(t.module, until)
+			delete(o.waits, uid)
+		}
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -152,6 +152,7 @@
 		ready(o.fronts[0].Addr())
 	}
 	o.serve(ctx, again, dialer)
+	o.keepWaits(o.clock(time.Now()))
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -58,7 +58,8 @@
 	lame      bool       // clients are sent elsewhere, by the operators' word
 	rota      *rota.Rota // targets out by hand
 	figures   figures
-	stopping  bool // told to stop
+	stopping  bool               // told to stop
+	waits     map[string]float64 // of an earlier process, for targets not listed yet
 }
 
 // paper is a document that is owed or was until just now.
@@ -106,6 +107,7 @@
 // begin gives the module the known list and what an earlier process owed.
 func (o *owner) begin(now time.Time) {
 	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
+	o.waits = readWaits(o.order.Folder, o.clock(now))
 	o.listed(&o.order.Known, true)
 	for _, e := range o.ledger.Owed() {
 		typ, known := o.types[e.Type]
@@ -435,6 +437,9 @@
 		lines = append(lines, line)
 	}
 	o.f.List(whole, lines)
+	if len(o.waits) > 0 {
+		o.heedWaits()
+	}
 }
 
 // outletOf is the outlet by which targets of a kind are reached.
