A numbered repeat gets no time to begin beyond the window its mark is known in

Ruled out: the ledger's record of a transmission out at a kill (Back takes its begin as the first that may have run) and the zone of the repeat (same_zone_share 1.0). Left: choice.ready lets a repeat go up to 0.01 s before the window ends, and choice.send gives its call the usual time (over 3 s) to connect and write; on a forwarder with a fifth of a core a slow connect writes the repeat after the window.

send now bounds a numbered document's time to what is left of its window, as it does with its expiry: a call not written whole by then is given up early and never ran.

Story: a zone-group document reset at once, its only target out for 4.6 s: the repeat at 4.64 s had 3.46 s to begin in a 5 s window before, 0.36 s now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -597,6 +597,9 @@
 		doc.call, doc.want, doc.to = c, wantOut, t
 		doc.sent++
 		doc.allow = math.Min(allow, doc.expiry-f.now)
+		if doc.ranFrom > 0 && doc.typ.Repeat == Numbered { // begun later, it would be a repeat its mark no longer covers
+			doc.allow = math.Min(doc.allow, doc.ranFrom+doc.typ.Memory-f.now)
+		}
 		f.changed = append(f.changed, doc)
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -656,3 +656,23 @@
 	require.LessOrEqual(t, cold, warm/3)
 	require.Positive(t, cold)
 }
+
+// A numbered document that may have run is sent again only while its mark is known, and its call is given no time to
+// begin beyond that: a connection slow to come would carry a repeat outside its window.
+func TestARepeatOfANumberedDocumentEndsWithinItsWindow(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	tgt := d.targets[0]
+	doc := h.take(d, zoned, 0)
+	h.settle()
+	first := h.sent[0]
+	h.ends(doc, Reset, 0)
+	h.List(false, []Listing{{Target: tgt, Dest: d, Standing: Draining}})
+	h.pass(4.6)
+	h.List(false, []Listing{{Target: tgt, Dest: d, Standing: Ready}})
+	h.pass(0.3)
+	require.Len(t, h.sent, 2)
+	again := h.sent[1]
+	require.LessOrEqual(t, again.at+again.timeout, first.at+h.terms.Types[zoned].Memory+1e-9, "sent at %.2f for %.2f",
+		again.at-first.at, again.timeout)
+}
