A ban lasts over a kill: a story; the admin listener drops a check that never held

The story kills the forwarder after a detach and starts it on the same folder: the document waits until the attach (with the ban read from nothing, it went to the target at once).

Read again: the admin listener's Accept retried on time-outs that a listener never gives; gone.

--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -328,3 +328,26 @@
 	require.Equal(t, "d1", again.ID)
 	require.GreaterOrEqual(t, time.Since(time.Unix(0, told.Load())), 3*time.Second, "sent again within the wait")
 }
+
+// A target out by hand stays out when the forwarder is killed and started again on its folder.
+func TestATargetOutByHandStaysOutOverAKill(t *testing.T) {
+	s := newStage(t, "single")
+	first := s.launch(nil)
+	first.log.Await(t, `"message":"ready"`)
+	code, said := ask(t, first.admin, "POST", "/_targets/detach?name=s1")
+	require.Equal(t, http.StatusOK, code, said)
+	first.cmd.Process.Kill()
+	<-first.ended
+	again := s.launch(nil)
+	_, text, _ := strings.Cut(again.log.Await(t, `"message":"ready"`), `"listen":"`)
+	s.listen, _, _ = strings.Cut(text, `"`)
+	s.put(s.client(), zero, "d1", "c=status,d=20000,dest=7", "+OK")
+	select {
+	case call := <-s.target.Calls:
+		t.Fatalf("%s went to a target out by hand", call.ID)
+	case <-time.After(time.Second):
+	}
+	code, said = ask(t, again.admin, "POST", "/_targets/attach?name=s1")
+	require.Equal(t, http.StatusOK, code, said)
+	require.Equal(t, "d1", s.call().ID)
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,8 +13,6 @@
 package admin
 
 import (
-	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -199,9 +197,6 @@
 	for {
 		c, err := b.Listener.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() || errors.Is(err, context.DeadlineExceeded) {
-				continue
-			}
 			return nil, err
 		}
 		b.mu.Lock()
