--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -192,6 +192,9 @@
 	if d.IdleLife <= 0 {
 		c.bad("dispatch.idle_life", "0s keeps no connection")
 	}
+	if d.AskWithin <= 0 {
+		c.bad("dispatch.ask_within", "0s leaves no time between two questions for the list")
+	}
 	if !(d.ColdFrom > 0 && d.ColdFrom <= 1) {
 		c.bad("dispatch.cold_from", "%v is not a share over 0 up to 1", d.ColdFrom)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -94,6 +94,7 @@
 		{`listen = "127.0.0.1:6379"`, `protocol = "smtp"`, `fronts[0].protocol: unknown protocol "smtp"`},
 		{"[[targets]]\n", "[[targets]]\nuid = \"t1\"\naddress = \":1\"\n[[targets]]\n", "targets[1].uid: targets[0] has it too"},
 		{"[[targets]]\n", "[discovery]\naddress = \"127.0.0.1:1\"\n[[targets]]\n", "targets: discovery.address is told as well"},
+		{"[[targets]]\n", "[dispatch]\nask_within = \"0s\"\n[[targets]]\n", "dispatch.ask_within: 0s leaves no time"},
 		{`dest = 7`, `dest = -7`, "c.toml:21: targets.dest"},
 		{`per_second = 2.5`, `per_second = nan`, "c.toml:17: tenants[0].per_second: NaN is not a rate"},
 		{"[[tenants]]\n", "[[kinds]]\nname = \"k\"\noutlet = \"smtp\"\n[[tenants]]\n", `kinds[0].outlet: "smtp" is the name of none of outlets`},
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -121,6 +121,7 @@
 	KeyRest       Span    `toml:"key_rest" jsonschema_description:"Rest between two documents of a key, after a transmission that may still run."`
 	ColdFrom      float64 `toml:"cold_from" jsonschema_description:"Share of its capacity that a returning destination has at least."`
 	ColdFor       Span    `toml:"cold_for" jsonschema_description:"Time in which it gets warm."`
+	AskWithin     Span    `toml:"ask_within" jsonschema_description:"While discovery's list does not come it is asked for at least so often; forwarders started together spread their questions over up to half of it."`
 	FallMultiple  float64 `toml:"fall_multiple" jsonschema_description:"A cold destination falls over at this multiple of its present capacity."`
 	ListedRates   string  `toml:"listed_rates" jsonschema:"enum=none,enum=exact,enum=rough" jsonschema_description:"What per_second in the list is worth."`
 	ReportLimit   string  `toml:"report_limit" jsonschema_description:"Field of a load report that tells a limit in calls a second."`
@@ -202,7 +203,7 @@
 		Ledger: Ledger{Folder: "state", Disk: 64e6},
 		Limits: Limits{Cores: 1, Memory: 192e6, Descriptors: 1024},
 		Dispatch: Dispatch{Slots: 64, Room: 2000, Transmissions: 6, Forwarders: 1, ComeBack: 2, Connect: 1.5, IdleLife: 10,
-			KeyRest: 0.1, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ListedRates: "none", ReportLimit: "x1"},
+			KeyRest: 0.1, AskWithin: 10, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ListedRates: "none", ReportLimit: "x1"},
 		Log: Log{Level: "info", Format: "json"}}
 }
 
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -71,49 +72,42 @@
 	}
 }
 
-// server answers each command after a delay; while it stalls, it answers nothing.
-func server(t *testing.T, delay time.Duration, stall func(since time.Duration) time.Duration) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { ln.Close() })
+// server answers each command after a delay; while it stalls, it answers nothing. It tells how to connect to it.
+// Called within a bubble: the clock is the test's own, so that no other work on the machine counts as delay.
+func server(delay time.Duration, stall func(since time.Duration) time.Duration) func() (net.Conn, error) {
 	var once sync.Once
 	var began time.Time
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			once.Do(func() { began = time.Now() })
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					head, err := in.ReadString('\n')
+	return func() (net.Conn, error) {
+		here, c := net.Pipe()
+		once.Do(func() { began = time.Now() })
+		go func() {
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for {
+				head, err := in.ReadString('\n')
+				if err != nil {
+					return
+				}
+				n, _ := strconv.Atoi(strings.TrimSpace(head[1:]))
+				for range n {
+					size, err := in.ReadString('\n')
 					if err != nil {
 						return
 					}
-					n, _ := strconv.Atoi(strings.TrimSpace(head[1:]))
-					for range n {
-						size, err := in.ReadString('\n')
-						if err != nil {
-							return
-						}
-						bytes, _ := strconv.Atoi(strings.TrimSpace(size[1:]))
-						if _, err := in.Discard(bytes + 2); err != nil {
-							return
-						}
-					}
-					time.Sleep(delay)
-					if stall != nil {
-						time.Sleep(stall(time.Since(began)))
+					bytes, _ := strconv.Atoi(strings.TrimSpace(size[1:]))
+					if _, err := in.Discard(bytes + 2); err != nil {
+						return
 					}
-					io.WriteString(c, "+OK\r\n")
 				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
+				time.Sleep(delay)
+				if stall != nil {
+					time.Sleep(stall(time.Since(began)))
+				}
+				io.WriteString(c, "+OK\r\n")
+			}
+		}()
+		return here, nil
+	}
 }
 
 func drawn(rate, seconds float64) *Drawn {
@@ -121,9 +115,11 @@
 }
 
 // The figures told are those injected: a delay, and of a stall of two seconds what each arrival met of it.
-func TestTheTimesToldAreThoseInjected(t *testing.T) {
+func TestTheTimesToldAreThoseInjected(t *testing.T) { synctest.Test(t, theTimesToldAreThoseInjected) }
+
+func theTimesToldAreThoseInjected(t *testing.T) {
 	run := Run{Connections: 400, Timeout: 10 * time.Second, Life: 20, Bytes: 100}
-	run.Addr = server(t, 400*time.Millisecond, nil)
+	run.Dial = server(400*time.Millisecond, nil)
 	r, err := run.Do(context.Background(), drawn(100, 2))
 	require.NoError(t, err)
 	require.Equal(t, map[string]int{"ok": r.Sent}, r.Answers)
@@ -132,7 +128,7 @@
 	}
 
 	const from, to = 1.0, 3.0
-	run.Addr = server(t, 100*time.Millisecond, func(since time.Duration) time.Duration {
+	run.Dial = server(100*time.Millisecond, func(since time.Duration) time.Duration {
 		if s := since.Seconds(); s > from && s < to {
 			return time.Duration((to - s) * float64(time.Second))
 		}
@@ -149,8 +145,12 @@
 }
 
 func TestAStallIsChargedToEachArrivalThatMeetsIt(t *testing.T) {
+	synctest.Test(t, aStallIsChargedToEachArrivalThatMeetsIt)
+}
+
+func aStallIsChargedToEachArrivalThatMeetsIt(t *testing.T) {
 	run := Run{Connections: 400, Timeout: 10 * time.Second, Life: 20}
-	run.Addr = server(t, 100*time.Millisecond, func(since time.Duration) time.Duration {
+	run.Dial = server(100*time.Millisecond, func(since time.Duration) time.Duration {
 		if s := since.Seconds(); s > 1 && s < 3 {
 			return time.Duration((3 - s) * float64(time.Second))
 		}
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -41,6 +41,7 @@
 	Bytes       int
 	Prefix      string // of ids
 	Progress    func(sent, open int)
+	Dial        func() (net.Conn, error) // makes a connection; nil: TCP to Addr
 }
 
 // Report is what a run saw.
@@ -93,9 +94,13 @@
 	jobs := make(chan job, mostQueue)
 	idle, workers, open := 0, 0, 0
 	body := strings.Repeat("x", 64<<10)
+	dial := r.Dial
+	if dial == nil {
+		dial = func() (net.Conn, error) { return net.DialTimeout("tcp", r.Addr, r.Timeout) }
+	}
 	work := func() {
 		defer wg.Done()
-		c := &line{addr: r.Addr, timeout: r.Timeout}
+		c := &line{dial: dial, timeout: r.Timeout}
 		defer c.close()
 		for j := range jobs {
 			mu.Lock()
@@ -170,7 +175,7 @@
 
 // line is one connection to a forwarder, made when it is needed.
 type line struct {
-	addr    string
+	dial    func() (net.Conn, error)
 	timeout time.Duration
 	conn    net.Conn
 	in      *bufio.Reader
@@ -215,7 +220,7 @@
 	for range 2 {
 		fresh := l.conn == nil
 		if fresh {
-			c, err := net.DialTimeout("tcp", l.addr, l.timeout)
+			c, err := l.dial()
 			if err != nil {
 				return "none"
 			}
