Operators' calls to the new process of an upgrade are answered and reach the old one

Need: a detach sent to the new process before it owned the folder got a 503, its figures too, and the old process never heard of it. Now it answers by the list of its order and lays calls into a tray in the folder, which the owner empties four times a second where its socket was handed down, and its successor before its first decision.

Measured: story of a call that reaches the old process (fails after 15 s without the look), story of one that only the new process takes up (fails without emptying the tray at the begin). Without PROXY_INHERITED_FD nothing looks.

--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -60,6 +60,7 @@
 	room      int
 	diskMB    int
 	sockets   int
+	socket    *os.File // of the clients, handed down
 	cmd       *exec.Cmd
 	log       *standin.Log
 	ended     chan error
--- a/forward/daily.go
+++ b/forward/daily.go
@@ -26,6 +26,7 @@
 type desk struct {
 	x     *Exchange
 	ready atomic.Bool
+	lobby atomic.Pointer[lobby] // answers while another process owns the folder
 }
 
 // operation is a call of the operators' address with the way to its answer.
@@ -36,7 +37,15 @@
 
 func (d *desk) Ready() bool { return d.ready.Load() }
 
-func (d *desk) Ask(c admin.Call, reply func(admin.Answer)) { d.x.leave(operation{c, reply}) }
+func (d *desk) Ask(c admin.Call, reply func(admin.Answer)) {
+	if l := d.lobby.Load(); l != nil {
+		if a, answered := l.answer(c); answered {
+			reply(a)
+			return
+		}
+	}
+	d.x.leave(operation{c, reply})
+}
 
 // inherit takes the listening socket that the platform hands down as a descriptor.
 func inherit(fd int) (net.Listener, error) {
@@ -68,48 +77,68 @@
 	case admin.LameOn, admin.LameOff:
 		// A stopping process goes on leaving: its clients are to go elsewhere whatever the operators say.
 		if on := c.Do == admin.LameOn; on != o.lame && (on || !o.stopping) {
-			o.lame = on
-			clients := 0
-			for _, l := range o.fronts {
-				if clients += l.Clients(); on {
-					l.Leave()
-				} else {
-					l.Stay()
-				}
-			}
-			o.log.Info().Bool("lameduck", on).Int("clients", clients).Int("held", len(o.docs)).Msg("lameduck")
+			o.lameduck(on)
 		}
 		c.reply(admin.Answer{Yes: true, Text: c.Do.String()})
 	case admin.Detach, admin.Attach:
 		t := o.byUID[c.Name]
-		listed := t != nil && t.line.Standing != choice.Gone
-		verdict, change := o.rota.Detach(c.Name, listed)
-		if c.Do == admin.Attach {
-			verdict, change = o.rota.Attach(c.Name, listed)
-		}
-		if change != rota.Same {
-			if err := keepOut(o.order.Folder, o.rota.Kept()); err != nil {
-				o.rota = rota.New(readOut(o.order.Folder))
-				c.reply(admin.Answer{Status: http.StatusInternalServerError, Text: "not kept in the folder: " + err.Error()})
-				return
-			}
-			o.log.Info().Str("target", c.Name).Bool("out", change == rota.TakenOut).Int("out_by_hand", o.rota.Len()).
-				Msg("target by hand")
-		}
-		if t != nil && change != rota.Same {
-			line := t.line
-			line.Standing, line.Cold = o.rota.Standing(t.uid, line.Standing), change == rota.Returned
-			o.f.List(false, []choice.Listing{line}) // before this turn's Settle: nothing new goes to it from here on
-		}
-		switch verdict {
-		case rota.Yes:
-			c.reply(admin.Answer{Yes: true, Text: c.Do.String() + " " + c.Name})
-		case rota.Unknown:
-			c.reply(admin.Answer{Status: http.StatusNotFound, Text: "name: " + verdict.String()})
-		default:
-			c.reply(admin.Answer{Status: http.StatusBadRequest, Text: "name: " + verdict.String()})
+		c.reply(o.byHand(c.Call, t != nil && t.line.Standing != choice.Gone))
+	}
+}
+
+// lameduck sends clients away, or lets them in again.
+func (o *owner) lameduck(on bool) {
+	o.lame = on
+	clients := 0
+	for _, l := range o.fronts {
+		if clients += l.Clients(); on {
+			l.Leave()
+		} else {
+			l.Stay()
 		}
 	}
+	o.log.Info().Bool("lameduck", on).Int("clients", clients).Int("held", len(o.docs)).Msg("lameduck")
+}
+
+// byHand takes a target out or puts it back; listed tells that somebody has it.
+func (o *owner) byHand(c admin.Call, listed bool) admin.Answer {
+	verdict, change := call(o.rota, c, listed)
+	if change == rota.Same {
+		return answerOf(c, verdict)
+	}
+	if err := keepOut(o.order.Folder, o.rota.Kept()); err != nil {
+		o.rota = rota.New(readOut(o.order.Folder))
+		return notKept(err)
+	}
+	o.log.Info().Str("target", c.Name).Bool("out", change == rota.TakenOut).Int("out_by_hand", o.rota.Len()).Msg("target by hand")
+	if t := o.byUID[c.Name]; t != nil {
+		line := t.line
+		line.Standing, line.Cold = o.rota.Standing(t.uid, line.Standing), change == rota.Returned
+		o.f.List(false, []choice.Listing{line}) // before this turn's Settle: nothing new goes to it from here on
+	}
+	return answerOf(c, verdict)
+}
+
+// call makes a call out or back on a set of targets out by hand.
+func call(r *rota.Rota, c admin.Call, listed bool) (rota.Verdict, rota.Change) {
+	if c.Do == admin.Attach {
+		return r.Attach(c.Name, listed)
+	}
+	return r.Detach(c.Name, listed)
+}
+
+func notKept(err error) admin.Answer {
+	return admin.Answer{Status: http.StatusInternalServerError, Text: "not kept in the folder: " + err.Error()}
+}
+
+func answerOf(c admin.Call, v rota.Verdict) admin.Answer {
+	switch v {
+	case rota.Yes:
+		return admin.Answer{Yes: true, Text: c.Do.String() + " " + c.Name}
+	case rota.Unknown:
+		return admin.Answer{Status: http.StatusNotFound, Text: "name: " + v.String()}
+	}
+	return admin.Answer{Status: http.StatusBadRequest, Text: "name: " + v.String()}
 }
 
 // outFile keeps the ids of targets out by hand in the folder, one a line, so that a ban lasts over a restart and is
@@ -178,21 +207,8 @@
 	(*by)[typ]++
 }
 
-// vars writes the figures in statsd's form, one a line: counters, then gauges read from the owner's own state.
+// vars are the figures, with gauges read from the owner's own state.
 func (o *owner) vars() string {
-	var b strings.Builder
-	for _, c := range []struct {
-		name string
-		by   []int
-	}{{"fulfilled", o.figures.fulfilled}, {"throttled", o.figures.throttled}, {"faulted", o.figures.faulted}} {
-		for typ, name := range o.order.Names.Types {
-			n := 0
-			if typ < len(c.by) {
-				n = c.by[typ]
-			}
-			fmt.Fprintf(&b, "proxy.%s.%s:%d|c\n", c.name, name, n)
-		}
-	}
 	listed, avoided := 0, 0
 	for _, t := range o.targets {
 		if t.line.Standing == choice.Gone {
@@ -208,8 +224,25 @@
 			open++
 		}
 	}
-	fmt.Fprintf(&b, "proxy.relayed:%d|c\nproxy.cfg_accepted:%d|c\nproxy.cfg_invalid:%d|c\n", o.figures.relayed,
-		o.figures.accepted, o.figures.invalid)
+	return o.figures.write(o.order.Names.Types, open, listed, avoided)
+}
+
+// write writes the figures in statsd's form, one a line: counters, then gauges.
+func (f *figures) write(types []string, open, listed, avoided int) string {
+	var b strings.Builder
+	for _, c := range []struct {
+		name string
+		by   []int
+	}{{"fulfilled", f.fulfilled}, {"throttled", f.throttled}, {"faulted", f.faulted}} {
+		for typ, name := range types {
+			n := 0
+			if typ < len(c.by) {
+				n = c.by[typ]
+			}
+			fmt.Fprintf(&b, "proxy.%s.%s:%d|c\n", c.name, name, n)
+		}
+	}
+	fmt.Fprintf(&b, "proxy.relayed:%d|c\nproxy.cfg_accepted:%d|c\nproxy.cfg_invalid:%d|c\n", f.relayed, f.accepted, f.invalid)
 	fmt.Fprintf(&b, "proxy.open_requests:%d|g\nproxy.registry_entries:%d|g\nproxy.out_of_rotation:%d|g\n", open, listed, avoided)
 	return b.String()
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -60,6 +60,9 @@
 
 	x := newExchange()
 	operators := &desk{x: x}
+	if order.Inherited > 0 {
+		operators.lobby.Store(newLobby(order))
+	}
 	if order.Admin != "" {
 		a, err := admin.Open(order.Admin, operators)
 		if err != nil {
@@ -121,6 +124,10 @@
 		o.meter, o.metered = m, true
 		defer m.Stop()
 	}
+	lame := false
+	if l := operators.lobby.Load(); l != nil {
+		lame = l.leave()
+	}
 	o.begin(o.epoch)
 	most, err := shares(order.Fronts, Clients(order.Sockets))
 	if err == nil {
@@ -146,6 +153,9 @@
 	if o.metered {
 		said = said.Str("metrics", o.meter.Addr())
 	}
+	if lame {
+		o.lameduck(true)
+	}
 	operators.ready.Store(true)
 	said.Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).Int("targets", len(o.targets)).Msg("ready")
 	if ready != nil {
@@ -223,6 +233,12 @@
 	asked := ctx.Done()
 	var coming, end, look <-chan time.Time
 	handing, shut := false, false
+	var tray <-chan time.Time
+	if o.order.Inherited > 0 { // a process that replaces this one may wait and be called
+		ticker := time.NewTicker(trayEvery)
+		defer ticker.Stop()
+		tray = ticker.C
+	}
 	for {
 		if o.wakeAt.IsZero() {
 			timer.Stop()
@@ -235,6 +251,10 @@
 		case <-report.C:
 			o.report(dialer)
 			continue
+		case <-tray:
+			if handing || !o.emptyTray() { // what is called once this one hands over, its successor takes up
+				continue
+			}
 		case <-again:
 			o.reread()
 			continue
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -109,6 +109,7 @@
 	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
 	o.waits = readWaits(o.order.Folder, o.clock(now))
 	o.listed(&o.order.Known, true)
+	o.emptyTray()
 	for _, e := range o.ledger.Owed() {
 		typ, known := o.types[e.Type]
 		if !known {
