--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -53,7 +53,7 @@
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.PersistentFlags().BoolVar(&s.json, "json", false, "output for programs, as JSON")
 	root.PersistentFlags().BoolVarP(&s.quiet, "quiet", "q", false, "no progress")
-	root.AddCommand(s.scenes(), s.run(), s.compare(), s.sweep(), s.search(), s.real(), s.load())
+	root.AddCommand(s.scenes(), s.run(), s.compare(), s.sweep(), s.search(), s.hunt(), s.findings(), s.real(), s.load())
 	return root
 }
 
@@ -278,6 +278,17 @@
 			if err != nil {
 				return err
 			}
+			if folder != "" { // made, or refused, before the work
+				if err := os.MkdirAll(folder, 0o755); err != nil {
+					return fmt.Errorf("--out: %w", err)
+				}
+				probe, err := os.CreateTemp(folder, ".probe")
+				if err != nil {
+					return fmt.Errorf("--out: %w", err)
+				}
+				probe.Close()
+				os.Remove(probe.Name())
+			}
 			ctx, cancel := context.WithTimeout(s.ctx, lasts)
 			defer cancel()
 			tell := func(n int, worst float64) {
--- /dev/null
+++ b/lab/experiment/hunt.go
@@ -0,0 +1,362 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"spanflow/internal/config"
+	"spanflow/lab/scene"
+	"spanflow/lab/sim"
+)
+
+// Hunt is a search for broken rules that goes on where it stopped: which seeds were tried, what their scenes covered,
+// and the breaks found. It is the same for the same seeds on any number of cores.
+type Hunt struct {
+	Version  int            `toml:"version"`
+	Tried    [][2]uint64    `toml:"tried"`  // seeds from and to, both tried
+	Scenes   int            `toml:"scenes"` // played
+	Kinds    map[string]int `toml:"kinds"`  // scenes with a trouble of each kind
+	Pairs    map[string]int `toml:"pairs"`  // scenes in which two kinds overlapped in time
+	Sizes    map[string]int `toml:"sizes"`  // scenes by forwarders and targets
+	Breaks   []Break        `toml:"breaks"`
+	Unshrunk int            `toml:"unshrunk"` // breaks beyond the most that are kept
+}
+
+// Break is a rule broken in a drawn scene.
+type Break struct {
+	Seed  uint64 `toml:"seed"`
+	Rule  string `toml:"rule"`
+	What  string `toml:"what"`
+	File  string `toml:"file"` // the scene, shrunk
+	Steps int    `toml:"steps"`
+}
+
+const (
+	huntVersion = 1
+	huntBatch   = 32
+	mostBreaks  = 100 // kept; a module that breaks more is to be mended first
+	huntFile    = "hunt.toml"
+)
+
+// OpenHunt reads the hunt in a folder, or begins one; the folder is made.
+func OpenHunt(dir string) (*Hunt, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	h := &Hunt{Version: huntVersion}
+	path := filepath.Join(dir, huntFile)
+	text, err := os.ReadFile(path)
+	if err == nil {
+		h.Version = 0
+		if err := config.Decode(path, text, h); err != nil {
+			return nil, err
+		}
+		if wrong := h.check(); len(wrong) > 0 {
+			for i := range wrong {
+				wrong[i].File = path
+			}
+			return nil, wrong
+		}
+	} else if !os.IsNotExist(err) {
+		return nil, err
+	}
+	for _, m := range []*map[string]int{&h.Kinds, &h.Pairs, &h.Sizes} {
+		if *m == nil {
+			*m = map[string]int{}
+		}
+	}
+	return h, h.Save(dir) // a folder that cannot be written is refused before the work
+}
+
+func (h *Hunt) check() (wrong config.Problems) {
+	if h.Version != huntVersion {
+		wrong = append(wrong, config.Problem{Field: "version", What: fmt.Sprintf("%d is not this program's, %d", h.Version, huntVersion)})
+	}
+	n := uint64(0)
+	for i, t := range h.Tried {
+		if t[0] > t[1] || i > 0 && t[0] <= h.Tried[i-1][1] {
+			wrong = append(wrong, config.Problem{Field: fmt.Sprintf("tried[%d]", i), What: "seeds are not in order: the file was changed or cut"})
+		}
+		n += t[1] - t[0] + 1
+	}
+	if len(wrong) == 0 && n != uint64(h.Scenes) {
+		wrong = append(wrong, config.Problem{Field: "scenes", What: fmt.Sprintf("%d, while %d seeds are tried: the file was changed or cut", h.Scenes, n)})
+	}
+	return wrong
+}
+
+// Save writes the hunt whole in place of the old.
+func (h *Hunt) Save(dir string) error {
+	text, err := toml.Marshal(h)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(dir, huntFile)
+	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// next is the first seed from one on that was not tried.
+func (h *Hunt) next(from uint64) uint64 {
+	for _, t := range h.Tried {
+		if from >= t[0] && from <= t[1] {
+			from = t[1] + 1
+		}
+	}
+	return from
+}
+
+func (h *Hunt) tried(from, to uint64) {
+	h.Tried = append(h.Tried, [2]uint64{from, to})
+	slices.SortFunc(h.Tried, func(a, b [2]uint64) int {
+		if a[0] < b[0] {
+			return -1
+		}
+		return 1
+	})
+	joined := h.Tried[:1]
+	for _, t := range h.Tried[1:] {
+		if last := &joined[len(joined)-1]; t[0] <= last[1]+1 {
+			last[1] = max(last[1], t[1])
+		} else {
+			joined = append(joined, t)
+		}
+	}
+	h.Tried = joined
+}
+
+// Go plays drawn scenes from a seed on until ctx ends or so many were played, writing to the folder after each batch.
+// What is begun is finished, so that an interrupted hunt has kept all that it found.
+func (h *Hunt) Go(ctx context.Context, dir string, make sim.Maker, from uint64, most int, progress func(*Hunt)) error {
+	for n := 0; n < most && ctx.Err() == nil; {
+		from = h.next(from)
+		batch := min(huntBatch, most-n)
+		for _, t := range h.Tried { // up to what was tried before
+			if t[0] > from {
+				batch = min(batch, int(t[0]-from))
+			}
+		}
+		scenes, results := findScenes(batch), findResults(batch)
+		each(batch, func(i int) {
+			scenes[i] = DrawAny(from + uint64(i))
+			results[i] = sim.Play(scenes[i], from+uint64(i), make)
+		})
+		var found []*Break
+		var shown []*scene.Scene
+		for i, r := range results {
+			h.cover(scenes[i])
+			rules := map[string]bool{}
+			for _, b := range r.Breaches {
+				if rules[string(b.Rule)] {
+					continue
+				}
+				rules[string(b.Rule)] = true
+				if len(h.Breaks)+len(found) >= mostBreaks {
+					h.Unshrunk++
+					continue
+				}
+				found = append(found, &Break{Seed: from + uint64(i), Rule: string(b.Rule), What: b.What})
+				shown = append(shown, scenes[i])
+			}
+		}
+		for i, b := range found {
+			shown[i], b.Steps = shrink(shown[i], func(s *scene.Scene) bool { return breaks(s, b.Seed, b.Rule, make) != "" })
+			b.What = breaks(shown[i], b.Seed, b.Rule, make)
+			b.File = fmt.Sprintf("hunted-%d-rule-%c.toml", b.Seed, b.Rule[0])
+			s := *shown[i]
+			s.Name, s.Seed = b.File[:len(b.File)-len(".toml")], b.Seed
+			s.About = "Found by a hunt, rule broken: " + b.Rule + ", " + b.What + "."
+			text, err := toml.Marshal(&s)
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(filepath.Join(dir, b.File), text, 0o644); err != nil {
+				return err
+			}
+			h.Breaks = append(h.Breaks, *b)
+		}
+		sort.SliceStable(h.Breaks, func(i, j int) bool { return h.Breaks[i].Seed < h.Breaks[j].Seed })
+		h.tried(from, from+uint64(batch)-1)
+		h.Scenes += batch
+		n += batch
+		if err := h.Save(dir); err != nil {
+			return err
+		}
+		if progress != nil {
+			progress(h)
+		}
+	}
+	return nil
+}
+
+func findScenes(n int) []*scene.Scene { return make([]*scene.Scene, n) }
+func findResults(n int) []*sim.Result { return make([]*sim.Result, n) }
+
+// breaks is how a rule is broken in a scene, empty if it is kept.
+func breaks(s *scene.Scene, seed uint64, rule string, make sim.Maker) string {
+	for _, b := range sim.Play(s, seed, make).Breaches {
+		if string(b.Rule) == rule {
+			return b.What
+		}
+	}
+	return ""
+}
+
+// cover counts what a scene covers.
+func (h *Hunt) cover(s *scene.Scene) {
+	seen := map[string]bool{}
+	for i, a := range s.Troubles {
+		seen[a.Kind] = true
+		for _, b := range s.Troubles[i+1:] {
+			if a.Kind != b.Kind && a.At < b.At+b.For && b.At < a.At+a.For {
+				seen[min(a.Kind, b.Kind)+"+"+max(a.Kind, b.Kind)] = true
+			}
+		}
+	}
+	for name := range seen {
+		if scene.Kinds[name] != "" {
+			h.Kinds[name]++
+		} else {
+			h.Pairs[name]++
+		}
+	}
+	targets := 0
+	for _, p := range s.Partners {
+		targets += p.Count * p.Targets
+	}
+	h.Sizes[size("forwarders", s.Dispatch.Forwarders)]++
+	h.Sizes[size("targets", targets)]++
+}
+
+// size is the class of a number, in steps of about three.
+func size(what string, n int) string {
+	low := 1
+	for _, high := range []int{2, 4, 11, 31, 101} {
+		if n < high {
+			return fmt.Sprintf("%s %d to %d", what, low, high-1)
+		}
+		low = high
+	}
+	return fmt.Sprintf("%s %d to %d", what, low, hugest)
+}
+
+const (
+	hugest   = 300    // forwarders, and targets
+	mostDocs = 5000.0 // of a scene, so that many can be played
+)
+
+// DrawAny draws a scene in all its dimensions: 1 to 300 forwarders and targets, limits, kinds of document, one to four
+// troubles that mostly overlap.
+func DrawAny(seed uint64) *scene.Scene {
+	dice := rand.New(rand.NewPCG(seed, 29))
+	between := func(low, high float64) float64 { return low + (high-low)*dice.Float64() }
+	log := func(low, high float64) float64 { return low * math.Pow(high/low, dice.Float64()) }
+	odds := func(share float64) bool { return dice.Float64() < share }
+	s := &scene.Scene{Name: fmt.Sprintf("hunt-%d", seed), Seed: seed, Length: 40, Drain: 26, Zones: 1 + dice.IntN(2), Rest: ms(log(0.001, 0.05)),
+		Dispatch: config.Defaults().Dispatch, Load: scene.Load{Arrive: "poisson"}, ComesAgain: odds(0.8)}
+	d := &s.Dispatch
+	d.Forwarders = int(log(1, hugest+0.99))
+	d.Slots, d.Room, d.Transmissions = int(log(3, 64.99)), int(log(20, 600)), 3+dice.IntN(6)
+	d.ColdFrom, d.ColdFor, d.FallMultiple = between(0.15, 0.3), ms(between(5, 14)), between(1.5, 3)
+	d.KeyRest, d.IdleLife, d.Connect = ms(between(0.05, 0.2)), ms(log(5, 30)), ms(between(0.25, 1.5))
+	if odds(0.2) {
+		d.ComeBack = 0
+	}
+	d.ListedRates = []string{"none", "none", "exact", "rough"}[dice.IntN(4)]
+	if odds(0.3) {
+		s.ListLag = ms(between(0.1, 2))
+	}
+	for i := range 1 + dice.IntN(3) {
+		t := scene.Type{Name: fmt.Sprint("type-", i), Repeat: []string{"replayable", "numbered", "binding"}[dice.IntN(3)], Group: "all",
+			Agreed: ms(between(1, 5)), Part: between(0.3, 3), Value: 1, Keys: int(log(5, 1000)), InOrder: odds(0.4)}
+		t.Life = t.Agreed + ms(between(3, 18))
+		if t.Repeat == "numbered" {
+			t.Memory = ms(between(3, 18))
+			if s.Zones > 1 && odds(0.3) {
+				t.Group = "zone"
+			}
+		}
+		s.Types = append(s.Types, t)
+	}
+	for i := range dice.IntN(4) {
+		s.Tenants = append(s.Tenants, scene.Tenant{Name: fmt.Sprint("store-", i), PerSecond: log(2, 50), Part: between(0.2, 3)})
+	}
+	left, dests, capacity := int(log(1, hugest+0.99)), 0, 0.0
+	for i := 0; left > 0 && i < 5; i++ {
+		p := scene.Partner{Name: fmt.Sprint("group-", i), Targets: 1 + dice.IntN(min(4, left)), Batch: 1, Apart: odds(0.25),
+			Service: []string{"fixed", "exponential", "lognormal", "lognormal"}[dice.IntN(4)], Mean: ms(log(0.02, 0.5)), Places: int(log(1, 8.99)),
+			Queue: dice.IntN(17), Tells: odds(0.5), Shows: odds(0.3), Skew: between(0, 0.3), FallsFor: ms(between(3, 10)),
+			FallSpan: ms(between(1, 2))}
+		if p.Service == "lognormal" {
+			p.Wide = between(0.2, 1.2)
+		}
+		if p.Count = left / p.Targets; i < 4 {
+			p.Count = 1 + dice.IntN(p.Count)
+		}
+		left -= p.Count * p.Targets
+		if odds(0.25) {
+			p.Batch = 2 + dice.IntN(9)
+		}
+		each := float64(p.Targets*p.Places) / float64(p.Mean)
+		limit := each
+		switch dice.IntN(4) {
+		case 0:
+			p.Rate, p.Burst = math.Max(1, each*between(0.2, 1)), between(1, 6)
+			limit = p.Rate
+		case 1:
+			p.Window = ms(between(0.5, 2))
+			p.Calls = max(1, int(each*between(0.2, 1)*float64(p.Window)))
+			limit = float64(p.Calls) / float64(p.Window)
+		}
+		limit = math.Min(limit, each) // documents are as many as it may take: who gets many has room for many
+		p.Part = float64(p.Count) * limit * between(0.5, 1.1)
+		dests, capacity = dests+p.Count, capacity+float64(p.Count)*limit
+		s.Partners = append(s.Partners, p)
+	}
+	s.Load.PerSecond = math.Max(1, math.Min(mostDocs/float64(s.Length), capacity*between(0.1, 1.1)))
+	for range dice.IntN(3) {
+		s.Load.Clumps = append(s.Load.Clumps, scene.Clump{At: ms(between(2, 36)), Count: int(log(5, 200)), Dest: dice.IntN(dests)})
+	}
+	var kinds []string
+	for k := range scene.Kinds {
+		kinds = append(kinds, k)
+	}
+	sort.Strings(kinds)
+	first := between(3, 20)
+	for range 1 + dice.IntN(4) {
+		t := scene.Trouble{Kind: kinds[dice.IntN(len(kinds))], At: ms(first + between(0, 4)), For: ms(log(0.5, 16)), Share: between(0.1, 1), By: log(2, 20),
+			Odd: odds(0.2)}
+		if odds(0.3) {
+			t.At = ms(between(3, 30))
+		}
+		switch dice.IntN(4) {
+		case 0: // all
+		case 1:
+			t.Part = s.Partners[dice.IntN(len(s.Partners))].Name
+		default:
+			for range 1 + dice.IntN(3) {
+				if n := dice.IntN(dests); !slices.Contains(t.Dest, n) {
+					t.Dest = append(t.Dest, n)
+				}
+			}
+		}
+		if odds(0.2) {
+			t.Zone = 1 + dice.IntN(s.Zones)
+		}
+		if odds(0.2) {
+			t.Every = 2 + dice.IntN(4)
+		}
+		s.Troubles = append(s.Troubles, t)
+	}
+	return s
+}
--- a/lab/sim/befall.go
+++ b/lab/sim/befall.go
@@ -107,13 +107,22 @@
 
 func finish(to *partner.Target, t *scene.Trouble) {
 	r := &to.Trouble
+	if failed := r.MostlyFails(); failed {
+		defer func() {
+			if !r.MostlyFails() { // most calls failed: it comes back cold as after any outage
+				to.Returns()
+			}
+		}()
+	}
 	switch t.Kind {
 	case "refuse":
 		to.Rise()
 	case "hang":
 		to.Resume()
 	case "silent":
-		r.Silent--
+		if r.Silent--; r.Silent == 0 {
+			to.Returns()
+		}
 	case "slow":
 		r.Slow, r.SlowFor = 0, 0
 	case "err":
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -201,6 +201,9 @@
 		c.to.idle = append(c.to.idle, d.Now())
 	}
 	out, over := a.End.Outcome()
+	if out != choice.Delivered && out != choice.Moot {
+		c.to.is.Learned(n.number)
+	}
 	n.policy.Clock(d.Now())
 	for _, h := range c.docs {
 		d.result.Ends[a.End.String()]++
@@ -268,11 +271,12 @@
 		c.arrived = true
 		docs := make([]partner.Doc, len(c.docs))
 		for i, h := range c.docs {
-			docs[i] = partner.Doc{ID: h.id, Mark: h.of.mark, Tenant: h.of.tenant}
+			docs[i] = partner.Doc{ID: h.id, Mark: h.of.mark, Memory: float64(h.of.typ.Memory), Zoned: h.of.typ.Group == "zone",
+				Tenant: h.of.tenant}
 		}
 		c.at = &partner.Call{From: n.number, Docs: docs, Answer: func(a partner.Answer) {
 			for _, doc := range docs {
-				d.log.Closed(doc.ID)
+				d.log.Closed(doc.ID, told(a.End))
 			}
 			d.After(rest, func() { n.do(func() { n.ended(c, a) }) })
 		}}
@@ -280,6 +284,12 @@
 	})
 }
 
+// told tells that an end says what became of the document.
+func told(e seam.End) bool {
+	out, _ := e.Outcome()
+	return out != choice.Reset && out != choice.TimedOut
+}
+
 // cut ends a call from the forwarder's side.
 func (c *call) cut() {
 	d := c.node.day
@@ -287,7 +297,7 @@
 		d.After(float64(d.scene.Rest), func() {
 			at.Cancel()
 			for _, doc := range at.Docs {
-				d.log.Closed(doc.ID)
+				d.log.Closed(doc.ID, false)
 			}
 		})
 	}
@@ -319,6 +329,9 @@
 	}
 	n.out, n.calls = nil, nil
 	d.log.Restarted(n.number, d.Now()+downFor+rises)
+	for _, dest := range d.dests {
+		dest.Forget(n.number)
+	}
 	d.After(downFor, func() { n.start() })
 }
 
--- a/lab/sim/real.go
+++ b/lab/sim/real.go
@@ -295,12 +295,12 @@
 	for i, id := range ids {
 		n, _ := strconv.ParseUint(id, 16, 64)
 		mark, _ := strconv.ParseUint(marks[i], 16, 64)
-		tenant := 0
+		doc := partner.Doc{ID: n, Mark: mark}
 		if e := d.effects[n]; e != nil {
-			tenant = e.tenant
+			doc.Tenant, doc.Memory, doc.Zoned = e.tenant, float64(e.typ.Memory), e.typ.Group == "zone"
 			call.From = d.from[n]
 		}
-		call.Docs = append(call.Docs, partner.Doc{ID: n, Mark: mark, Tenant: tenant})
+		call.Docs = append(call.Docs, doc)
 	}
 	o.target.Take(call)
 	d.mu.Unlock()
@@ -310,13 +310,17 @@
 	case <-r.Context().Done():
 		d.mu.Lock()
 		call.Cancel()
-		d.closed(call)
+		o.target.Learned(call.From)
+		d.closed(call, false)
 		d.mu.Unlock()
 		return
 	}
 	d.mu.Lock()
-	d.closed(call)
+	d.closed(call, told(a.End))
 	d.result.Ends[a.End.String()] += len(call.Docs)
+	if a.End != seam.Took {
+		o.target.Learned(call.From)
+	}
 	if a.End == seam.Took {
 		for _, doc := range call.Docs {
 			if d.effects[doc.ID] != nil && !d.log.Answered(doc.ID) { // a notice may have crossed it, which does no harm
@@ -357,9 +361,9 @@
 	}
 }
 
-func (d *realDay) closed(c *partner.Call) {
+func (d *realDay) closed(c *partner.Call, known bool) {
 	for _, doc := range c.Docs {
-		d.log.Closed(doc.ID)
+		d.log.Closed(doc.ID, known)
 	}
 }
 
