--- a/lab/experiment/hunt.go
+++ b/lab/experiment/hunt.go
@@ -253,6 +253,9 @@
 const (
 	hugest   = 300    // forwarders, and targets
 	mostDocs = 5000.0 // of a scene, so that many can be played
+	// Seconds. What is shorter the module takes for losses on the way, after which nothing is cold (docs/design.md); the
+	// operators' outages last five and more.
+	leastOutage = 3.5
 )
 
 // DrawAny draws a scene in all its dimensions: 1 to 300 forwarders and targets, limits, kinds of document, one to four
@@ -339,6 +342,9 @@
 		if odds(0.3) {
 			t.At = ms(between(3, 30))
 		}
+		if slices.Contains([]string{"refuse", "hang", "silent"}, t.Kind) {
+			t.For = ms(log(leastOutage, 16))
+		}
 		switch dice.IntN(4) {
 		case 0: // all
 		case 1:
--- a/lab/sim/befall.go
+++ b/lab/sim/befall.go
@@ -16,7 +16,7 @@
 		case "stall":
 			d.At(at, func() {
 				for _, n := range d.some(t.Share) {
-					n.stalled = end
+					n.stalled = max(n.stalled, end)
 					d.log.Stood(n.number, end)
 				}
 			})
