The ramp after an outage goes by what a destination got done while it was well

Ruled out: the cold share, calls out at the return, other forwarders. Now it is at most what the destination got done while no target was sick or back.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,7 +44,7 @@
 
 // NewDestination is called by the adapter at the first mention of a destination.
 func (f *Forwarder) NewDestination(door uint64) *Destination {
-	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well",
+	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well", seen: f.now,
 		byTenant: make([]lane, len(f.terms.TenantQuota)+1),
 		took:     newHist(0.02, 1.5, 100, 0.9, firstGuess, 4)}
 	f.dests = append(f.dests, d)
@@ -232,6 +232,9 @@
 	if (maybe || e.Outcome == Errored) && d.ranFrom == 0 {
 		d.ranFrom, d.ranZone = c.began, t.zone
 	}
+	if e.Outcome == Delivered && !t.dest.unfit {
+		t.dest.won++
+	}
 	if e.Over {
 		f.finish(d)
 	}
@@ -371,10 +374,16 @@
 	return cold * math.Max(0.05, share) / float64(max(1, peers))
 }
 
-// usual is the calls a second that this forwarder makes or may make to a target's destination as a rule.
+// usual is the calls a second that this forwarder makes or may make to a target's destination as a rule: for what it
+// takes, but no more than the destination got done while it was well. Guards against one that was asked for more than
+// it can do, and would be pushed over by a ramp up to that. Hurts where its best is not known yet.
 func (f *Forwarder) usual(t *Target) float64 {
 	d := t.dest
-	return math.Max(d.taken*(d.calls+1)/(d.sent+1)/(f.now-f.began+2), f.known(t))
+	rate := d.taken / (f.now - f.began + 2)
+	if d.won > 0 {
+		rate = math.Min(rate, (d.won+1)/(d.fit+2))
+	}
+	return math.Max(rate*(d.calls+1)/(d.sent+1), f.known(t))
 }
 
 // rest is two calls' time, at most half a document's life.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -753,3 +753,44 @@
 	require.LessOrEqual(t, again.at+again.timeout, first.at+h.terms.Types[zoned].Memory+1e-9, "sent at %.2f for %.2f",
 		again.at-first.at, again.timeout)
 }
+
+// A destination that was asked for four times what it gets done (the rest is turned away) goes down and returns cold: the
+// ramp goes by what it got done, not by what was asked of it.
+func TestARampGoesByWhatADestinationGotDone(t *testing.T) {
+	met := func(done int) int { // calls in the first four seconds of its return, of twelve a second asked
+		h := start(terms)
+		d := h.receiver(0, 0)
+		for range 10 {
+			for i := range 12 {
+				h.take(d, payment, 0)
+				h.pass(0.08)
+				if i < done {
+					h.answers(d, Delivered)
+				} else {
+					h.answers(d, Full)
+				}
+			}
+		}
+		for range 100 { // an outage
+			h.take(d, payment, 0)
+			h.pass(0.08)
+			h.answers(d, NoConnection)
+		}
+		for d.targets[0].Sick() { // it is back: a trial succeeds
+			h.take(d, payment, 0)
+			h.pass(0.08)
+			h.answers(d, Delivered)
+		}
+		before := len(h.sent)
+		for range 50 {
+			h.take(d, payment, 0)
+			h.pass(0.08)
+			h.answers(d, Delivered)
+		}
+		return len(h.sent) - before
+	}
+	whole, quarter := met(12), met(3)
+	t.Logf("all done: %d, a quarter: %d", whole, quarter)
+	require.Positive(t, quarter)
+	require.Less(t, quarter, whole/2)
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -149,6 +149,9 @@
 	waiting            int     // of these, the ones in a lane
 	out                int     // calls
 	taken, sent, calls float64 // since the start: documents taken, transmissions, calls made
+	won, fit           float64 // documents delivered while no target was sick or back, and the seconds of that
+	seen               float64 // up to when fit is counted
+	unfit              bool    // a target is sick or back
 	good               int     // timely answers in a row
 	took               hist
 	tight              float64 // until when no idle connection is kept
@@ -192,6 +195,10 @@
 func (f *Forwarder) Clock(now float64) { f.now = now }
 
 func (f *Forwarder) hear(d *Destination) {
+	if !d.unfit {
+		d.fit += f.now - d.seen
+	}
+	d.seen = f.now
 	if !d.heard {
 		d.heard = true
 		f.heard = append(f.heard, d)
@@ -252,6 +259,7 @@
 				worst = t.state
 			}
 		}
+		d.unfit = worst != well
 		mode := [...]string{"well", "sick", "back"}[worst]
 		if f.ill(d) && worst == well {
 			mode = "ill"
