--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -162,17 +162,33 @@
 	require.True(t, first.log.Has(`"message":"handing over"`))
 }
 
-func TestAHandedDownDescriptorThatIsNoSocketIsNamed(t *testing.T) {
+// What is handed down is a file, a socket that does not listen, nothing at all, or no number: the process names it and ends
+// before it takes anything, and a running one is left alone.
+func TestAHandedDownDescriptorThatIsNoListeningSocketIsNamed(t *testing.T) {
 	s := newStage(t, "single")
-	f, err := os.CreateTemp(t.TempDir(), "plain")
+	plain, err := os.CreateTemp(t.TempDir(), "plain")
 	require.NoError(t, err)
-	p := s.launch(f)
-	select {
-	case err := <-p.ended:
-		require.Error(t, err)
-		require.Contains(t, p.log.String(), "PROXY_INHERITED_FD: descriptor 3 is not a socket")
-	case <-time.After(5 * time.Second):
-		t.Fatal("it started")
+	c, err := net.Dial("tcp", s.discovery.Addr)
+	require.NoError(t, err)
+	connected, err := c.(*net.TCPConn).File()
+	require.NoError(t, err)
+	for _, x := range []struct {
+		file  *os.File
+		value string
+		says  string
+	}{{plain, "3", "PROXY_INHERITED_FD: descriptor 3 is not a socket"},
+		{connected, "3", "PROXY_INHERITED_FD: descriptor 3 is a socket that does not listen"},
+		{nil, "199", "PROXY_INHERITED_FD: descriptor 199 is not a socket: bad file descriptor"},
+		{nil, "three", "PROXY_INHERITED_FD"}} {
+		log := standin.NewLog()
+		cmd := exec.Command(program)
+		cmd.Env, cmd.Stderr = append(os.Environ(), append(s.order(), "PROXY_INHERITED_FD="+x.value)...), log
+		if x.file != nil {
+			cmd.ExtraFiles = []*os.File{x.file}
+		}
+		require.Error(t, cmd.Run(), x.says)
+		require.Contains(t, log.String(), x.says)
+		require.NotContains(t, log.String(), `"message":"ready"`)
 	}
 }
 
