A call of several documents takes retries along in the places that fresh work leaves

Ruled out: chains of keys (the documents held were ready, most of them turned away before), the holding room (it is full because the line does not drain), the outage's ramp (other destinations, small part of the rejections). At fault: pick, in the release of fresh work: it stops when no fresh document is left, and a call leaves half empty. Retries, which are most of the line once a limit refuses calls, wait for a call of their own, and fresh work takes all that the limit lets through. Harmless with two forwarders, whose fresh work fills the calls; with eighty each call has one fresh document. Change: what fresh work leaves of a call is filled from the retry lane. Nothing changes where a call carries one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -584,6 +584,15 @@
 				batch = append(batch, doc)
 			}
 		}
+		// A call that leaves anyway takes along what waits below. Guards against a line of retries that starves while
+		// calls leave half empty, of a limit that counts calls; hurts by a little more work in each.
+		if len(batch) > 0 && len(batch) < n {
+			for _, doc := range f.pick(d, t, n, true) {
+				if len(batch) < n && !slices.Contains(batch, doc) {
+					batch = append(batch, doc)
+				}
+			}
+		}
 	}
 	return batch
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -794,3 +794,19 @@
 	require.Positive(t, quarter)
 	require.Less(t, quarter, whole/2)
 }
+
+func TestACallThatLeavesHalfEmptyTakesRetriesAlong(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(1, 0)
+	h.flood(d, status, 6)
+	h.settle()
+	h.answers(d, Full)
+	h.take(d, status, 0)
+	h.pass(2)
+	n := 0
+	for _, s := range h.sent[6:] {
+		require.Equal(t, h.sent[6].at, s.at, "one call carries what is fresh and what was turned away")
+		n++
+	}
+	require.Equal(t, 7, n)
+}
