The pace follows the reported share of a limit that is left; a guessed time counts one call

Ruled out: slots and places (free), waits (few were told), keys (each has one ready). At fault: refusal and open. The pace is known by each forwarder's own refusals and grows by time, from an even part of the limit that forwarders with little to send leave unused; the answers' report of the share that is left was not passed on. Taken for granted until now: that a forwarder sees enough of a limit to learn it by itself. Change: Ending.Left, read from the report on the simulator's wire, on sockets and in the laboratory; the pace moves by it (half left is the aim), and begins at the even part when less than a quarter is left. Without reports, as before. The guess of 0.9 s counted as four calls, so that a forwarder with thirty calls still took 1.15 s for a destination that answers in 0.1: one call now.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 func (f *Forwarder) NewDestination(door uint64) *Destination {
 	d := &Destination{Door: door, shared: &Route{filled: f.now}, good: restored, mode: "well", seen: f.now,
 		byTenant: make([]lane, len(f.terms.TenantQuota)+1),
-		took:     newHist(0.02, 1.5, 100, 0.9, firstGuess, 4)}
+		took:     newHist(0.02, 1.5, 100, 0.9, firstGuess, 1)}
 	f.dests = append(f.dests, d)
 	return d
 }
@@ -250,6 +250,9 @@
 	if e.Most != 0 {
 		r.most = e.Most
 	}
+	if r.most > 0 && e.Left != 0 {
+		f.share(t, math.Max(0, e.Left))
+	}
 	switch e.Outcome {
 	case Delivered:
 		f.trust(c, false)
@@ -398,6 +401,20 @@
 	return rate / float64(f.terms.Forwarders)
 }
 
+// share moves a route's pace by the reported share of its limit that is left, which all forwarders use up together.
+// Guards against many that each learn by refusals of their own, which use the limit up too, that there is nothing
+// left, and against an even part kept by those with little to send; hurts where reports come late.
+func (f *Forwarder) share(t *Target, left float64) {
+	r := t.route
+	dt := math.Min(1, f.now-r.told)
+	r.told = f.now
+	if r.pace > 0 {
+		r.pace = math.Max(r.pace*math.Exp(0.6*(left-0.5)*dt), f.known(t)/10)
+	} else if left < 0.25 {
+		r.pace = math.Max(r.rate, f.known(t))
+	}
+}
+
 // refusal handles a call that was turned away unseen: above the limit, queue full, or shut.
 func (f *Forwarder) refusal(t *Target, c *call, e Ending) {
 	r := t.route
@@ -462,7 +479,7 @@
 		r.rate *= math.Exp(-dt / 2)
 		if r.pace > 0 {
 			r.tokens = math.Min(r.tokens+r.pace*dt, math.Max(1, r.pace*0.3))
-			if f.now >= r.closed {
+			if f.now >= r.closed && f.now > r.told+2 {
 				// Faster the longer nothing was refused. Guards against a pace that a full queue taught in a clump
 				// being paid for long after; hurts at limits that refuse seldom.
 				r.pace *= 1 + 0.08*dt*(1+(f.now-r.heard)/2)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -810,3 +810,31 @@
 	}
 	require.Equal(t, 7, n)
 }
+
+func TestThePaceFollowsTheShareOfTheLimitThatIsLeft(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	r := d.targets[0].route
+	report := func(left float64) {
+		h.take(d, status, 0)
+		h.pass(1)
+		for _, s := range h.sent {
+			if s.doc.call != nil {
+				h.Ended(s.doc, Ending{Outcome: Delivered, Over: true, Took: 0.1, Most: 8, Left: left})
+			}
+		}
+	}
+	report(0.9)
+	require.Zero(t, r.pace, "no limit met: none is kept to")
+	report(-1)
+	require.InDelta(t, 4, r.pace, 0.1, "its even part, before a call is turned away")
+	for range 4 {
+		report(-1) // others use the limit up
+	}
+	low := r.pace
+	require.Less(t, low, 2.0)
+	for range 4 {
+		report(1) // and others leave theirs: more than a pace that grows by time would have
+	}
+	require.Greater(t, r.pace, 2.5*low)
+}
--- a/choice/port.go
+++ b/choice/port.go
@@ -71,6 +71,7 @@
 	Over       bool    // the document has its final answer
 	Took, Wait float64 // Wait: told to stay away so long, whatever the outcome; 0 if not told
 	Most       float64 // the reported limit in calls a second; 0 if nothing is told of it, under 0 if there is none
+	Left       float64 // the reported share of that limit that is left just now; 0 if not told, under 0 if none is
 }
 
 // Standing is what the list says of a target.
--- a/choice/state.go
+++ b/choice/state.go
@@ -131,6 +131,7 @@
 	since    float64 // when the first of these was
 	turned   float64 // since when calls are refused without a short wait
 	most     float64 // the limit as reported
+	told     float64 // when the share of it that is left was last reported
 }
 
 // Destination is one receiver with all its targets.
@@ -181,7 +182,7 @@
 	rest float64 // nothing new before
 }
 
-// Limit is a reported limit in calls a second as Ending.Most has it: reports say 0 where there is none.
+// Limit is a reported figure as Ending.Most and Ending.Left have it: reports say 0 where there is none, or none left.
 func Limit(reported float64) float64 {
 	if reported == 0 {
 		return -1
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -174,7 +174,8 @@
 	if connect <= 0 {
 		connect = connectAtMost
 	}
-	terms := Carrier{Connect: connect, KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second)), Limit: order.Names.Limit}
+	terms := Carrier{Connect: connect, KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second)), Limit: order.Names.Limit,
+		Left: order.Names.Left}
 	o.outlets = map[string]seam.Outlet{}
 	for _, w := range append(slices.Clone(order.Outlets), Outlet{Name: usualCarriage, Protocol: usualCarriage}) {
 		if o.outlets[w.Name] != nil { // the order's own in place of the usual
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -375,7 +375,8 @@
 	} else if err := o.ledger.Back(door, end.Ran()); err != nil {
 		o.unkept(err)
 	}
-	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait, Most: e.Most})
+	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait, Most: e.Most,
+		Left: e.Left})
 	o.forget(p)
 }
 
--- a/forward/wiring.go
+++ b/forward/wiring.go
@@ -41,6 +41,7 @@
 	Connect  time.Duration // a connection that takes longer never comes up
 	KeepIdle time.Duration // an idle connection is closed after so long
 	Limit    string        // the field of a load report that tells a limit
+	Left     string        // and the one that tells the share of it that is left
 }
 
 // The protocols and carriages that come with the program. A further one is a package of its own and a line here, or,
@@ -58,7 +59,7 @@
 }
 
 func newHTTP(d *dial.Dialer, t Carrier, counter seam.Counter) seam.Outlet {
-	return outlet.New(d, counter, outlet.Terms{Connect: t.Connect, KeepIdle: t.KeepIdle, Limit: t.Limit})
+	return outlet.New(d, counter, outlet.Terms{Connect: t.Connect, KeepIdle: t.KeepIdle, Limit: t.Limit, Left: t.Left})
 }
 
 // Protocols and Carriages name what an order may ask for.
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -125,6 +125,7 @@
 	FallMultiple  float64 `toml:"fall_multiple" jsonschema_description:"A cold destination falls over at this multiple of its present capacity."`
 	ListedRates   string  `toml:"listed_rates" jsonschema:"enum=none,enum=exact,enum=rough" jsonschema_description:"What per_second in the list is worth."`
 	ReportLimit   string  `toml:"report_limit" jsonschema_description:"Field of a load report that tells a limit in calls a second."`
+	ReportLeft    string  `toml:"report_left" jsonschema_description:"Field of a load report that tells the share of the limit that is left, 0 to 1."`
 }
 
 // Log is what is written to standard error.
@@ -203,7 +204,7 @@
 		Ledger: Ledger{Folder: "state", Disk: 64e6},
 		Limits: Limits{Cores: 1, Memory: 192e6, Descriptors: 1024},
 		Dispatch: Dispatch{Slots: 64, Room: 2000, Transmissions: 6, Forwarders: 1, ComeBack: 2, Connect: 1.5, IdleLife: 10,
-			KeyRest: 0.1, AskWithin: 10, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ListedRates: "none", ReportLimit: "x1"},
+			KeyRest: 0.1, AskWithin: 10, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ListedRates: "none", ReportLimit: "x1", ReportLeft: "x0"},
 		Log: Log{Level: "info", Format: "json"}}
 }
 
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -139,7 +139,7 @@
 	t := choice.Terms{Forwarders: d.Forwarders, Slots: d.Slots, Room: d.Room, Transmissions: d.Transmissions, KeyRest: float64(d.KeyRest), AskWithin: float64(d.AskWithin),
 		ColdFrom: d.ColdFrom, ColdFor: float64(d.ColdFor), FallMultiple: d.FallMultiple, IdleLife: float64(d.IdleLife),
 		ComeBackMost: float64(d.ComeBack), RoughRate: map[string]float64{"exact": 1, "rough": 1.5}[d.ListedRates]}
-	n := terms.Names{Zones: l.Zones, LimitAt: -1, Limit: d.ReportLimit, Connect: float64(d.Connect)}
+	n := terms.Names{Zones: l.Zones, LimitAt: -1, Limit: d.ReportLimit, LeftAt: -1, Left: d.ReportLeft, Connect: float64(d.Connect)}
 	for i, z := range l.Zones {
 		if z == l.Zone {
 			t.Zone = i
--- a/internal/outlet/call.go
+++ b/internal/outlet/call.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// limit finds the limit in a load report, 0 if it tells nothing of one, under 0 if it says that there is none.
+// limit finds a figure of a limit in a load report, 0 if it tells nothing of one, under 0 if it says that there is none.
 func limit(report, field string) float64 {
 	for pair := range strings.SplitSeq(report, ",") {
 		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == field {
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -18,6 +18,7 @@
 	Connect  time.Duration // a connection that takes longer never comes up
 	KeepIdle time.Duration // an idle connection is closed after so long
 	Limit    string        // the field of a load report that tells a limit
+	Left     string        // and the one that tells the share of it that is left
 	Proof    time.Duration // a connection stays silent for so long after an answer before it is used again; 0: usualProof
 }
 
@@ -306,7 +307,8 @@
 	t.timer.Stop()
 	e := seam.Ended{Call: t.call, Ends: ends, Took: time.Since(t.began), Why: why}
 	if ends[0] != seam.Garbled { // a head that came before the connection broke holds
-		e.Wait, e.Most = t.answer.wait, limit(t.answer.report, t.outlet.terms.Limit)
+		terms := &t.outlet.terms
+		e.Wait, e.Most, e.Left = t.answer.wait, limit(t.answer.report, terms.Limit), limit(t.answer.report, terms.Left)
 	}
 	t.call, t.unsent = nil, false
 	t.turn++
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -43,7 +43,7 @@
 }
 
 func newScene(t *testing.T) *scene {
-	return newSceneBy(t, Terms{Connect: time.Minute, KeepIdle: time.Minute, Limit: "x1"}, nil)
+	return newSceneBy(t, Terms{Connect: time.Minute, KeepIdle: time.Minute, Limit: "x1", Left: "x0"}, nil)
 }
 
 // newSceneBy has terms of its own, and perhaps connections that a network makes only now and then.
@@ -94,7 +94,7 @@
 	c := s.accepts()
 	c.Write([]byte("HTTP/1.1 429 Full\r\nRetry-After: 0.25\r\nX-Pressure: x0=0.4,x1=25\r\nContent-Length: 0\r\n\r\n"))
 	e := s.ends(seam.Waiting)
-	require.Equal(t, []any{0.25, 25.0}, []any{e.Wait, e.Most})
+	require.Equal(t, []any{0.25, 25.0, 0.4}, []any{e.Wait, e.Most, e.Left})
 	s.send(time.Minute, "b")
 	s.hears(c)
 	c.Write([]byte(ok))
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -48,11 +48,13 @@
 	Tenants             []string
 	LimitAt             int     // place of the limit among a load report's values, -1 if there is none
 	Limit               string  // its name
+	LeftAt              int     // place of the share of the limit that is left, -1 if there is none
+	Left                string  // its name
 	Connect             float64 // seconds in which a connection comes up or never does
 }
 
-// limit is the load report's field that tells the limit in calls a second.
-const limit = "x1"
+// The load report's fields that tell the limit in calls a second, and the share of it that is left just now.
+const limit, left = "x1", "x0"
 
 // Read decodes settings.
 func Read(text []byte) (choice.Terms, Names, error) {
@@ -83,6 +85,7 @@
 		t.RoughRate = 1.5
 	}
 	f := Names{Zones: s.Azs, Kinds: s.Kinds, LimitAt: slices.Index(s.Report.Fields, limit), Limit: limit,
+		LeftAt: slices.Index(s.Report.Fields, left), Left: left,
 		Connect: s.Limits.ConnectTimeout / 1000}
 	for _, q := range s.Tenants {
 		t.TenantQuota = append(t.TenantQuota, q.QuotaRps)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -155,6 +155,7 @@
 	dests   map[uint32]*choice.Destination
 	targets map[uint64]*choice.Target
 	limitAt int // place of the limit in a load report
+	leftAt  int // and of the share of it that is left
 	dirty   bool
 }
 
@@ -274,7 +275,7 @@
 	if err != nil {
 		return fmt.Errorf("settings of instance %d: %w", number, err)
 	}
-	in := &instance{host: h, number: number, limitAt: fronts.LimitAt, docs: map[uint32]*choice.Doc{},
+	in := &instance{host: h, number: number, limitAt: fronts.LimitAt, leftAt: fronts.LeftAt, docs: map[uint32]*choice.Doc{},
 		dests: map[uint32]*choice.Destination{}, targets: map[uint64]*choice.Target{}}
 	in.f = choice.New(t, seed, now, in)
 	h.instances[number] = in
@@ -386,8 +387,11 @@
 	r.u16() // which transmission: only one is ever out
 	reason := r.u16()
 	for i := range int(r.u8()) {
-		if v := r.f32(); i == in.limitAt {
+		switch v := r.f32(); i {
+		case in.limitAt:
 			e.Most = choice.Limit(v)
+		case in.leftAt:
+			e.Left = choice.Limit(v)
 		}
 	}
 	outcome, known := outcomes[reason]
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"spanflow/choice"
 	"spanflow/seam"
 )
 
@@ -87,6 +88,7 @@
 	End  seam.End
 	Wait float64
 	Most float64
+	Left float64 // the share of the limit that is left, as choice.Ending has it
 }
 
 // Destination is one receiver.
@@ -411,6 +413,13 @@
 		} else if t.Trouble.Cut > 0 {
 			a.Most *= t.Trouble.Cut
 		}
+		if a.Most > 0 {
+			l := &t.Dest.limit
+			if t.Dest.Terms.Apart {
+				l = &t.limit
+			}
+			a.Left = choice.Limit(l.left(&t.Dest.Terms, t.Trouble.Cut, t.Dest.clock.Now()))
+		}
 	}
 	return a
 }
@@ -556,6 +565,27 @@
 
 func (l *limit) fill(t *Terms, now float64) { l.tokens, l.at = math.Max(1, t.Burst), now }
 
+// left is the share of the limit that is left just now, the least of both where there are two.
+func (l *limit) left(t *Terms, cut, now float64) float64 {
+	if cut == 0 {
+		cut = 1
+	}
+	left := 1.0
+	if t.Rate > 0 {
+		left = math.Min(1, (l.tokens+(now-l.at)*t.Rate*cut)/math.Max(1, t.Burst))
+	}
+	if t.Count > 0 {
+		used := 0
+		for _, at := range l.let {
+			if at > now-t.Span {
+				used++
+			}
+		}
+		left = math.Min(left, 1-float64(used)/math.Max(1, float64(t.Count)*cut))
+	}
+	return math.Max(0, left)
+}
+
 // take lets a call in or tells after what time one would be.
 func (l *limit) take(t *Terms, cut, now float64) (wait float64, full bool) {
 	if cut == 0 {
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -240,7 +240,8 @@
 			}
 			h.over = true
 		}
-		n.policy.Ended(h.doc, choice.Ending{Outcome: out, Over: over, Took: d.Now() - c.began, Wait: a.Wait, Most: a.Most})
+		n.policy.Ended(h.doc, choice.Ending{Outcome: out, Over: over, Took: d.Now() - c.began, Wait: a.Wait, Most: a.Most,
+			Left: a.Left})
 		if h.over {
 			delete(n.docs, h.id)
 		}
--- a/lab/sim/real.go
+++ b/lab/sim/real.go
@@ -331,7 +331,7 @@
 	}
 	d.mu.Unlock()
 	if a.Most != 0 {
-		w.Header().Set("X-Pressure", fmt.Sprintf("x0=0,x1=%g", max(0, a.Most)))
+		w.Header().Set("X-Pressure", fmt.Sprintf("x0=%g,x1=%g", max(0, a.Left), max(0, a.Most)))
 	}
 	switch a.End {
 	case seam.Took:
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -134,6 +134,7 @@
 	Took time.Duration
 	Wait float64 // seconds to stay away; 0 if not told
 	Most float64 // the reported limit in calls a second; 0 if nothing is told of it, under 0 if there is none
+	Left float64 // the reported share of the limit that is left; 0 if nothing is told of it, under 0 if none is
 	Why  string  // for the log: what could not be read, or why a connection failed
 }
 
