A call refused with nothing of a limit left cuts the pace to the even part, grown slowly

All its calls are turned away with no share of the limit left; most forwarders had been refused two to four times in a row, none let in, and still asked with paces of 0.2 to 45 calls a second, where an even part is 0.02. Ruled out: the ramp (no target was sick), told waits (kept), calls of several documents (one or two each). At fault: refusal, whose first cut goes by what the calls out show, and open, whose growth by the time since the last refusal takes a pace that was not asked for as one that is free. Taken for granted until now: that a forwarder calls often enough to learn a limit by itself. Change: refused with nothing left, the pace is one and a half even parts before the usual cut; until a call is let in it grows by 8% a second, without haste. Stories: many forwarders of the module in front of one destination that all share: a limit lowered, a hang's return, a fleet killed and started together; each was seen to fail without the mends.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -454,6 +454,9 @@
 			}
 			cut = math.Max(cut, float64(out)/t.dest.took.slow)
 		}
+		if e.Left < 0 { // all is used up, by all together: an even part is what is likely to be let through
+			cut = math.Min(cut, 1.5*f.known(t))
+		}
 		r.pace = math.Max(0.7*cut, f.known(t))
 	}
 	// Turned away again a second later, nothing let in: two calls' time without one. Guards against many with a
@@ -482,7 +485,11 @@
 			if f.now >= r.closed && f.now > r.told+2 {
 				// Faster the longer nothing was refused. Guards against a pace that a full queue taught in a clump
 				// being paid for long after; hurts at limits that refuse seldom.
-				r.pace *= 1 + 0.08*dt*(1+(f.now-r.heard)/2)
+				faster := (f.now - r.heard) / 2
+				if r.refused > 0 && r.most > 0 { // nothing was let in since, and others use it up: no news is none
+					faster = 0
+				}
+				r.pace *= 1 + 0.08*dt*(1+faster)
 			}
 		}
 	}
--- /dev/null
+++ b/choice/fleet_test.go
@@ -0,0 +1,134 @@
+package choice
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleet is many forwarders of the module in front of one destination that all share. It lets in so many calls a
+// second, counting those that it refuses too, and reports its limit and what is left of it.
+type fleet struct {
+	nodes       []*fake
+	now         float64
+	limit       float64
+	room        float64 // calls that the limit still lets in
+	hung        bool    // its queue is full: it refuses all
+	seen        []int   // transmissions of each node that were taken note of
+	late        []due
+	calls, full int
+	took        map[*Doc]int
+}
+
+type due struct {
+	at   float64
+	node *fake
+	doc  *Doc
+	end  Ending
+}
+
+func newFleet(n int, limit float64) *fleet {
+	t := terms
+	t.Forwarders = n
+	f := &fleet{now: 100, limit: limit, room: limit / 2, seen: make([]int, n), took: map[*Doc]int{}}
+	for i := range n {
+		h := start(t)
+		h.Forwarder = New(t, uint64(i+1), 100, h)
+		h.receiver(0, 0)
+		f.nodes = append(f.nodes, h)
+	}
+	return f
+}
+
+// pass lets the fleet run, one document in so many seconds for each node, and returns the calls and those refused.
+func (f *fleet) pass(seconds, every float64) (calls, full int) {
+	f.calls, f.full = 0, 0
+	for end := f.now + seconds; f.now < end; f.now += 0.02 {
+		f.room = min(f.limit/2, f.room+0.02*f.limit)
+		for i, h := range f.nodes {
+			h.now = f.now
+			h.Clock(f.now)
+			if every > 0 && int(f.now/every+float64(i)/7) != int((f.now-0.02)/every+float64(i)/7) {
+				h.take(h.dests[0], status, 0)
+			}
+		}
+		for len(f.late) > 0 && f.late[0].at <= f.now {
+			a := f.late[0]
+			f.late = f.late[1:]
+			a.node.Ended(a.doc, a.end)
+		}
+		for i, h := range f.nodes {
+			h.Woken()
+			h.Settle()
+			for ; f.seen[i] < len(h.sent); f.seen[i]++ {
+				f.call(h, h.sent[f.seen[i]].doc)
+			}
+		}
+	}
+	return f.calls, f.full
+}
+
+func (f *fleet) call(h *fake, doc *Doc) {
+	f.calls++
+	e := Ending{Outcome: Delivered, Over: true, Took: 0.1, Most: f.limit, Left: Limit(max(0, (f.room-1)/(f.limit/2)))}
+	if f.room--; f.hung || f.room < 0 {
+		f.full++
+		f.room = max(f.room, -1) // refused calls use it up too
+		e = Ending{Outcome: Full, Took: 0.05, Most: f.limit, Left: -1}
+	} else {
+		f.took[doc]++
+	}
+	f.late = append(f.late, due{f.now + 0.1, h, doc, e})
+}
+
+func TestALimitLoweredUnderManyIsNotUsedUpByRefusedCalls(t *testing.T) {
+	f := newFleet(60, 30)
+	_, full := f.pass(10, 4) // half of the limit
+	require.Less(t, full, 30)
+	f.limit = 8
+	f.pass(5, 4)
+	calls, full := f.pass(10, 4)
+	require.Less(t, float64(full), 0.55*float64(calls), "%d calls", calls)
+	require.Greater(t, calls-full, 25)
+	f.limit = 30
+	f.pass(5, 4)
+	before := len(f.took)
+	f.pass(10, 4)
+	require.Greater(t, len(f.took)-before, 120, "whole again, it is used again")
+}
+
+func TestManyThatAreRefusedByAHungDestinationDoNotMeetItsReturn(t *testing.T) {
+	f := newFleet(200, 6)
+	f.pass(10, 40)
+	f.hung = true
+	f.pass(20, 20) // each has a document or two, and is refused with nothing left
+	calls, _ := f.pass(4, 0)
+	require.Less(t, calls, 4*6, "what the limit lets in, not what all hold")
+}
+
+func TestAFleetKilledAndStartedTogetherAnswersEachDocumentOnce(t *testing.T) {
+	f := newFleet(60, 20)
+	f.pass(5, 6)
+	again := newFleet(60, 20)
+	owed := map[*Doc]bool{}
+	for i, h := range f.nodes {
+		for _, d := range h.held {
+			n := again.nodes[i]
+			doc := &Doc{Door: d.Door, Dest: n.dests[0], Tenant: 9}
+			n.Recover(doc, status, 15, Past{Sent: d.sent, Ran: d.ranFrom})
+			owed[doc] = true
+		}
+		for range 3 { // and what was handed in meanwhile
+			owed[again.nodes[i].take(again.nodes[i].dests[0], status, 0)] = true
+		}
+	}
+	calls, full := again.pass(21, 0)
+	require.Less(t, float64(full), 0.5*float64(calls))
+	for doc := range owed {
+		answered := again.took[doc]
+		for _, h := range again.nodes {
+			answered += len(h.done[doc]) / len("rejected")
+		}
+		require.Equal(t, 1, answered)
+	}
+}
