--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,7 +55,7 @@
 func (f *Forwarder) List(whole bool, lines []Listing) {
 	named := map[*Target]bool{}
 	f.unlisted = 0
-	if f.now == f.began && f.askAt == f.now && len(lines) > 0 { // the list as last known: the question can wait its turn
+	if f.now == f.began && f.askAt == f.now && len(lines) > 0 { // as last known: the question can wait
 		f.askAt += f.asking() * f.dice.unit()
 	}
 	for _, l := range lines {
@@ -96,9 +96,9 @@
 	}
 }
 
-// ListFailed says that a question for the list went wrong or that the list stopped coming. Each failure in a row
-// doubles the time to the next question. Guards against all forwarders together keeping discovery's line so long
-// that nobody is served in time; hurts when it was down and is back.
+// ListFailed says that a question for the list went wrong or that the list stopped coming. Each failure in a
+// row doubles the time to the next question. Guards against all forwarders together keeping discovery's line
+// so long that nobody is served in time; hurts when it was down and is back.
 func (f *Forwarder) ListFailed() {
 	wait := math.Max(1, f.asking()) * math.Pow(2, float64(f.unlisted))
 	if f.terms.AskWithin > 0 {
@@ -108,8 +108,8 @@
 	f.askAt = f.now + wait*(0.3+f.dice.unit())
 }
 
-// asking is the span over which all forwarders that ask at the same moment spread: those of a fleet are started, or
-// lose discovery, together. At most half of the time in which the rules want a question.
+// asking is the span over which all forwarders that ask at the same moment spread: those of a fleet are
+// started, or lose discovery, together. At most half of the time in which the rules want a question.
 func (f *Forwarder) asking() float64 {
 	span := float64(f.terms.Forwarders-1) / asksAtOnce
 	if f.terms.AskWithin > 0 {
@@ -130,8 +130,8 @@
 // What was out then may have run and is a retry now; what has no way left is answered by the next settling.
 func (f *Forwarder) Recover(d *Doc, typ int, left float64, past Past) {
 	f.Take(d, typ, left)
-	if past.Left { // Its caller may have come again with another document for the same effect. Guards against a second
-		// effect; hurts a caller that relied on this one. One that may still run lets its key rest.
+	if past.Left { // Its caller may have come again with another document for the same effect. Guards against a
+		// second effect; hurts a caller that relied on this one. One that may still run lets its key rest.
 		if past.Sent > 0 && d.chain != nil {
 			d.chain.rest = math.Max(d.chain.rest, f.now+f.terms.KeyRest+0.001)
 		}
@@ -377,9 +377,10 @@
 	return cold * math.Max(0.05, share) / float64(max(1, peers))
 }
 
-// usual is the calls a second that this forwarder makes or may make to a target's destination as a rule: for what it
-// takes, but no more than the destination got done while it was well. Guards against one that was asked for more than
-// it can do, and would be pushed over by a ramp up to that. Hurts where its best is not known yet.
+// usual is the calls a second that this forwarder makes or may make to a target's destination as a rule: for
+// what it takes, but no more than the destination got done while it was well. Guards against one that was
+// asked for more than it can do, and would be pushed over by a ramp up to that. Hurts where its best is not
+// known yet.
 func (f *Forwarder) usual(t *Target) float64 {
 	d := t.dest
 	rate := d.taken / (f.now - f.began + 2)
@@ -401,9 +402,10 @@
 	return rate / float64(f.terms.Forwarders)
 }
 
-// share moves a route's pace by the reported share of its limit that is left, which all forwarders use up together.
-// Guards against many that each learn by refusals of their own, which use the limit up too, that there is nothing
-// left, and against an even part kept by those with little to send; hurts where reports come late.
+// share moves a route's pace by the reported share of its limit that is left, which all forwarders use up
+// together. Guards against many that each learn by refusals of their own, which use the limit up too, that
+// there is nothing left, and against an even part kept by those with little to send; hurts where reports come
+// late.
 func (f *Forwarder) share(t *Target, left float64) {
 	r := t.route
 	dt := math.Min(1, f.now-r.told)
@@ -608,8 +610,8 @@
 				batch = append(batch, doc)
 			}
 		}
-		// A call that leaves anyway takes along what waits below. Guards against a line of retries that starves while
-		// calls leave half empty, of a limit that counts calls; hurts by a little more work in each.
+		// A call that leaves anyway takes along what waits below. Guards against a line of retries that starves
+		// while calls leave half empty, of a limit that counts calls; hurts by a little more work in each.
 		if len(batch) > 0 && len(batch) < n {
 			for _, doc := range f.pick(d, t, n, true) {
 				if len(batch) < n && !slices.Contains(batch, doc) {
@@ -663,7 +665,7 @@
 		doc.call, doc.want, doc.to = c, wantOut, t
 		doc.sent++
 		doc.allow = math.Min(allow, doc.expiry-f.now)
-		if doc.ranFrom > 0 && doc.typ.Repeat == Numbered { // begun later, it would be a repeat its mark no longer covers
+		if doc.ranFrom > 0 && doc.typ.Repeat == Numbered { // a repeat that begins while its mark is known
 			doc.allow = math.Min(doc.allow, doc.ranFrom+doc.typ.Memory-f.now)
 		}
 		f.changed = append(f.changed, doc)
--- a/lab/sim/baseline.go
+++ b/lab/sim/baseline.go
@@ -83,6 +83,9 @@
 	zone     int
 	until    float64 // told to wait
 	apart    bool
+	batch    int     // documents that one call carries at most
+	began    float64 // when the latest call began; what is sent at the same moment joins it
+	riders   int     // documents that it carries
 }
 
 type plainDoc struct {
@@ -123,10 +126,16 @@
 			t = &plainTarget{is: l.Target, zone: l.Zone, apart: l.Kind < len(p.terms.KindApart) && p.terms.KindApart[l.Kind]}
 			d.targets = append(d.targets, t)
 		}
-		t.standing = l.Standing
+		t.standing, t.batch = l.Standing, 1
+		if l.Kind < len(p.terms.KindBatch) {
+			t.batch = max(1, p.terms.KindBatch[l.Kind])
+		}
 	}
 }
 
+// joins tells if a document would join the call that has just begun: it needs no place of its own.
+func (p *plain) joins(t *plainTarget) bool { return p.seer && t.began == p.now && t.riders < t.batch }
+
 func (p *plain) Admit(size int, left float64) (bool, float64) {
 	return len(p.held) < p.terms.Room && left > 0.1, math.Min(1, p.terms.ComeBackMost)
 }
@@ -298,6 +307,9 @@
 		if x.ran > 0 && x.typ.Repeat == choice.Numbered && x.typ.ZoneGroup && t.zone != x.zone {
 			continue
 		}
+		if p.joins(t) {
+			return t
+		}
 		if p.seer {
 			ready, busy := p.sees(t.is.Door)
 			if ready && (best == nil || busy < least) {
@@ -313,7 +325,11 @@
 }
 
 func (p *plain) send(x *plainDoc, t *plainTarget, d *plainDest) {
-	d.next++
+	if d.next++; p.joins(t) {
+		t.riders++
+	} else {
+		t.began, t.riders = p.now, 1
+	}
 	d.tokens--
 	if x.out == 0 {
 		p.out++
