Two refusals in a row where there is no limit are a rest; absurd reports tell nothing

It reports that it has no limit; its forwarders hold one document each, and most of the calls are the first to third in a row of theirs, 0.1 to 0.7 s apart, all turned away. Ruled out: the ramp (no target had been sick), failures (two forwarders had seen one), told waits (none told). At fault: refusal: a pace is learned only where there may be a limit, and the rest of two calls' time began only when a call was turned away a second after the first. Change: where reports say that there is no limit, the second refusal in a row is followed by that rest at once. Reports that are no number, over 1e9 calls a second or over a whole share harm nobody: a pace of NaN kept a destination shut. Tests: two refusals without a limit (6 calls in 2 s without the line, 4 at most with it), absurd reports, absurd waits.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -247,11 +247,11 @@
 
 func (f *Forwarder) observe(t *Target, c *call, e Ending) {
 	d, r := t.dest, t.route
-	if e.Most != 0 {
+	if e.Most != 0 && math.Abs(e.Most) < 1e9 { // what is no number, or none of calls, tells nothing
 		r.most = e.Most
 	}
-	if r.most > 0 && e.Left != 0 {
-		f.share(t, math.Max(0, e.Left))
+	if left := math.Min(1, e.Left); r.most > 0 && (left > 0 || left < 0) {
+		f.share(t, math.Max(0, left))
 	}
 	switch e.Outcome {
 	case Delivered:
@@ -411,7 +411,7 @@
 	dt := math.Min(1, f.now-r.told)
 	r.told = f.now
 	if r.pace > 0 {
-		r.pace = math.Max(r.pace*math.Exp(0.6*(left-0.5)*dt), f.known(t)/10)
+		r.pace = math.Min(1e9, math.Max(r.pace*math.Exp(0.6*(left-0.5)*dt), f.known(t)/10))
 	} else if left < 0.25 {
 		r.pace = math.Max(r.rate, f.known(t))
 	}
@@ -461,9 +461,10 @@
 		}
 		r.pace = math.Max(0.7*cut, f.known(t))
 	}
-	// Turned away again a second later, nothing let in: two calls' time without one. Guards against many with a
-	// document each that knock on a hung destination and push it over. Hurts at limits that soon have room.
-	if f.now > r.since+1 {
+	// Turned away again a second later, or at once where reports say there is no limit, nothing let in: two
+	// calls' time without one. Guards against many with a document each that knock on a hung destination and
+	// push it over. Hurts at limits that soon have room.
+	if f.now > r.since+1 || r.most < 0 && r.refused > 1 {
 		r.closed = math.Max(r.closed, f.now+f.rest(t)*(0.5+f.dice.unit()))
 	}
 	// Shut rather than above its limit: nothing let in for long, no short wait told, or a long one.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -838,3 +839,46 @@
 	}
 	require.Greater(t, r.pace, 2.5*low)
 }
+
+func TestAnAbsurdReportHarmsNobody(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for _, left := range []float64{-1, math.NaN(), 1e300, math.Inf(1), -1e300, math.NaN()} {
+		for _, most := range []float64{8, 1e300, math.NaN(), -8} {
+			h.take(d, status, 0)
+			h.pass(5)
+			for _, s := range h.sent {
+				if s.doc.call != nil {
+					h.Ended(s.doc, Ending{Outcome: Delivered, Over: true, Took: 0.1, Most: most, Left: left})
+				}
+			}
+		}
+	}
+	require.False(t, math.IsNaN(d.shared.pace) || math.IsInf(d.shared.pace, 0))
+	n := len(h.sent)
+	require.Equal(t, 24, n, "each document went out")
+	h.take(d, status, 0)
+	h.pass(5)
+	require.Len(t, h.sent, n+1)
+}
+
+func TestTwoRefusalsWhereThereIsNoLimitAreARest(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for range 30 { // few calls: one a second
+		h.take(d, status, 0)
+		h.pass(1)
+		h.answers(d, Delivered)
+	}
+	n := len(h.sent)
+	h.flood(d, status, 2)
+	for range 100 { // its queue is full while it hangs
+		h.pass(0.02)
+		for _, s := range h.sent[n:] {
+			if s.doc.call != nil {
+				h.Ended(s.doc, Ending{Outcome: Full, Took: 0.02, Most: -1, Left: -1})
+			}
+		}
+	}
+	require.LessOrEqual(t, len(h.sent)-n, 4, "not at 0.1, 0.3, 0.7 and 1.5 s too")
+}
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -264,3 +264,12 @@
 		require.Equal(t, want, limit(report, "x1"), report)
 	}
 }
+
+func TestAnAbsurdWaitIsNotBelieved(t *testing.T) {
+	for told, want := range map[string]float64{"0.25": 0.25, "-3": 0, "NaN": 0, "Inf": 0, "soon": 0, "1e9": 0, "": 0,
+		"Wed, 21 Oct 2026 07:28:00 GMT": 0} {
+		a := answer{}
+		a.Field([]byte("Retry-After"), []byte(told))
+		require.Equal(t, want, a.wait, told)
+	}
+}
