--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,7 @@
 		t, d := l.Target, l.Dest
 		named[t] = true
 		if t.dest == nil {
-			t.dest, t.places, t.route, t.standing = d, 2, d.shared, Gone
+			t.dest, t.places, t.route, t.standing, t.lastUsed = d, 2, d.shared, Gone, -f.dice.unit()
 			if l.Kind < len(f.terms.KindApart) && f.terms.KindApart[l.Kind] {
 				t.route = &Route{filled: f.now}
 			}
@@ -431,6 +431,9 @@
 	}
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
+		if r.most == 0 {
+			pause *= 5
+		}
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
 	if r.refused == 1 {
@@ -440,7 +443,7 @@
 	}
 	// What a sick target turns away, or one that reports no limit, tells of none: the ramp sees to its return.
 	// Guards against next to no pace after a hang; hurts where the limit itself is the sickness.
-	limited := t.state != sick && r.most >= 0
+	limited := t.state != sick && r.most > 0
 	if cut := r.rate; limited && r.refused > 1 {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	} else if limited {
@@ -464,7 +467,7 @@
 	// Turned away again a second later, or at once where reports say there is no limit, nothing let in: two
 	// calls' time without one. Guards against many with a document each that knock on a hung destination and
 	// push it over. Hurts at limits that soon have room.
-	if f.now > r.since+1 || r.most < 0 && r.refused > 1 {
+	if r.most > 0 && f.now > r.since+1 || r.most < 0 && r.refused > 1 {
 		r.closed = math.Max(r.closed, f.now+f.rest(t)*(0.5+f.dice.unit()))
 	}
 	// Shut rather than above its limit: nothing let in for long, no short wait told, or a long one.
@@ -554,7 +557,7 @@
 		if t.zone != f.terms.Zone {
 			s += 0.5
 		}
-		if s < score || s == score && t.lastUsed < best.lastUsed {
+		if s < score || s == score && t.lastUsed > best.lastUsed {
 			best, score = t, s
 		}
 	}
