--- a/choice/choice.go
+++ b/choice/choice.go
@@ -686,7 +686,7 @@
 	if f.out >= f.terms.Slots-1 && t.unheard == 0 && t.dest.good > 0 {
 		beyond = 2
 	}
-	return math.Max(0.6, beyond*t.dest.took.slow) * math.Pow(2, float64(min(t.unheard, 3)))
+	return 4 * math.Max(0.6, beyond*t.dest.took.slow) * math.Pow(2, float64(min(t.unheard, 3)))
 }
 
 func (f *Forwarder) release(retries bool) {
@@ -767,7 +767,7 @@
 	f.changed = append(f.changed, d)
 }
 
-func (f *Forwarder) comeBack() float64 { return math.Min(1, f.terms.ComeBackMost) }
+func (f *Forwarder) comeBack() float64 { return math.Min(2, f.terms.ComeBackMost) }
 
 // Settle decides all that follows from the news taken since the last time.
 func (f *Forwarder) Settle() {
