--- a/choice/choice.go
+++ b/choice/choice.go
@@ -682,11 +682,11 @@
 // timeout is how long a call is waited for: well beyond the slow ones of late, less so for the last slots,
 // and longer while a target answers none. Guards against lost answers holding all slots.
 func (f *Forwarder) timeout(t *Target) float64 {
-	beyond := 3.0
+	beyond := 6.0
 	if f.out >= f.terms.Slots-1 && t.unheard == 0 && t.dest.good > 0 {
-		beyond = 2
+		beyond /= 1.5
 	}
-	return 4 * math.Max(0.6, beyond*t.dest.took.slow) * math.Pow(2, float64(min(t.unheard, 3)))
+	return math.Max(0.6, beyond*t.dest.took.slow) * math.Pow(2, float64(min(t.unheard, 3)))
 }
 
 func (f *Forwarder) release(retries bool) {
