--- a/choice/choice.go
+++ b/choice/choice.go
@@ -560,7 +560,10 @@
 		if t.zone != f.terms.Zone {
 			s += 0.5
 		}
-		if s < score || s == score && t.lastUsed > best.lastUsed {
+		if f.now-t.lastUsed > f.terms.IdleLife {
+			s += 0.01
+		}
+		if s < score || s == score && t.lastUsed < best.lastUsed {
 			best, score = t, s
 		}
 	}
@@ -682,7 +685,7 @@
 // timeout is how long a call is waited for: well beyond the slow ones of late, less so for the last slots,
 // and longer while a target answers none. Guards against lost answers holding all slots.
 func (f *Forwarder) timeout(t *Target) float64 {
-	beyond := 6.0
+	beyond := 3 + 3*5/(5+t.dest.took.total)
 	if f.out >= f.terms.Slots-1 && t.unheard == 0 && t.dest.good > 0 {
 		beyond /= 1.5
 	}
