A failed connect tells of all destinations of its kind

Need: each forwarder learned of each full table for itself. No idle connection is kept for 30 s at destinations of a kind of which one failed a connect.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,7 +78,7 @@
 			t.state, t.since, t.places = back, f.now, 1
 			t.next = math.Max(t.next, f.now+f.gap(t)*f.dice.unit())
 		}
-		t.zone, t.standing, d.batch = l.Zone, l.Standing, 1
+		t.zone, t.standing, d.batch, d.kind = l.Zone, l.Standing, 1, l.Kind
 		if l.Kind < len(f.terms.KindBatch) {
 			d.batch = max(1, f.terms.KindBatch[l.Kind])
 		}
@@ -208,7 +208,7 @@
 		t.calls, t.kept = without(t.calls, c), true
 		// For 30 s after a failed connect no idle connection is kept there (those of many forwarders may fill its
 		// table), nor elsewhere if the call before was longer ago than one lasts. Costs handshakes.
-		if len(t.calls) == 0 && (f.now < t.dest.tight || f.now < f.tight && !t.often) || f.now < f.distrust {
+		if len(t.calls) == 0 && (f.now < f.tight[t.dest.kind] || !t.often) || f.now < f.distrust {
 			f.unplug = append(f.unplug, t)
 		}
 	}
@@ -286,7 +286,7 @@
 	case Errored, TimedOut, NoConnection, Reset:
 		d.good = 0
 		if e.Outcome == NoConnection {
-			d.tight, f.tight = f.now+30, f.now+30
+			f.tight[d.kind] = f.now + 30
 			t.next = math.Max(t.next, f.now+0.2+0.8*f.dice.unit()) // a full table is as full at once after
 			f.unplug = append(f.unplug, d.targets...)
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -28,7 +28,7 @@
 	wake     float64 // the wake-up that is set
 	idle     odds    // how calls on idle connections end
 	distrust float64 // until when no idle connection is kept
-	tight    float64 // until when connections are kept only where they are likely to be used again
+	tight    map[int]float64 // per kind of destination: until when no idle connection is kept
 	askAt    float64 // when to ask for the list; infinite while it is coming
 	unlisted int     // questions for the list that failed in a row
 }
@@ -36,7 +36,7 @@
 // New starts a forwarder.
 func New(terms Terms, seed uint64, now float64, host Host) *Forwarder {
 	f := &Forwarder{terms: terms, host: host, dice: newChance(seed), now: now, began: now,
-		chains: map[uint64]*chain{}, wake: math.Inf(1), askAt: math.Inf(1),
+		chains: map[uint64]*chain{}, tight: map[int]float64{}, wake: math.Inf(1), askAt: math.Inf(1),
 		spent: make([]float64, len(terms.TenantQuota))}
 	if terms.AskList {
 		f.askAt = now
@@ -155,7 +155,7 @@
 	unfit              bool    // a target is sick or back
 	good               int     // timely answers in a row
 	took               hist
-	tight              float64 // until when no idle connection is kept
+	kind               int
 	ringed             bool
 	heard              bool
 	mode               string
