--- a/choice/choice.go
+++ b/choice/choice.go
@@ -432,10 +432,7 @@
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
 		if r.most == 0 {
-			pause = 6
-			if r.refused > 1 {
-				pause = 10
-			}
+			pause *= 30
 		}
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
