--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,6 +62,7 @@
 		t, d := l.Target, l.Dest
 		named[t] = true
 		if t.dest == nil {
+			// The first call goes anywhere: guards against all forwarders starting with the first target listed.
 			t.dest, t.places, t.route, t.standing, t.lastUsed = d, 2, d.shared, Gone, -f.dice.unit()
 			if l.Kind < len(f.terms.KindApart) && f.terms.KindApart[l.Kind] {
 				t.route = &Route{filled: f.now}
@@ -206,8 +207,9 @@
 		f.out--
 		t.dest.out--
 		t.calls, t.kept = without(t.calls, c), true
-		// For 30 s after a failed connect no idle connection is kept there (those of many forwarders may fill its
-		// table), nor elsewhere if the call before was longer ago than one lasts. Costs handshakes.
+		// A connection that the next call would come too late for is not kept, judged by the call before, nor any
+		// at destinations of a kind of which one failed a connect in the last 30 s. Guards against the idle
+		// connections of many forwarders filling tables that take a dozen; costs handshakes.
 		if len(t.calls) == 0 && (f.now < f.tight[t.dest.kind] || !t.often) || f.now < f.distrust {
 			f.unplug = append(f.unplug, t)
 		}
@@ -431,9 +433,6 @@
 	}
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
-		if r.most == 0 {
-			pause *= 30
-		}
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
 	if r.refused == 1 {
@@ -443,7 +442,7 @@
 	}
 	// What a sick target turns away, or one that reports no limit, tells of none: the ramp sees to its return.
 	// Guards against next to no pace after a hang; hurts where the limit itself is the sickness.
-	limited := t.state != sick && r.most > 0
+	limited := t.state != sick && r.most >= 0
 	if cut := r.rate; limited && r.refused > 1 {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	} else if limited {
@@ -467,7 +466,7 @@
 	// Turned away again a second later, or at once where reports say there is no limit, nothing let in: two
 	// calls' time without one. Guards against many with a document each that knock on a hung destination and
 	// push it over. Hurts at limits that soon have room.
-	if r.most > 0 && f.now > r.since+1 || r.most < 0 && r.refused > 1 {
+	if f.now > r.since+1 || r.most < 0 && r.refused > 1 {
 		r.closed = math.Max(r.closed, f.now+f.rest(t)*(0.5+f.dice.unit()))
 	}
 	// Shut rather than above its limit: nothing let in for long, no short wait told, or a long one.
@@ -557,6 +556,8 @@
 		if t.zone != f.terms.Zone {
 			s += 0.5
 		}
+		// Of equal targets first one that was called within the life of an idle connection. Guards against a
+		// forwarder of few calls opening a connection to each in turn; hurts where the others answer faster.
 		if f.now-t.lastUsed > f.terms.IdleLife {
 			s += 0.01
 		}
@@ -680,11 +681,12 @@
 }
 
 // timeout is how long a call is waited for: well beyond the slow ones of late, less so for the last slots,
-// and longer while a target answers none. Guards against lost answers holding all slots.
+// and longer while a target answers none or few were measured. Guards against lost answers holding all slots,
+// and against calls cut off that a few quick answers made look late, each of which may have run.
 func (f *Forwarder) timeout(t *Target) float64 {
 	beyond := 3 + 3*5/(5+t.dest.took.total)
 	if f.out >= f.terms.Slots-1 && t.unheard == 0 && t.dest.good > 0 {
-		beyond /= 1.5
+		beyond = 2
 	}
 	return math.Max(0.6, beyond*t.dest.took.slow) * math.Pow(2, float64(min(t.unheard, 3)))
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,14 +23,14 @@
 	recall   []*Target      // whose calls are not wanted any more unless they have begun to be sent
 	unplug   []*Target      // whose idle connections are not wanted
 	out      int
-	kept     int     // bytes of documents that are not over
-	until    float64 // when a stopping process ends; 0: it does not stop
-	wake     float64 // the wake-up that is set
-	idle     odds    // how calls on idle connections end
-	distrust float64 // until when no idle connection is kept
+	kept     int             // bytes of documents that are not over
+	until    float64         // when a stopping process ends; 0: it does not stop
+	wake     float64         // the wake-up that is set
+	idle     odds            // how calls on idle connections end
+	distrust float64         // until when no idle connection is kept
 	tight    map[int]float64 // per kind of destination: until when no idle connection is kept
-	askAt    float64 // when to ask for the list; infinite while it is coming
-	unlisted int     // questions for the list that failed in a row
+	askAt    float64         // when to ask for the list; infinite while it is coming
+	unlisted int             // questions for the list that failed in a row
 }
 
 // New starts a forwarder.
