--- a/choice/choice.go
+++ b/choice/choice.go
@@ -428,11 +428,17 @@
 		return
 	}
 	r.heard = f.now
+	thin := r.most == 0 && r.rate < 1.5
 	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
 		r.turned = f.now
 	}
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
+		if thin && r.refused == 1 {
+			pause = 6
+		} else if thin {
+			pause = 10
+		}
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
 	if r.refused == 1 {
@@ -442,7 +448,7 @@
 	}
 	// What a sick target turns away, or one that reports no limit, tells of none: the ramp sees to its return.
 	// Guards against next to no pace after a hang; hurts where the limit itself is the sickness.
-	limited := t.state != sick && r.most >= 0
+	limited := t.state != sick && r.most >= 0 && !thin
 	if cut := r.rate; limited && r.refused > 1 {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	} else if limited {
@@ -466,7 +472,7 @@
 	// Turned away again a second later, or at once where reports say there is no limit, nothing let in: two
 	// calls' time without one. Guards against many with a document each that knock on a hung destination and
 	// push it over. Hurts at limits that soon have room.
-	if f.now > r.since+1 || r.most < 0 && r.refused > 1 {
+	if f.now > r.since+1 && !thin || r.most < 0 && r.refused > 1 {
 		r.closed = math.Max(r.closed, f.now+f.rest(t)*(0.5+f.dice.unit()))
 	}
 	// Shut rather than above its limit: nothing let in for long, no short wait told, or a long one.
