--- a/choice/choice.go
+++ b/choice/choice.go
@@ -428,7 +428,7 @@
 		return
 	}
 	r.heard = f.now
-	thin := r.most == 0 && r.rate < 1.5
+	thin := r.most == 0 && r.rate < 3
 	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
 		r.turned = f.now
 	}
@@ -678,7 +678,9 @@
 		f.dequeue(doc)
 		doc.call, doc.want, doc.to = c, wantOut, t
 		doc.sent++
-		doc.allow = math.Min(allow, doc.expiry-f.now)
+		if doc.allow = math.Min(allow, doc.expiry-f.now); doc.typ.Repeat == Binding { // a time-out ends it for good
+			doc.allow = math.Min(2*allow, doc.expiry-f.now)
+		}
 		if doc.ranFrom > 0 && doc.typ.Repeat == Numbered { // a repeat that begins while its mark is known
 			doc.allow = math.Min(doc.allow, doc.ranFrom+doc.typ.Memory-f.now)
 		}
