--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,6 +33,7 @@
 	firstGuess = 0.9  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
+	fewDocs    = 1.0  // documents a second for a destination, under which its refusals teach no pace
 	shutWait   = 2.5  // seconds; a limit has room again sooner
 	manyLost   = 2.0  // losses on idle connections, a fifth of the calls on them, that end trust in them
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
@@ -428,16 +429,16 @@
 		return
 	}
 	r.heard = f.now
-	thin := r.most == 0 && r.rate < 3
+	// Departure: few calls learn no pace where no report tells what is left. Guards against hundreds that ask
+	// again soon, each for one document, and use the limit up with refusals; hurts after a chance refusal.
+	few := r.most == 0 && t.dest.taken/(f.now-f.began+2) < fewDocs
 	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
 		r.turned = f.now
 	}
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
-		if thin && r.refused == 1 {
-			pause = 6
-		} else if thin {
-			pause = 10
+		if few {
+			pause = math.Min(10, 6*float64(r.refused))
 		}
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
@@ -448,7 +449,7 @@
 	}
 	// What a sick target turns away, or one that reports no limit, tells of none: the ramp sees to its return.
 	// Guards against next to no pace after a hang; hurts where the limit itself is the sickness.
-	limited := t.state != sick && r.most >= 0 && !thin
+	limited := t.state != sick && r.most >= 0 && !few
 	if cut := r.rate; limited && r.refused > 1 {
 		r.pace = math.Max(0.7*r.pace, f.known(t)/10) // what was told of the limit may hold no longer
 	} else if limited {
@@ -472,7 +473,7 @@
 	// Turned away again a second later, or at once where reports say there is no limit, nothing let in: two
 	// calls' time without one. Guards against many with a document each that knock on a hung destination and
 	// push it over. Hurts at limits that soon have room.
-	if f.now > r.since+1 && !thin || r.most < 0 && r.refused > 1 {
+	if f.now > r.since+1 && !few || r.most < 0 && r.refused > 1 {
 		r.closed = math.Max(r.closed, f.now+f.rest(t)*(0.5+f.dice.unit()))
 	}
 	// Shut rather than above its limit: nothing let in for long, no short wait told, or a long one.
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// busy has a destination take some calls in quick succession.
+func (h *fake) busy(d *Destination) {
+	for range 12 {
+		h.take(d, status, 0)
+		h.pass(0.1)
+		h.answers(d, Delivered)
+	}
+}
+
 // pass lets time go by in small steps.
 func (h *fake) pass(seconds float64) {
 	for end := h.now + seconds; h.now < end; {
