--- a/choice/choice.go
+++ b/choice/choice.go
@@ -394,7 +394,7 @@
 }
 
 // rest is two calls' time, at most half a document's life.
-func (f *Forwarder) rest(t *Target) float64 { return math.Min(2/f.usual(t), f.terms.Types[0].Life/2) }
+func (f *Forwarder) rest(t *Target) float64 { return math.Min(2/f.usual(t), f.life/2) }
 
 // known is this forwarder's even part of the rate that a route surely takes; at least one a second for all.
 func (f *Forwarder) known(t *Target) float64 {
@@ -540,7 +540,7 @@
 	}
 	// Departure: those that are slow or failed lately leave the last slots to the others, but for one call
 	// if none timed out. Guards against many of them filling all slots; hurts them while all else is idle.
-	long := d.took.slow > f.terms.Types[0].Agreed/2
+	long := d.took.slow > f.agreed/2
 	mute := slices.ContainsFunc(d.targets, func(t *Target) bool { return t.unheard > 0 })
 	if (mute || d.out > 0 && (part == capIll || long)) && f.out >= share(f.terms.Slots, allIll) {
 		return nil
@@ -609,13 +609,19 @@
 			l := d.lanes[0]
 			d.lanes = d.lanes[1:]
 			idle++
+			// Every other time the dearest goes, else the first. Guards against a type worth twice as much waiting
+			// behind a clump; hurts the others, but by half the turns at most.
+			var next *Doc
+			l.dearest = !l.dearest
 			for _, doc := range l.docs {
-				if f.ready(doc, t) && !slices.Contains(batch, doc) {
-					batch = append(batch, doc)
-					idle = 0
-					break
+				if (next == nil || l.dearest && dearer(doc, next)) && f.ready(doc, t) && !slices.Contains(batch, doc) {
+					next = doc
 				}
 			}
+			if next != nil {
+				batch = append(batch, next)
+				idle = 0
+			}
 			if l.ringed = len(l.docs) > 0; l.ringed {
 				d.lanes = append(d.lanes, l)
 			}
@@ -755,7 +761,7 @@
 		}
 		var last *Doc
 		for _, d := range f.held {
-			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0 && (d.surplus || !last.surplus)) {
+			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0 && !dearer(d, last)) {
 				last = d
 			}
 		}
@@ -763,6 +769,14 @@
 	}
 }
 
+// dearer tells that a document is worth more than another.
+func dearer(a, b *Doc) bool {
+	if a.surplus != b.surplus {
+		return b.surplus
+	}
+	return a.typ.Value > b.typ.Value
+}
+
 // answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
 func (f *Forwarder) answer(d *Doc) {
 	ran := d.ranFrom > 0 || d.call != nil
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -980,3 +980,43 @@
 	require.Less(t, asked, 60, "five seconds in which a limit could have served others")
 	require.Positive(t, asked)
 }
+
+func TestTheDearerTypeGoesFirstAndNeitherStarves(t *testing.T) {
+	two := terms
+	two.Types = []DocType{{Repeat: Binding, Agreed: 3, Life: 16, Value: 1}, {Repeat: Numbered, Agreed: 2, Life: 28, Memory: 7, Value: 2}}
+	two.Slots, two.Room = 2, 20
+	h := start(two)
+	d := h.receiver(0, 0)
+	h.flood(d, 0, 12)
+	h.flood(d, 1, 6)
+	var order []int
+	for range 12 {
+		h.pass(0.1)
+		h.answers(d, Delivered)
+	}
+	for _, s := range h.sent {
+		order = append(order, int(s.doc.typ.Value))
+	}
+	dear := 0
+	for _, v := range order[:8] {
+		dear += v - 1
+	}
+	require.GreaterOrEqual(t, dear, 4, "a clump of twelve was taken before")
+	require.LessOrEqual(t, dear, 5, "the others have their turns")
+}
+
+func TestACrowdedRoomLosesTheCheaperTypeFirst(t *testing.T) {
+	two := terms
+	two.Types = []DocType{{Repeat: Binding, Agreed: 3, Life: 16, Value: 1}, {Repeat: Numbered, Agreed: 2, Life: 28, Memory: 7, Value: 2}}
+	two.Slots, two.Room = 2, 20
+	h := start(two)
+	d := h.receiver(0, 0)
+	h.flood(d, 1, 8)
+	h.flood(d, 0, 6)
+	h.flood(d, 1, 6)
+	h.settle()
+	require.Len(t, h.done, 2)
+	for doc := range h.done {
+		require.Equal(t, 1.0, doc.typ.Value)
+	}
+}
--- a/choice/port.go
+++ b/choice/port.go
@@ -15,6 +15,7 @@
 	ZoneGroup    bool // numbered: only targets of one zone know the mark, not all of the destination
 	InOrder      bool
 	Agreed, Life float64
+	Value        float64 // of one document; types that state none are all worth the same
 	Memory       float64 // numbered: how long a mark is known, from the transmission on
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -29,8 +29,10 @@
 	idle     odds            // how calls on idle connections end
 	distrust float64         // until when no idle connection is kept
 	tight    map[int]float64 // per kind of destination: until when no idle connection is kept
-	askAt    float64         // when to ask for the list; infinite while it is coming
-	unlisted int             // questions for the list that failed in a row
+	agreed   float64         // the shortest agreed time of all types, and the shortest life
+	life     float64
+	askAt    float64 // when to ask for the list; infinite while it is coming
+	unlisted int     // questions for the list that failed in a row
 }
 
 // New starts a forwarder.
@@ -41,6 +43,10 @@
 	if terms.AskList {
 		f.askAt = now
 	}
+	f.agreed, f.life = math.Inf(1), math.Inf(1)
+	for _, typ := range terms.Types {
+		f.agreed, f.life = math.Min(f.agreed, typ.Agreed), math.Min(f.life, typ.Life)
+	}
 	return f
 }
 
@@ -163,8 +169,9 @@
 
 // lane is a tenant's waiting documents.
 type lane struct {
-	docs   []*Doc
-	ringed bool
+	docs    []*Doc
+	ringed  bool
+	dearest bool // the latest turn went by value
 }
 
 // call is one call, with one document or several.
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -16,6 +16,7 @@
 		Name, Idempotency, Group   string
 		Sequential                 bool
 		Slo, HardLimit, MemorySpan float64
+		Worth                      float64
 	}
 	Tenants []struct {
 		Name     string
@@ -93,7 +94,7 @@
 	}
 	for i, c := range s.Classes {
 		d := choice.DocType{ZoneGroup: c.Group == "zone", InOrder: c.Sequential, Agreed: c.Slo / 1000,
-			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000}
+			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000, Value: c.Worth}
 		switch c.Idempotency {
 		case "retryable":
 			d.Repeat = choice.Replayable
