--- a/choice/choice.go
+++ b/choice/choice.go
@@ -685,9 +685,7 @@
 		f.dequeue(doc)
 		doc.call, doc.want, doc.to = c, wantOut, t
 		doc.sent++
-		if doc.allow = math.Min(allow, doc.expiry-f.now); doc.typ.Repeat == Binding { // a time-out ends it for good
-			doc.allow = math.Min(2*allow, doc.expiry-f.now)
-		}
+		doc.allow = math.Min(allow, doc.expiry-f.now)
 		if doc.ranFrom > 0 && doc.typ.Repeat == Numbered { // a repeat that begins while its mark is known
 			doc.allow = math.Min(doc.allow, doc.ranFrom+doc.typ.Memory-f.now)
 		}
