--- a/choice/choice.go
+++ b/choice/choice.go
@@ -614,7 +614,7 @@
 			var next *Doc
 			l.dearest = !l.dearest
 			for _, doc := range l.docs {
-				if (next == nil || l.dearest && dearer(doc, next)) && f.ready(doc, t) && !slices.Contains(batch, doc) {
+				if (next == nil || l.dearest && f.dearer(doc, next)) && f.ready(doc, t) && !slices.Contains(batch, doc) {
 					next = doc
 				}
 			}
@@ -759,7 +759,7 @@
 		}
 		var last *Doc
 		for _, d := range f.held {
-			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0 && !dearer(d, last)) {
+			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0 && !f.dearer(d, last)) {
 				last = d
 			}
 		}
@@ -767,12 +767,21 @@
 	}
 }
 
+// worth is what a document brings if it is delivered now. Where value falls evenly it is taken as whole: one
+// that is late loses no less by waiting than one that will be.
+func (f *Forwarder) worth(d *Doc) float64 {
+	if late := f.now - d.expiry + d.typ.Life - d.typ.Agreed; late > 0 && f.terms.Halves {
+		return d.typ.Value * math.Max(d.typ.LateShare, math.Pow(2, -late/d.typ.Agreed))
+	}
+	return d.typ.Value
+}
+
 // dearer tells that a document is worth more than another.
-func dearer(a, b *Doc) bool {
+func (f *Forwarder) dearer(a, b *Doc) bool {
 	if a.surplus != b.surplus {
 		return b.surplus
 	}
-	return a.typ.Value > b.typ.Value
+	return f.worth(a) > f.worth(b)
 }
 
 // answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
--- a/choice/port.go
+++ b/choice/port.go
@@ -16,6 +16,7 @@
 	InOrder      bool
 	Agreed, Life float64
 	Value        float64 // of one document; types that state none are all worth the same
+	LateShare    float64 // of the value that is left at expiry
 	Memory       float64 // numbered: how long a mark is known, from the transmission on
 }
 
@@ -34,6 +35,7 @@
 	ColdFor       float64
 	IdleLife      float64 // how long an idle connection lasts
 	FallMultiple  float64
+	Halves        bool    // value falls by half with each further agreed time, to LateShare at most; else evenly
 	ComeBackMost  float64 // the longest time to come back that a rejection may name; 0: none
 	AskList       bool    // the list comes only after asking
 	AskWithin     float64 // the rules want a question for the list so often while it does not come; 0: not stated
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -16,7 +16,7 @@
 		Name, Idempotency, Group   string
 		Sequential                 bool
 		Slo, HardLimit, MemorySpan float64
-		Worth                      float64
+		Worth, LateShare           float64
 	}
 	Tenants []struct {
 		Name     string
@@ -26,6 +26,7 @@
 		CallsOut       int
 		KindBatch      []int
 		SeparateRoutes []bool
+		Decay          string
 	}
 	Guarantees struct{ AskWithin, Cold, ColdFrom, FallMultiple, KeyRest float64 }
 	Limits     struct {
@@ -75,7 +76,7 @@
 		Slots: s.Extra.CallsOut, Room: s.Limits.MaxOpen, Transmissions: s.Limits.AttemptsCap, Zone: s.MyZone,
 		KeyRest: s.Guarantees.KeyRest / 1000, ColdFrom: s.Guarantees.ColdFrom, ColdFor: s.Guarantees.Cold / 1000,
 		FallMultiple: s.Guarantees.FallMultiple, IdleLife: s.Limits.ConnIdle / 1000,
-		AskList: s.Discovery == "ask", AskWithin: s.Guarantees.AskWithin / 1000}
+		Halves: s.Extra.Decay == "halves", AskList: s.Discovery == "ask", AskWithin: s.Guarantees.AskWithin / 1000}
 	if s.Limits.RetryAfter {
 		t.ComeBackMost = s.Limits.MaxRetryAfter / 1000
 	}
@@ -94,7 +95,7 @@
 	}
 	for i, c := range s.Classes {
 		d := choice.DocType{ZoneGroup: c.Group == "zone", InOrder: c.Sequential, Agreed: c.Slo / 1000,
-			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000, Value: c.Worth}
+			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000, Value: c.Worth, LateShare: c.LateShare}
 		switch c.Idempotency {
 		case "retryable":
 			d.Repeat = choice.Replayable
