A crowded room cuts the line that takes most time in slots

Its calls carry more: crowd cut the line with most documents, which was that of a large bank that takes five in a call. Line at fault: the choice of worst in crowd.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,7 @@
 	allIll     = 0.85 // of all slots, from here on none for a destination that failed lately
 	restored   = 3    // timely answers that restore the cap
 	turnSize   = 2    // documents a turn, more only where one call carries more
-	roomFull   = 0.9  // of the holding room: from here on the longest line is cut
+	roomFull   = 0.97 // of the holding room: from here on the longest line is cut
 	overdue    = 0.01 // seconds after expiry: the call's end should have come
 	lookAgain  = 0.02 // seconds between looks at lines that wait
 	lastCall   = 0.04 // seconds before expiry: nothing is sent after, so that the end is told in time
@@ -744,13 +744,13 @@
 	}
 }
 
-// crowd cuts the longest line while the room is nearly full. Guards against a sick or flooded destination
-// turning away everybody's documents at the door. Hurts when the flood would have passed in time.
+// crowd cuts what is worth least of the longest line while the room is nearly full. Guards against a sick or
+// flooded destination turning away everybody's documents at the door; hurts when the flood would have passed.
 func (f *Forwarder) crowd() {
 	for float64(len(f.held)) > roomFull*float64(f.terms.Room) {
 		var worst *Destination
 		for _, d := range f.ring {
-			if d.waiting > 0 && (worst == nil || d.waiting > worst.waiting) {
+			if d.waiting > 0 && (worst == nil || line(d) > line(worst)) {
 				worst = d
 			}
 		}
@@ -784,6 +784,10 @@
 	return f.worth(a) > f.worth(b)
 }
 
+// line is the time in slots that a destination's waiting documents take. Guards against cutting the line that
+// a few calls of several documents would clear; hurts destinations that are slow.
+func line(d *Destination) float64 { return float64(d.waiting) * d.took.slow / float64(max(1, d.batch)) }
+
 // answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
 func (f *Forwarder) answer(d *Doc) {
 	ran := d.ranFrom > 0 || d.call != nil
