Value, late share and decay are settings; call times outlast a restart

The module reads value, late share and decay; they come from the platform's JSON and from TOML, checked, with defaults that leave all as before (value 1, falling evenly). Refused at start with the field's name: unknown decay or form of listed rates, a negative value or time, a late share outside 0 to 1, an agreed time over the life. A listed rate that is absurd tells nothing. Call times of each destination are kept at the end of a process (learnt) and count as five calls in the next; paces, usual loads and health start afresh (docs/migration.md says why).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,7 @@
 	manyLost   = 2.0  // losses on idle connections, a fifth of the calls on them, that end trust in them
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
 	blip       = 3.0  // seconds of silence that are no outage
+	kept       = 5.0  // calls that an earlier process's times count as, at most
 	asksAtOnce = 4.0  // questions a second for the list, all forwarders together
 	KeepSilent = 2.7  // seconds in which a client has to bring a whole command: slow ones may ask after two
 	KeepQuiet  = 3.0  // seconds that it may be connected between two
@@ -84,7 +85,7 @@
 		if l.Kind < len(f.terms.KindBatch) {
 			d.batch = max(1, f.terms.KindBatch[l.Kind])
 		}
-		if l.Rate > 0 {
+		if l.Rate > 0 && l.Rate < 1e9 { // else it tells nothing
 			d.listed = l.Rate
 		}
 	}
@@ -148,6 +149,10 @@
 	}
 }
 
+// Remember takes the call times that an earlier process measured, of all that it learnt the only figures that mean
+// the same in a fleet of another size: paces, usual loads and health start afresh. They count as a few calls.
+func (f *Forwarder) Remember(d *Destination, times []float64) bool { return d.took.refill(times, kept) }
+
 // Stop says that the process ends after so long. No call begins that is likely to be out then: what is held
 // stays owed for the next process. Guards against cutting calls off. Hurts when no process follows.
 func (f *Forwarder) Stop(in float64) { f.until = f.now + in }
@@ -429,8 +434,8 @@
 		return
 	}
 	r.heard = f.now
-	// Departure: few calls learn no pace where no report tells what is left. Guards against hundreds that ask
-	// again soon, each for one document, and use the limit up with refusals; hurts after a chance refusal.
+	// Departure: few documents teach no pace where no report tells what is left. Guards against hundreds that
+	// ask again soon and use the limit up with refusals; hurts after a chance refusal.
 	few := r.most == 0 && t.dest.taken/(f.now-f.began+2) < fewDocs
 	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
 		r.turned = f.now
@@ -563,8 +568,7 @@
 		if t.zone != f.terms.Zone {
 			s += 0.5
 		}
-		// Of equal targets first one that was called within the life of an idle connection. Guards against a
-		// forwarder of few calls opening a connection to each in turn; hurts where the others answer faster.
+		// Guards against a forwarder of few calls opening a connection to each target in turn.
 		if f.now-t.lastUsed > f.terms.IdleLife {
 			s += 0.01
 		}
@@ -609,8 +613,7 @@
 			l := d.lanes[0]
 			d.lanes = d.lanes[1:]
 			idle++
-			// Every other time the dearest goes, else the first. Guards against a type worth twice as much waiting
-			// behind a clump; hurts the others, but by half the turns at most.
+			// Every other time the dearest goes, else the first. Guards against it waiting behind a clump.
 			var next *Doc
 			l.dearest = !l.dearest
 			for _, doc := range l.docs {
@@ -767,8 +770,7 @@
 	}
 }
 
-// worth is what a document brings if it is delivered now. Where value falls evenly it is taken as whole: one
-// that is late loses no less by waiting than one that will be.
+// worth is what a document brings now. Where value falls evenly, one that is late loses no less by waiting.
 func (f *Forwarder) worth(d *Doc) float64 {
 	if late := f.now - d.expiry + d.typ.Life - d.typ.Agreed; late > 0 && f.terms.Halves {
 		return d.typ.Value * math.Max(d.typ.LateShare, math.Pow(2, -late/d.typ.Agreed))
@@ -776,7 +778,6 @@
 	return d.typ.Value
 }
 
-// dearer tells that a document is worth more than another.
 func (f *Forwarder) dearer(a, b *Doc) bool {
 	if a.surplus != b.surplus {
 		return b.surplus
@@ -784,8 +785,7 @@
 	return f.worth(a) > f.worth(b)
 }
 
-// line is the time in slots that a destination's waiting documents take. Guards against cutting the line that
-// a few calls of several documents would clear; hurts destinations that are slow.
+// line is the time in slots that a destination's waiting documents take: a few calls may clear a long one.
 func line(d *Destination) float64 { return float64(d.waiting) * d.took.slow / float64(max(1, d.batch)) }
 
 // answer gives the final answer at once: a rejection where a second try is harmless, else an abandonment.
--- a/choice/state.go
+++ b/choice/state.go
@@ -446,3 +446,31 @@
 // Close keeps a target's route shut until then, as an earlier process of this forwarder was told to. Called after the
 // target is listed.
 func (f *Forwarder) Close(t *Target, until float64) { t.route.closed = math.Max(t.route.closed, until) }
+
+// Times are the counts of a destination's measured call times, nil if there are none, to be kept beyond a restart.
+func (d *Destination) Times() []float64 {
+	if d.took.total == 0 {
+		return nil
+	}
+	return d.took.bins[:]
+}
+
+// refill takes counts of an earlier hist, scaled down to so many at most, if nothing was counted yet.
+func (h *hist) refill(counts []float64, most float64) bool {
+	total := 0.0
+	for _, n := range counts {
+		if !(n >= 0 && n < 1e9) {
+			return false
+		}
+		total += n
+	}
+	if len(counts) != len(h.bins) || total == 0 || h.total > 0 {
+		return false
+	}
+	for i, n := range counts {
+		h.bins[i] = n * math.Min(1, most/total)
+		h.total += h.bins[i]
+	}
+	h.weigh()
+	return true
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -163,6 +163,7 @@
 	}
 	o.serve(ctx, again, dialer)
 	o.keepWaits(o.clock(time.Now()))
+	o.keepLearnt()
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
--- /dev/null
+++ b/forward/learnt_test.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/internal/terms"
+)
+
+type silentHost struct{}
+
+func (silentHost) Transmit(*choice.Doc, *choice.Target, float64) {}
+func (silentHost) Reject(*choice.Doc, float64)                   {}
+func (silentHost) Abandon(*choice.Doc)                           {}
+func (silentHost) Recall(*choice.Target)                         {}
+func (silentHost) CloseIdle(*choice.Target)                      {}
+func (silentHost) Release(*choice.Target)                        {}
+func (silentHost) Wake(float64)                                  {}
+func (silentHost) Watch()                                        {}
+func (silentHost) Log(string)                                    {}
+
+// learning is an owner with a module and a folder, no sockets.
+func learning(folder string) (*owner, *bytes.Buffer) {
+	var said bytes.Buffer
+	order := &Order{Folder: folder, Names: terms.Names{Types: []string{"new-order"}, Kinds: []string{"large"}}}
+	order.Terms = choice.Terms{Types: []choice.DocType{{Agreed: 3, Life: 16}}, Forwarders: 200, Slots: 3, Room: 19}
+	o := &owner{order: order, log: zerolog.New(&said), dests: map[uint64]*choice.Destination{}, sweepAt: leastSweep}
+	o.f = choice.New(order.Terms, 7, 100, silentHost{})
+	o.learnt = readLearnt(folder, order.shape(), &o.log)
+	return o, &said
+}
+
+func TestCallTimesOutlastARestartAndWhatIsSpoiltIsPassedOver(t *testing.T) {
+	folder := t.TempDir()
+	old, _ := learning(folder)
+	times := make([]float64, 16)
+	times[9] = 40
+	require.True(t, old.f.Remember(old.dest(7), times))
+	old.dest(8) // nothing was measured there
+	old.keepLearnt()
+
+	fresh, _ := learning(folder)
+	require.Len(t, fresh.learnt, 1)
+	require.Equal(t, old.dests[7].Times(), fresh.dest(7).Times())
+	require.Empty(t, fresh.learnt, "given once")
+	require.Nil(t, fresh.dest(8).Times())
+
+	unheard, _ := learning(folder) // a process that hears of no destination keeps what it was given
+	unheard.keepLearnt()
+	again, _ := learning(folder)
+	require.Equal(t, old.dests[7].Times(), again.dest(7).Times())
+
+	file := filepath.Join(folder, learntFile)
+	good, err := os.ReadFile(file)
+	require.NoError(t, err)
+	for why, text := range map[string]string{
+		"cut or spoilt":           strings.Replace(string(good), "7 ", "9 ", 1),
+		"cut or spoilt ":          string(good[:len(good)-3]),
+		"not of this form":        "something else",
+		"not of this form ":       "",
+		"of other types or kinds": strings.Replace(string(good), "new-order", "avisering", 1),
+	} {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		o, said := learning(folder)
+		require.Empty(t, o.learnt)
+		require.Contains(t, said.String(), strings.TrimSpace(why))
+	}
+	require.NoError(t, os.Remove(file))
+	o, said := learning(folder)
+	require.Empty(t, o.learnt)
+	require.Empty(t, said.String(), "a first start is nothing to speak of")
+}
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -58,8 +58,9 @@
 	lame      bool       // clients are sent elsewhere, by the operators' word
 	rota      *rota.Rota // targets out by hand
 	figures   figures
-	stopping  bool               // told to stop
-	waits     map[string]float64 // of an earlier process, for targets not listed yet
+	stopping  bool                 // told to stop
+	waits     map[string]float64   // of an earlier process, for targets not listed yet
+	learnt    map[uint64][]float64 // call times that an earlier process measured, for destinations not heard of yet
 }
 
 // paper is a document that is owed or was until just now.
@@ -108,6 +109,9 @@
 func (o *owner) begin(now time.Time) {
 	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
 	o.waits = readWaits(o.order.Folder, o.clock(now))
+	if o.learnt = readLearnt(o.order.Folder, o.order.shape(), &o.log); len(o.learnt) > 0 {
+		o.log.Info().Int("destinations", len(o.learnt)).Msg("learnt figures taken up")
+	}
 	o.listed(&o.order.Known, true)
 	o.emptyTray()
 	for _, e := range o.ledger.Owed() {
@@ -176,6 +180,10 @@
 		}
 		d = o.f.NewDestination(number)
 		o.dests[number] = d
+		if times := o.learnt[number]; times != nil {
+			o.f.Remember(d, times)
+			delete(o.learnt, number)
+		}
 	}
 	return d
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -201,6 +201,7 @@
 	if !(d.FallMultiple >= 1) || math.IsInf(d.FallMultiple, 0) {
 		c.bad("dispatch.fall_multiple", "%v is under 1", d.FallMultiple)
 	}
+	c.word("dispatch.late", d.Late, "line", "halves")
 	c.word("dispatch.listed_rates", d.ListedRates, "none", "exact", "rough")
 	if d.Slots > c.Limits.Descriptors/3 {
 		c.note("dispatch.slots", "%d calls find at most %d connections, a third of limits.descriptors", d.Slots, c.Limits.Descriptors/3)
@@ -283,6 +284,12 @@
 		} else if t.Agreed > t.Life {
 			c.bad(at("agreed"), "%s is over life, %s", t.Agreed, t.Life)
 		}
+		if !(t.Value > 0) || math.IsInf(t.Value, 0) {
+			c.bad(at("value"), "%v is no value over 0", t.Value)
+		}
+		if !(t.LateShare >= 0 && t.LateShare <= 1) {
+			c.bad(at("late_share"), "%v is not a share from 0 to 1", t.LateShare)
+		}
 		if t.Repeat == "numbered" && t.Memory <= 0 {
 			c.bad(at("memory"), "a numbered type needs the time for which its number is known")
 		} else if t.Repeat != "numbered" && t.Memory > 0 {
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -123,6 +123,7 @@
 	ColdFor       Span    `toml:"cold_for" jsonschema_description:"Time in which it gets warm."`
 	AskWithin     Span    `toml:"ask_within" jsonschema_description:"While discovery's list does not come it is asked for at least so often; forwarders started together spread their questions over up to half of it."`
 	FallMultiple  float64 `toml:"fall_multiple" jsonschema_description:"A cold destination falls over at this multiple of its present capacity."`
+	Late          string  `toml:"late" jsonschema:"enum=line,enum=halves" jsonschema_description:"How value falls after the agreed time: evenly to late_share at the end of life, or by half with each further agreed time, to late_share at least."`
 	ListedRates   string  `toml:"listed_rates" jsonschema:"enum=none,enum=exact,enum=rough" jsonschema_description:"What per_second in the list is worth."`
 	ReportLimit   string  `toml:"report_limit" jsonschema_description:"Field of a load report that tells a limit in calls a second."`
 	ReportLeft    string  `toml:"report_left" jsonschema_description:"Field of a load report that tells the share of the limit that is left, 0 to 1."`
@@ -169,6 +170,9 @@
 	Agreed  Span   `toml:"agreed" jsonschema_description:"Agreed time to delivery."`
 	Life    Span   `toml:"life" jsonschema_description:"Longest time that a client gives a document."`
 	Memory  Span   `toml:"memory" jsonschema_description:"numbered: how long a number is known, from the transmission on."`
+
+	Value     float64 `toml:"value" jsonschema_description:"Of one document, beside those of other types. 0: 1."`
+	LateShare float64 `toml:"late_share" jsonschema_description:"Share of the value that is left at the end of life, 0 to 1."`
 }
 
 // Kind is a kind of destinations.
@@ -204,7 +208,7 @@
 		Ledger: Ledger{Folder: "state", Disk: 64e6},
 		Limits: Limits{Cores: 1, Memory: 192e6, Descriptors: 1024},
 		Dispatch: Dispatch{Slots: 64, Room: 2000, Transmissions: 6, Forwarders: 1, ComeBack: 2, Connect: 1.5, IdleLife: 10,
-			KeyRest: 0.1, AskWithin: 10, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, ListedRates: "none", ReportLimit: "x1", ReportLeft: "x0"},
+			KeyRest: 0.1, AskWithin: 10, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, Late: "line", ListedRates: "none", ReportLimit: "x1", ReportLeft: "x0"},
 		Log: Log{Level: "info", Format: "json"}}
 }
 
@@ -230,6 +234,7 @@
 	}
 	for i := range f.Types {
 		Or(&f.Types[i].Group, "all")
+		Or(&f.Types[i].Value, 1)
 	}
 	for i := range f.Targets {
 		t := &f.Targets[i]
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -138,7 +138,7 @@
 	d := &l.Dispatch
 	t := choice.Terms{Forwarders: d.Forwarders, Slots: d.Slots, Room: d.Room, Transmissions: d.Transmissions, KeyRest: float64(d.KeyRest), AskWithin: float64(d.AskWithin),
 		ColdFrom: d.ColdFrom, ColdFor: float64(d.ColdFor), FallMultiple: d.FallMultiple, IdleLife: float64(d.IdleLife),
-		ComeBackMost: float64(d.ComeBack), RoughRate: map[string]float64{"exact": 1, "rough": 1.5}[d.ListedRates]}
+		Halves: d.Late == "halves", ComeBackMost: float64(d.ComeBack), RoughRate: map[string]float64{"exact": 1, "rough": 1.5}[d.ListedRates]}
 	n := terms.Names{Zones: l.Zones, LimitAt: -1, Limit: d.ReportLimit, LeftAt: -1, Left: d.ReportLeft, Connect: float64(d.Connect)}
 	for i, z := range l.Zones {
 		if z == l.Zone {
@@ -156,7 +156,7 @@
 	words := map[string]choice.Repeat{"replayable": choice.Replayable, "numbered": choice.Numbered, "binding": choice.Binding}
 	for _, y := range l.Types {
 		t.Types = append(t.Types, choice.DocType{Repeat: words[y.Repeat], ZoneGroup: y.Group == "zone", InOrder: y.InOrder,
-			Agreed: float64(y.Agreed), Life: float64(y.Life), Memory: float64(y.Memory)})
+			Agreed: float64(y.Agreed), Life: float64(y.Life), Memory: float64(y.Memory), Value: y.Value, LateShare: y.LateShare})
 		n.Types = append(n.Types, y.Name)
 	}
 	return t, n
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -16,7 +16,8 @@
 		Name, Idempotency, Group   string
 		Sequential                 bool
 		Slo, HardLimit, MemorySpan float64
-		Worth, LateShare           float64
+		Worth                      *float64 // absent: 1
+		LateShare                  float64
 	}
 	Tenants []struct {
 		Name     string
@@ -72,6 +73,9 @@
 	case s.NInstances < 1:
 		return choice.Terms{}, Names{}, errors.New("NInstances is not a number of forwarders")
 	}
+	if err := s.check(); err != nil {
+		return choice.Terms{}, Names{}, err
+	}
 	t := choice.Terms{KindBatch: s.Extra.KindBatch, KindApart: s.Extra.SeparateRoutes, Forwarders: s.NInstances,
 		Slots: s.Extra.CallsOut, Room: s.Limits.MaxOpen, Transmissions: s.Limits.AttemptsCap, Zone: s.MyZone,
 		KeyRest: s.Guarantees.KeyRest / 1000, ColdFrom: s.Guarantees.ColdFrom, ColdFor: s.Guarantees.Cold / 1000,
@@ -95,7 +99,10 @@
 	}
 	for i, c := range s.Classes {
 		d := choice.DocType{ZoneGroup: c.Group == "zone", InOrder: c.Sequential, Agreed: c.Slo / 1000,
-			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000, Value: c.Worth, LateShare: c.LateShare}
+			Life: c.HardLimit / 1000, Memory: c.MemorySpan / 1000, Value: 1, LateShare: c.LateShare}
+		if c.Worth != nil {
+			d.Value = *c.Worth
+		}
 		switch c.Idempotency {
 		case "retryable":
 			d.Repeat = choice.Replayable
@@ -111,3 +118,29 @@
 	}
 	return t, f, nil
 }
+
+// check names the first field that no forwarder can work by. Unknown keys and absent ones pass.
+func (s *settings) check() error {
+	if !slices.Contains([]string{"", "line", "halves"}, s.Extra.Decay) {
+		return fmt.Errorf("Extra.Decay: unknown word %q", s.Extra.Decay)
+	}
+	if !slices.Contains([]string{"", "silent", "nominal", "rough", "live"}, s.WeightKind) {
+		return fmt.Errorf("WeightKind: unknown word %q", s.WeightKind)
+	}
+	for i, c := range s.Classes {
+		bad := func(field string, v any) error { return fmt.Errorf("Classes[%d].%s: %v is out of range", i, field, v) }
+		switch {
+		case c.Worth != nil && *c.Worth < 0:
+			return bad("Worth", *c.Worth)
+		case c.LateShare < 0 || c.LateShare > 1:
+			return bad("LateShare", c.LateShare)
+		case c.Slo < 0:
+			return bad("Slo", c.Slo)
+		case c.MemorySpan < 0:
+			return bad("MemorySpan", c.MemorySpan)
+		case c.HardLimit < c.Slo:
+			return bad("HardLimit", c.HardLimit)
+		}
+	}
+	return nil
+}
