--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1077,3 +1077,63 @@
 	}
 	require.False(t, h.Remember(known, slow.Times()), "it has measured by itself")
 }
+
+func TestABindingDocumentOverEveryOutcomeAndARestart(t *testing.T) {
+	for o, may := range map[Outcome]bool{Errored: true, TimedOut: true, Reset: true, Cancelled: true, Full: false, NoConnection: false, Moot: false} {
+		h := start(terms)
+		d := h.receiver(0, 0)
+		doc := h.take(d, payment, 0)
+		h.settle()
+		h.ends(doc, o, 0)
+		h.pass(15)
+		if may {
+			require.Equal(t, "abandoned", h.done[doc], "%d", o)
+			require.Len(t, h.sent, 1)
+		} else {
+			require.Empty(t, h.done[doc], "%d", o)
+			require.Greater(t, len(h.sent), 1, "it surely never ran")
+		}
+		next, again := start(terms), &Doc{Tenant: 9} // the process ended, and the next one recovers it
+		again.Dest = next.receiver(0, 0)
+		past := Past{Sent: 1}
+		if may {
+			past.Ran = 100
+		}
+		next.Recover(again, payment, 15, past)
+		next.pass(2)
+		require.Equal(t, may, next.done[again] == "abandoned")
+		require.Equal(t, !may, len(next.sent) == 1)
+	}
+}
+
+func TestOneTransmissionAtATimeAndOneFinalAnswer(t *testing.T) {
+	h := start(terms)
+	doc := h.take(h.receiver(0, 0, 0), status, 0) // may be repeated, and two targets are idle
+	h.pass(19)
+	require.Len(t, h.sent, 1, "while one is out there is no second")
+	h.ends(doc, Reset, 0)
+	h.pass(0.9)
+	require.LessOrEqual(t, len(h.sent), 2)
+	for doc.call != nil {
+		h.ends(doc, TimedOut, 0)
+		h.pass(2)
+	}
+	require.Equal(t, "rejected", h.done[doc])
+}
+
+func TestASlowHandshakeMakesNobodySick(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	for i := range 40 {
+		doc := h.take(d, status, 0)
+		h.pass(0.9)
+		if i%8 == 7 {
+			h.Ended(doc, Ending{Outcome: NoConnection, Took: 0.8}) // not up in time
+			h.pass(1.5)
+		}
+		for doc.call != nil {
+			h.Ended(doc, Ending{Outcome: Delivered, Over: true, Took: 0.75})
+		}
+		require.False(t, d.targets[0].Sick())
+	}
+}
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -14,6 +14,8 @@
 	limit       float64
 	room        float64 // calls that the limit still lets in
 	hung        bool    // its queue is full: it refuses all
+	mute        bool    // it reports nothing
+	debt        float64 // refused calls use the limit up by so many beyond it
 	seen        []int   // transmissions of each node that were taken note of
 	late        []due
 	calls, full int
@@ -30,7 +32,7 @@
 func newFleet(n int, limit float64) *fleet {
 	t := terms
 	t.Forwarders = n
-	f := &fleet{now: 100, limit: limit, room: limit / 2, seen: make([]int, n), took: map[*Doc]int{}}
+	f := &fleet{now: 100, limit: limit, room: limit / 2, debt: 1, seen: make([]int, n), took: map[*Doc]int{}}
 	for i := range n {
 		h := start(t)
 		h.Forwarder = New(t, uint64(i+1), 100, h)
@@ -73,14 +75,36 @@
 	e := Ending{Outcome: Delivered, Over: true, Took: 0.1, Most: f.limit, Left: Limit(max(0, (f.room-1)/(f.limit/2)))}
 	if f.room--; f.hung || f.room < 0 {
 		f.full++
-		f.room = max(f.room, -1) // refused calls use it up too
+		f.room = max(f.room, -f.debt) // refused calls use it up too
 		e = Ending{Outcome: Full, Took: 0.05, Most: f.limit, Left: -1}
 	} else {
 		f.took[doc]++
 	}
+	if f.mute {
+		e.Most, e.Left = 0, 0
+	}
 	f.late = append(f.late, due{f.now + 0.1, h, doc, e})
 }
 
+// A fleet of few documents each, some with far more, at an exact listed limit that refused calls use up: after a clump
+// the sum of their calls falls under the limit, and what comes then is let in.
+func TestManyUnevenForwardersLeaveAnExactLimitRoomAfterAClump(t *testing.T) {
+	f := newFleet(100, 10)
+	f.mute, f.debt = true, 5
+	for i, h := range f.nodes {
+		h.terms.RoughRate, h.dests[0].listed = 1, 10
+		if i%4 == 0 { // two and a half seconds of the limit, all at once
+			h.flood(h.dests[0], status, 1+i%8/4*2)
+		}
+	}
+	f.pass(4, 20) // half of the limit
+	before := len(f.took)
+	calls, full := f.pass(10, 20)
+	t.Logf("%d calls, %d refused, %d delivered", calls, full, len(f.took)-before)
+	require.Less(t, calls, 110)
+	require.Greater(t, len(f.took)-before, 38)
+}
+
 func TestALimitLoweredUnderManyIsNotUsedUpByRefusedCalls(t *testing.T) {
 	f := newFleet(60, 30)
 	_, full := f.pass(10, 4) // half of the limit
@@ -132,3 +156,15 @@
 		require.Equal(t, 1, answered)
 	}
 }
+
+// Nearly all forwarders start anew while a destination is hung; it returns and takes a fifth of its load.
+func TestAFleetStartedAnewDoesNotPushOverADestinationThatReturnsCold(t *testing.T) {
+	f := newFleet(200, 20)
+	f.mute, f.hung = true, true
+	for _, h := range f.nodes {
+		h.terms.RoughRate, h.dests[0].listed = 1, 20
+	}
+	f.pass(10, 20)
+	calls, _ := f.pass(2, 0) // as it returns
+	require.Less(t, calls, 2*20, "twice a fifth of what it takes would be 16, but who has not called yet knows nothing")
+}
