Closed beyond a document's expiry: answered at once; rests double from 6 to 24 s

Documents whose route is closed beyond their expiry were sat on until then. Lines at fault: the pause's bound in refusal, short.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -443,7 +443,7 @@
 	if e.Wait == 0 {
 		pause := 0.1 * math.Pow(2, float64(min(r.refused, 5)-1))
 		if few {
-			pause = math.Min(10, 6*float64(r.refused))
+			pause = math.Min(24, 6*math.Pow(2, float64(r.refused-1)))
 		}
 		r.closed = math.Max(r.closed, f.now+pause*(0.5+f.dice.unit()))
 	}
@@ -721,10 +721,13 @@
 	}
 }
 
-// short tells that a document has less time left than calls to its destination mostly take. Guards against a
-// long line transmitted just too late, each a time-out that makes its target look sick. Hurts quick ones.
+// short tells that a document has less time left than calls to its destination mostly take, or than its targets
+// are closed. Guards against a long line transmitted just too late, each a time-out that makes its target look
+// sick, and against sitting on what cannot go out any more. Hurts quick ones.
 func (f *Forwarder) short(d *Doc) bool {
-	return d.expiry-f.now < math.Max(lastCall, math.Min(d.Dest.took.slow, d.time/8))
+	open := func(t *Target) bool { return t.standing != Ready || t.route.closed < d.expiry }
+	closed := len(d.Dest.targets) > 0 && !slices.ContainsFunc(d.Dest.targets, open)
+	return closed || d.expiry-f.now < math.Max(lastCall, math.Min(d.Dest.took.slow, d.time/8))
 }
 
 // review answers the documents that have no way left to arrive.
@@ -779,10 +782,7 @@
 }
 
 func (f *Forwarder) dearer(a, b *Doc) bool {
-	if a.surplus != b.surplus {
-		return b.surplus
-	}
-	return f.worth(a) > f.worth(b)
+	return b.surplus && !a.surplus || a.surplus == b.surplus && f.worth(a) > f.worth(b)
 }
 
 // line is the time in slots that a destination's waiting documents take: a few calls may clear a long one.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1137,3 +1137,19 @@
 		require.False(t, d.targets[0].Sick())
 	}
 }
+
+func TestWhatIsClosedBeyondItsExpiryIsAnsweredAtOnce(t *testing.T) {
+	h := start(terms)
+	d := h.receiver(0, 0)
+	first, long := h.take(d, status, 0), h.take(d, status, 0)
+	short := &Doc{Dest: d, Tenant: 9}
+	h.Take(short, status, 4)
+	h.settle()
+	h.ends(first, Full, 9)
+	h.settle()
+	h.ends(long, Full, 0)
+	h.ends(short, Full, 0)
+	h.settle()
+	require.Equal(t, "rejected", h.done[short], "there is no way left before its end")
+	require.Empty(t, h.done[long])
+}
