Two stories of the move made to fail without their code; one place for the two values

Ruled out by mutation: the other stories of the move fail without their code. The settings of two tests with two types stand in one place.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -981,12 +981,17 @@
 	require.Positive(t, asked)
 }
 
-func TestTheDearerTypeGoesFirstAndNeitherStarves(t *testing.T) {
+// twoValues is a forwarder with two slots and two types, the second worth twice as much.
+func twoValues(room int) (*fake, *Destination) {
 	two := terms
 	two.Types = []DocType{{Repeat: Binding, Agreed: 3, Life: 16, Value: 1}, {Repeat: Numbered, Agreed: 2, Life: 28, Memory: 7, Value: 2}}
-	two.Slots, two.Room = 2, 20
+	two.Slots, two.Room = 2, room
 	h := start(two)
-	d := h.receiver(0, 0)
+	return h, h.receiver(0, 0)
+}
+
+func TestTheDearerTypeGoesFirstAndNeitherStarves(t *testing.T) {
+	h, d := twoValues(20)
 	h.flood(d, 0, 12)
 	h.flood(d, 1, 6)
 	var order []int
@@ -1006,11 +1011,7 @@
 }
 
 func TestACrowdedRoomLosesTheCheaperTypeFirst(t *testing.T) {
-	two := terms
-	two.Types = []DocType{{Repeat: Binding, Agreed: 3, Life: 16, Value: 1}, {Repeat: Numbered, Agreed: 2, Life: 28, Memory: 7, Value: 2}}
-	two.Slots, two.Room = 2, 18
-	h := start(two)
-	d := h.receiver(0, 0)
+	h, d := twoValues(18)
 	h.flood(d, 1, 8)
 	h.flood(d, 0, 6)
 	h.flood(d, 1, 6)
@@ -1127,14 +1128,14 @@
 	for i := range 40 {
 		doc := h.take(d, status, 0)
 		h.pass(0.9)
-		if i%8 == 7 {
+		if i%3 == 2 {
 			h.Ended(doc, Ending{Outcome: NoConnection, Took: 0.8}) // not up in time
+			require.False(t, d.targets[0].Sick())
 			h.pass(1.5)
 		}
 		for doc.call != nil {
 			h.Ended(doc, Ending{Outcome: Delivered, Over: true, Took: 0.75})
 		}
-		require.False(t, d.targets[0].Sick())
 	}
 }
 
--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -166,5 +166,5 @@
 	}
 	f.pass(10, 20)
 	calls, _ := f.pass(2, 0) // as it returns
-	require.Less(t, calls, 2*20, "twice a fifth of what it takes would be 16, but who has not called yet knows nothing")
+	require.Less(t, calls, 26, "twice a fifth of what it takes, with some to spare")
 }
