A call is given up by closing its line first, and then asking whether it was written

Seen, by reading: trunk.giveUp asked Line.Sent and closed the line after it (internal/outlet/outlet.go).

Ruled out: the other places that ask (Data, Down) ask of a line that is closed already; nbio holds the connection's lock over the system call and its callback, so that the count is final once a close has returned.

Change: Line.Cut closes and then tells.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -181,13 +181,22 @@
 	return errors.Is(err, syscall.EAGAIN)
 }
 
-// Sent tells if the socket took the last byte of all that was to be written.
+// Sent tells if the socket took the last byte of all that was to be written. On a line that stands this may be so a moment
+// later; to act on its not being so, Cut the line.
 func (l *Line) Sent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.written.Load() >= l.wanted
 }
 
+// Cut ends the line and tells if the last byte of all that was to be written may have gone. Guards against asking first:
+// a line that comes up, or takes what it has kept, between the answer and the end would carry a call that counts as never
+// sent.
+func (l *Line) Cut() (sent bool) {
+	l.shut()
+	return l.Sent()
+}
+
 // Close ends the line; Down is not called for it.
 func (l *Line) Close() { l.shut() }
 
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -207,14 +207,13 @@
 		t.line.Close()
 		return
 	}
-	end, why := seam.GivenUp, ""
+	end, why, sent := seam.GivenUp, "", t.line.Cut()
 	switch {
-	case t.unsent || !t.line.Sent():
+	case t.unsent || !sent:
 		end = seam.GivenUpEarly
 	case t.reader.Begun():
 		end, why = seam.Garbled, "the answer never ended"
 	}
-	t.line.Close()
 	t.finish(t.cut(end), why)
 }
 
