A client's connection is closed only while nothing is being read from it

Such a command was read and its connection ended without an answer: lost, by the protocol's words.

Change: reading holds a lock of the client's; a close asks and closes under it and lets a connection alone that is being read from, whose reader asks again. Halt reads nothing more and returns when what was read is at the desk. What waits unread in the socket resets the connection and is the client's to send once more.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,11 +5,15 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -22,6 +26,7 @@
 type Client struct {
 	intake  *Intake
 	conn    *nbio.Conn
+	reading sync.Mutex // held while something is read: what is closed meanwhile may have been read and never answered
 	reader  resp.Reader
 	asked   atomic.Int32 // commands without an answer
 	partial atomic.Bool  // a command is read in part
@@ -37,9 +42,24 @@
 	ends  time.Time // told its last answer: closed from then on
 }
 
-// quiet tells that closing the connection takes no answer from anybody.
+// quiet tells that closing the connection takes no answer from anybody, as long as nothing is read meanwhile.
 func (c *Client) quiet() bool { return c.asked.Load() == 0 && !c.partial.Load() }
 
+// end closes the connection if it is quiet still and nothing is being read from it. Guards against a command that is
+// read between the question and the close, whose caller would never be answered; one that waits unread in the socket
+// is the client's to send once more. A connection that is read from just then is asked about again by its reader.
+func (c *Client) end() bool {
+	if !c.reading.TryLock() {
+		return false
+	}
+	defer c.reading.Unlock()
+	if !c.quiet() {
+		return false
+	}
+	c.conn.Close()
+	return true
+}
+
 // Patience is how long connections without an open command are kept, in seconds.
 type Patience struct {
 	Silent float64 // without a whole command, or with one that does not go on
@@ -56,6 +76,7 @@
 	mu       sync.Mutex
 	clients  map[*Client]struct{}
 	leaving  bool
+	halted   bool // nothing more is read
 	stop     chan struct{}
 	counts   seam.Tally
 	ln       net.Listener
@@ -73,6 +94,9 @@
 	sweepEvery  = 100 * time.Millisecond
 	lingers     = 200 * time.Millisecond // after the last answer, so that it is read before the connection ends
 	mostSpilled = 1 << 20                // bytes that are passed over while it lingers
+	readBuffer  = 72 << 10
+	readsATime  = 8 // of one connection, while others wait
+	haltedPause = 5 * time.Millisecond
 )
 
 func (d door) Accept() (net.Conn, error) {
@@ -108,7 +132,7 @@
 	in := &Intake{desk: desk, patience: patience, most: most, hard: hard, clients: map[*Client]struct{}{},
 		stop: make(chan struct{})}
 	in.engine = nbio.NewEngine(nbio.Config{Name: "intake", Network: "tcp", Addrs: []string{addr}, NPoller: 1,
-		ReadBufferSize: 72 << 10, MaxWriteBufferSize: 256 << 10, MaxConnReadTimesPerEventLoop: 8,
+		ReadBufferSize: 1, MaxWriteBufferSize: 256 << 10,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := listen(network, addr)
 			in.ln = l
@@ -120,9 +144,10 @@
 			in.closed(cl)
 		}
 	})
-	in.engine.OnData(func(c *nbio.Conn, b []byte) {
+	buffer := make([]byte, readBuffer) // there is one poller
+	in.engine.OnRead(func(c *nbio.Conn) {
 		if cl, ok := c.Session().(*Client); ok {
-			in.data(cl, b)
+			in.read(cl, buffer)
 		}
 	})
 	if err := in.engine.Start(); err != nil {
@@ -172,6 +197,8 @@
 				over = append(over, c)
 			}
 		case c.mute.Load() || c.asked.Load() > 0:
+		case in.leaving && c.spoke && !c.partial.Load(): // its answer and its reader each left the close to the other
+			over = append(over, c)
 		case c.partial.Load():
 			if before(c.since, in.patience.Silent) || !c.spoke && before(c.born, in.patience.Silent) {
 				late = append(late, c)
@@ -187,7 +214,11 @@
 	}
 	in.mu.Unlock()
 	for _, c := range over {
-		c.conn.Close()
+		if c.mute.Load() { // it has had its last answer
+			c.conn.Close()
+		} else {
+			c.end()
+		}
 	}
 	for _, c := range late {
 		c.refuse("ERR the command did not go on in time")
@@ -206,15 +237,23 @@
 func (in *Intake) Leave() {
 	in.mu.Lock()
 	in.leaving = true
-	var quiet []*Client
-	for c := range in.clients {
-		if c.quiet() {
-			quiet = append(quiet, c)
-		}
+	all := slices.Collect(maps.Keys(in.clients))
+	in.mu.Unlock()
+	for _, c := range all {
+		c.end()
 	}
+}
+
+// Halt reads nothing more, from any connection. When it returns, whatever was read is at the desk; what is not read is
+// its client's to send once more.
+func (in *Intake) Halt() {
+	in.mu.Lock()
+	in.halted = true
+	all := slices.Collect(maps.Keys(in.clients))
 	in.mu.Unlock()
-	for _, c := range quiet {
-		c.conn.Close()
+	for _, c := range all {
+		c.reading.Lock()
+		c.reading.Unlock()
 	}
 }
 
@@ -298,7 +337,13 @@
 	in.clients[c] = struct{}{}
 	in.counts.Most = max(in.counts.Most, len(in.clients))
 	in.mu.Unlock()
-	if oldest != nil {
+	if oldest != nil && !oldest.mute.Load() && !oldest.end() { // a command came just now: it stays, over the bound
+		in.mu.Lock()
+		if !oldest.gone.Load() {
+			in.clients[oldest] = struct{}{}
+		}
+		in.mu.Unlock()
+	} else if oldest != nil {
 		oldest.conn.Close()
 	}
 }
@@ -310,6 +355,43 @@
 	in.mu.Unlock()
 }
 
+// read takes what a connection has; while it does, nobody else closes it.
+func (in *Intake) read(c *Client, buffer []byte) {
+	_, halted := in.state()
+	if halted { // the process ends within moments
+		time.Sleep(haltedPause)
+		return
+	}
+	c.reading.Lock()
+	_, halted = in.state() // asked again: Halt may have passed between the two lines
+	var err error
+	for n, i := len(buffer), 0; i < readsATime && n == len(buffer) && !halted; i++ {
+		for n, err = c.conn.Read(buffer); errors.Is(err, syscall.EINTR); {
+			n, err = c.conn.Read(buffer)
+		}
+		if n == 0 && err == nil {
+			err = io.EOF
+		}
+		if n > 0 {
+			in.data(c, buffer[:n])
+		}
+	}
+	c.reading.Unlock()
+	if err != nil && !errors.Is(err, syscall.EAGAIN) {
+		c.conn.CloseWithError(err)
+		return
+	}
+	if leaving, _ := in.state(); leaving {
+		c.end()
+	}
+}
+
+func (in *Intake) state() (leaving, halted bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.leaving, in.halted
+}
+
 func (in *Intake) data(c *Client, b []byte) {
 	if c.mute.Load() {
 		if c.spilled += len(b); c.spilled > mostSpilled {
@@ -428,8 +510,8 @@
 		c.ends = time.Now().Add(lingers)
 	}
 	c.intake.mu.Unlock()
-	if leaving && !r.Last && c.quiet() {
-		c.conn.Close()
+	if leaving && !r.Last {
+		c.end()
 	}
 	return err == nil
 }
