What a restart finds untried is tried; an agent's list is heard before anything is sent

Change: where the list lies with an agent (Terms.Agent) nothing is sent until it was heard or asking failed, and questions are not spread.

A list that fell silent was asked for as late as after a failure: three seconds until noticed and up to 6.5 s more with 300 forwarders, where what it missed counts as told after six. ListSilent asks within a second.

A restart found documents untried and gave them up by kept call times (short) or cut them (crowd). They are tried while there is time.

Stories in restart_test.go each fail without their lines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,10 +1,9 @@
 // Package choice decides which document goes out when, to which target, and which is given up.
 //
 // How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the
-// order of arrival (List, ListFailed, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and Settle once.
-// Where the room at the door is the module's to mind, Admit comes before Take. The interface is in
-// port.go, what is remembered in state.go. The ordinary path is that of docs/design.md: rings, cap, retries
-// below fresh work.
+// order of arrival (List, ListFailed, ListSilent, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and
+// Settle once. Where the room at the door is the module's to mind, Admit comes before Take. The interface is
+// in port.go, what is remembered in state.go. The ordinary path is that of docs/design.md.
 //
 // Mechanisms beside the design:
 //  1. recovery: a target or route that fails is tried at a trickle, then paced up (cool, doubt, pace)
@@ -56,7 +55,7 @@
 // List takes news of the targets; whole means that all are named.
 func (f *Forwarder) List(whole bool, lines []Listing) {
 	named := map[*Target]bool{}
-	f.unlisted = 0
+	f.unlisted, f.blind = 0, f.blind && f.now == f.began
 	if f.now == f.began && f.askAt == f.now && len(lines) > 0 { // as last known: the question can wait
 		f.askAt += f.asking() * f.dice.unit()
 	}
@@ -103,22 +102,21 @@
 // row doubles the time to the next question. Guards against all forwarders together keeping discovery's line
 // so long that nobody is served in time; hurts when it was down and is back.
 func (f *Forwarder) ListFailed() {
-	wait := math.Max(1, f.asking()) * math.Pow(2, float64(f.unlisted))
-	if f.terms.AskWithin > 0 {
-		wait = math.Min(wait, f.terms.AskWithin)
-	}
-	f.unlisted = min(f.unlisted+1, 4)
+	wait := math.Min(math.Max(1, f.asking())*math.Pow(2, float64(f.unlisted)), f.terms.AskWithin)
+	f.unlisted, f.blind = min(f.unlisted+1, 4), false
 	f.askAt = f.now + wait*(0.3+f.dice.unit())
 }
 
+// ListSilent says that the list fell silent. What it missed soon counts as told: the question cannot wait.
+func (f *Forwarder) ListSilent() { f.askAt = f.now + math.Min(1, f.asking())*f.dice.unit() }
+
 // asking is the span over which all forwarders that ask at the same moment spread: those of a fleet are
 // started, or lose discovery, together. At most half of the time in which the rules want a question.
 func (f *Forwarder) asking() float64 {
-	span := float64(f.terms.Forwarders-1) / asksAtOnce
-	if f.terms.AskWithin > 0 {
-		span = math.Min(span, f.terms.AskWithin/2)
+	if f.terms.Agent { // nobody else asks it
+		return 0
 	}
-	return span
+	return math.Min(float64(f.terms.Forwarders-1)/asksAtOnce, f.terms.AskWithin/2)
 }
 
 // Admit tells if a document is taken on, or when to come back with it.
@@ -142,15 +140,15 @@
 	} else if past.Answered { // and is not transmitted any more
 		d.telling = true
 		f.finish(d)
-	} else if d.sent, d.ranFrom, d.ranZone = past.Sent, past.Ran, past.Zone; d.sent > 0 {
+	} else if d.sent, d.ranFrom, d.ranZone, d.owed = past.Sent, past.Ran, past.Zone, past.Sent == 0; !d.owed {
 		f.dequeue(d)
 		d.Dest.retry = append(d.Dest.retry, d)
 		f.enqueue(d)
 	}
 }
 
-// Remember takes the call times that an earlier process measured, of all that it learnt the only figures that mean
-// the same in a fleet of another size: paces, usual loads and health start afresh. They count as a few calls.
+// Remember takes the call times that an earlier process measured, of all that it learnt the only figures that
+// mean the same in a fleet of another size: paces, loads and health start afresh. They count as a few calls.
 func (f *Forwarder) Remember(d *Destination, times []float64) bool { return d.took.refill(times, kept) }
 
 // Stop says that the process ends after so long. No call begins that is likely to be out then: what is held
@@ -539,7 +537,7 @@
 	if f.ill(d) {
 		part = capIll
 	}
-	stops := f.until > 0 && f.now+d.took.slow > f.until
+	stops := f.blind || f.until > 0 && f.now+d.took.slow > f.until
 	if stops || f.out >= f.terms.Slots || d.out >= share(f.terms.Slots, part) {
 		return nil
 	}
@@ -721,10 +719,14 @@
 	}
 }
 
-// short tells that a document has less time left than calls to its destination mostly take, or than its targets
-// are closed. Guards against a long line transmitted just too late, each a time-out that makes its target look
-// sick, and against sitting on what cannot go out any more. Hurts quick ones.
+// short tells that a document has less time left than calls to its destination mostly take, or its targets
+// are closed for. Guards against a long line sent just too late, each a time-out that makes its target look
+// sick, and against sitting on what cannot go out any more. Hurts quick ones. What a restart found untried is
+// tried while there is time, whatever kept times and waits say.
 func (f *Forwarder) short(d *Doc) bool {
+	if d.owed && d.sent == 0 {
+		return d.expiry-f.now < lastCall
+	}
 	open := func(t *Target) bool { return t.standing != Ready || t.route.closed < d.expiry }
 	closed := len(d.Dest.targets) > 0 && !slices.ContainsFunc(d.Dest.targets, open)
 	return closed || d.expiry-f.now < math.Max(lastCall, math.Min(d.Dest.took.slow, d.time/8))
@@ -760,15 +762,15 @@
 				worst = d
 			}
 		}
-		if worst == nil {
-			return
-		}
 		var last *Doc
-		for _, d := range f.held {
-			if d.Dest == worst && d.queued && (last == nil || d.ranFrom == 0 && !f.dearer(d, last)) {
+		for _, d := range f.held { // what a restart found is not cut: the door is shut before
+			if d.Dest == worst && d.queued && !d.owed && (last == nil || d.ranFrom == 0 && !f.dearer(d, last)) {
 				last = d
 			}
 		}
+		if last == nil {
+			return
+		}
 		f.answer(last)
 	}
 }
--- a/choice/port.go
+++ b/choice/port.go
@@ -38,6 +38,7 @@
 	Halves        bool    // value falls by half with each further agreed time, to LateShare at most; else evenly
 	ComeBackMost  float64 // the longest time to come back that a rejection may name; 0: none
 	AskList       bool    // the list comes only after asking
+	Agent         bool    // what is asked for lies with an agent: it counts as told from the start on, heard or not
 	AskWithin     float64 // the rules want a question for the list so often while it does not come; 0: not stated
 	RoughRate     float64 // the listed rate may be this many times too high; 0: none is listed
 	Keep          int     // bytes of documents that can be kept beyond a restart; 0: no bound
--- /dev/null
+++ b/choice/restart_test.go
@@ -0,0 +1,95 @@
+package choice
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Stories of rare moments: what a restart finds, a list that falls silent, one that is not heard yet.
+
+func TestWhatARestartFindsUntriedIsTriedThoughLittleTimeIsLeft(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	slow := make([]float64, len(d.took.bins))
+	slow[d.took.bin(4)] = 5
+	require.True(t, h.Remember(d, slow))
+	owed, fresh := &Doc{Dest: d}, &Doc{Dest: d}
+	h.Recover(owed, status, 0.3, Past{})
+	h.Take(fresh, status, 0.3)
+	fresh.time = 20 // it waited here for most of its life
+	h.settle()
+	require.Equal(t, "rejected", h.done[fresh], "calls mostly take longer")
+	require.Empty(t, h.done[owed])
+	require.Equal(t, owed, h.sent[0].doc)
+	h.pass(0.4)
+	require.Equal(t, "rejected", h.done[owed], "tried, and answered in its time")
+}
+
+func TestAWaitOfBeforeDoesNotGiveUpWhatARestartFoundUntried(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	owed := &Doc{Dest: d}
+	h.Recover(owed, status, 2, Past{})
+	h.Close(d.targets[0], h.now+30)
+	h.settle()
+	require.Empty(t, h.done, "it is held as long as there is time: another target may come")
+	sibling := &Target{Door: 9}
+	h.List(false, []Listing{{Target: sibling, Dest: d, Kind: 0, Standing: Ready}})
+	sibling.route = &Route{filled: h.now}
+	h.pass(0.4)
+	require.Equal(t, owed, h.sent[0].doc)
+}
+
+func TestACrowdedRoomKeepsWhatARestartFoundUntried(t *testing.T) {
+	h := start(onSockets())
+	d := h.NewDestination(1)
+	owed := map[*Doc]bool{}
+	for range h.terms.Room {
+		doc := &Doc{Dest: d}
+		owed[doc] = true
+		h.Recover(doc, status, 20, Past{})
+	}
+	h.settle()
+	require.Empty(t, h.done)
+	require.False(t, admits(h, 1, 8), "the door is shut meanwhile")
+}
+
+func TestAListThatFellSilentIsAskedForBeforeWhatItMissedCountsAsTold(t *testing.T) {
+	asks := terms
+	asks.AskList, asks.AskWithin, asks.Forwarders = true, 10, 300
+	for seed := range uint64(50) {
+		h := &fake{now: 100, done: map[*Doc]string{}, back: map[*Doc]float64{}}
+		h.Forwarder = New(asks, seed, h.now, h)
+		h.settle()
+		require.Equal(t, 1, h.asks, "nothing known: at once")
+		h.pass(5)
+		h.ListSilent()
+		h.pass(1.02)
+		require.Equal(t, 2, h.asks, "it was silent for three seconds when that was noticed, and six count as told")
+	}
+}
+
+func TestAnAgentsListIsHeardBeforeAnythingIsSent(t *testing.T) {
+	told := onSockets()
+	told.AskList, told.Agent, told.Forwarders = true, true, 300
+	h := start(told)
+	d := h.receiver(0, 0) // as last known: by now it may drain
+	h.take(d, status, 0)
+	h.settle()
+	require.Equal(t, 1, h.asks, "nobody else asks this agent: no need to spread")
+	require.Empty(t, h.sent)
+	h.now += 0.01
+	h.settle()
+	h.List(true, []Listing{{Target: d.targets[0], Dest: d, Kind: 0, Standing: Draining}})
+	h.pass(1)
+	require.Empty(t, h.sent)
+
+	h = start(told)
+	d = h.receiver(0, 0)
+	h.take(d, status, 0)
+	h.pass(0.02)
+	h.ListFailed() // discovery is down: the agent knows nothing either
+	h.pass(0.02)
+	require.Len(t, h.sent, 1)
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -32,6 +32,7 @@
 	agreed   float64         // the shortest agreed time of all types, and the shortest life
 	life     float64
 	askAt    float64 // when to ask for the list; infinite while it is coming
+	blind    bool    // the list of now counts as told and was not heard yet
 	unlisted int     // questions for the list that failed in a row
 }
 
@@ -43,6 +44,10 @@
 	if terms.AskList {
 		f.askAt = now
 	}
+	f.blind = terms.Agent
+	if f.terms.AskWithin <= 0 {
+		f.terms.AskWithin = math.Inf(1)
+	}
 	f.agreed, f.life = math.Inf(1), math.Inf(1)
 	for _, typ := range terms.Types {
 		f.agreed, f.life = math.Min(f.agreed, typ.Agreed), math.Min(f.life, typ.Life)
@@ -72,6 +77,7 @@
 	surplus  bool // beyond its tenant's share
 	telling  bool // its answer is on its way
 	freed    bool
+	owed     bool // a restart found it untried
 
 	want  answer // what is wanted of it; emit brings it about
 	to    *Target
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -136,7 +136,7 @@
 // terms are what the module is told, and the names behind its numbers.
 func (l *Loaded) terms() (choice.Terms, terms.Names) {
 	d := &l.Dispatch
-	t := choice.Terms{Forwarders: d.Forwarders, Slots: d.Slots, Room: d.Room, Transmissions: d.Transmissions, KeyRest: float64(d.KeyRest), AskWithin: float64(d.AskWithin),
+	t := choice.Terms{AskList: true, Forwarders: d.Forwarders, Slots: d.Slots, Room: d.Room, Transmissions: d.Transmissions, KeyRest: float64(d.KeyRest), AskWithin: float64(d.AskWithin),
 		ColdFrom: d.ColdFrom, ColdFor: float64(d.ColdFor), FallMultiple: d.FallMultiple, IdleLife: float64(d.IdleLife),
 		Halves: d.Late == "halves", ComeBackMost: float64(d.ComeBack), RoughRate: map[string]float64{"exact": 1, "rough": 1.5}[d.ListedRates]}
 	n := terms.Names{Zones: l.Zones, LimitAt: -1, Limit: d.ReportLimit, LeftAt: -1, Left: d.ReportLeft, Connect: float64(d.Connect)}
