A process's last moments, kept waits, silent lists and notices: crossings closed

An object indented over several lines could not be read. - A notice on a dead connection was sent anew after 300 + 50 ms, which is when a document told at its expiry is lost: now after 120 ms, at once, doubling while none is answered; a late timer counts for nothing (directory.report). - Recovered untried, called and expired stand in /_vars and in one line, 'recovered documents settled'.

--- a/forward/daily.go
+++ b/forward/daily.go
@@ -184,6 +184,7 @@
 	fulfilled, throttled, faulted []int // by type of document
 	relayed                       int   // documents written whole to targets
 	accepted, invalid             int   // orders read again and taken up, or not
+	untried, called, expired      int   // of what the start found untried: all, those called since, those out of time then
 }
 
 // final counts a document's final answer, once, where it is decided: the one source of the operators' figures and of
@@ -242,6 +243,12 @@
 			fmt.Fprintf(&b, "proxy.%s.%s:%d|c\n", c.name, name, n)
 		}
 	}
+	for _, c := range []struct {
+		name string
+		n    int
+	}{{"recovered_untried", f.untried}, {"recovered_called", f.called}, {"recovered_expired", f.expired}} {
+		fmt.Fprintf(&b, "proxy.%s:%d|c\n", c.name, c.n)
+	}
 	fmt.Fprintf(&b, "proxy.relayed:%d|c\nproxy.cfg_accepted:%d|c\nproxy.cfg_invalid:%d|c\n", f.relayed, f.accepted, f.invalid)
 	fmt.Fprintf(&b, "proxy.open_requests:%d|g\nproxy.registry_entries:%d|g\nproxy.out_of_rotation:%d|g\n", open, listed, avoided)
 	return b.String()
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +16,7 @@
 	spare  []any
 	gates  []*gate
 	oldest time.Time
-	closed bool // nobody takes news any more
+	closed bool // the last news are being taken: nobody waits for room
 	bell   chan struct{}
 }
 
@@ -149,6 +150,14 @@
 	return news, oldest
 }
 
+// asked tells that something which callers asked waits to be taken.
+func (x *Exchange) asked() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.ContainsFunc(x.gates, func(g *gate) bool { return len(g.waiting) > 0 })
+}
+
+// close lets no front wait for room any more: the owner is about to take the last news.
 func (x *Exchange) close() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -192,7 +201,7 @@
 func (x *Exchange) Listed(l *seam.List) { x.leave(l) }
 
 // WatchEnded says that the list stopped coming.
-func (x *Exchange) WatchEnded(why string) { x.leave(watchEnded(why)) }
+func (x *Exchange) WatchEnded(why string, silent bool) { x.leave(watchEnded{why, silent}) }
 
 // NoticesLost says that notices will be sent once more.
 func (x *Exchange) NoticesLost(why string) { x.leave(noticesLost(why)) }
@@ -201,7 +210,10 @@
 func (x *Exchange) Told(doors []uint64) { x.leave(told(doors)) }
 
 type (
-	watchEnded  string
+	watchEnded struct {
+		why    string
+		silent bool
+	}
 	noticesLost string
 	told        []uint64
 	withdrawn   string
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,6 +35,7 @@
 	comingFor     = 500 * time.Millisecond  // new connections may still come for so long
 	lookEvery     = 20 * time.Millisecond
 	countsEvery   = 10 * time.Second
+	learnEvery    = 3 * time.Second
 	descriptors   = 32 // for files, pollers and the like
 	spareClients  = 4  // connections that are closed to make room while as many come
 	connectAtMost = 30 * time.Second
@@ -85,7 +86,11 @@
 			log.Info().Int("pid", ledger.Owner(order.Folder)).Msg("waiting for the folder")
 		}
 	}
-	led, err := ledger.OpenWaiting(order.Folder, int64(order.DiskMB)*1_000_000, wait)
+	led, err := ledger.OpenWaiting(ctx, order.Folder, int64(order.DiskMB)*1_000_000, wait)
+	if errors.Is(err, context.Canceled) {
+		log.Info().Msg("told to stop while waiting for the folder")
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("PROXY_STATE: %w", err)
 	}
@@ -97,6 +102,7 @@
 	}
 	defer dialer.Stop()
 	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
+	order.Terms.Agent = !order.Terms.AskList && order.Discovery != ""
 	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
 	o := &owner{operators: operators, rota: rota.New(readOut(order.Folder)), order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
 		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
@@ -141,7 +147,6 @@
 			o.close(l)
 		}
 	}()
-	defer x.close()
 	said := log.Info()
 	for i, l := range o.fronts {
 		name := "listen"
@@ -162,6 +167,7 @@
 		ready(o.fronts[0].Addr())
 	}
 	o.serve(ctx, again, dialer)
+	o.last()
 	o.keepWaits(o.clock(time.Now()))
 	o.keepLearnt()
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
@@ -232,6 +238,8 @@
 	timer := time.NewTimer(0)
 	report := time.NewTicker(countsEvery)
 	defer report.Stop()
+	learn := time.NewTicker(learnEvery)
+	defer learn.Stop()
 	asked := ctx.Done()
 	var coming, end, look <-chan time.Time
 	handing, shut := false, false
@@ -253,6 +261,9 @@
 		case <-report.C:
 			o.report(dialer)
 			continue
+		case <-learn.C:
+			o.keepLearnt()
+			continue
 		case <-tray:
 			if handing || !o.emptyTray() { // what is called once this one hands over, its successor takes up
 				continue
@@ -283,7 +294,6 @@
 			look = time.Tick(lookEvery)
 		case <-look: // if the clients have gone
 		case <-end:
-			o.turn()
 			return
 		}
 		clients := 0
@@ -310,6 +320,19 @@
 	}
 }
 
+// last answers what callers have asked up to the end. Guards against a command that was read behind the last turn and
+// lost with the process: what is read is answered, what is not its client sends once more. No call begins any more.
+func (o *owner) last() {
+	o.exchange.close() // a front that waits for room does not, so that it can be halted
+	for _, l := range append(slices.Clone(o.fronts), o.leaving...) {
+		l.Halt()
+	}
+	o.exchange.leave(stopping(0))
+	for again := true; again; again = o.exchange.asked() {
+		o.turn()
+	}
+}
+
 // report writes the counts, the first front's with the forwarder's own.
 func (o *owner) report(dialer *dial.Dialer) {
 	idle := 0
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -59,6 +59,7 @@
 	rota      *rota.Rota // targets out by hand
 	figures   figures
 	stopping  bool                 // told to stop
+	untried   int                  // recovered documents for which no call has begun yet
 	waits     map[string]float64   // of an earlier process, for targets not listed yet
 	learnt    map[uint64][]float64 // call times that an earlier process measured, for destinations not heard of yet
 }
@@ -71,6 +72,7 @@
 	holder    seam.Holder // whom the final answer is for; nil: the teller
 	came      time.Time
 	traced    bool
+	untried   bool // an earlier process took it on, and no call has begun yet
 	withdrawn bool // its holder has gone: nothing is owed, though a transmission may be out
 }
 
@@ -108,7 +110,9 @@
 // begin gives the module the known list and what an earlier process owed.
 func (o *owner) begin(now time.Time) {
 	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
-	o.waits = readWaits(o.order.Folder, o.clock(now))
+	if o.order.Inherited > 0 { // this process and the one before are one forwarder; a restart ends the waits
+		o.waits = readWaits(o.order.Folder, o.clock(now))
+	}
 	if o.learnt = readLearnt(o.order.Folder, o.order.shape(), &o.log); len(o.learnt) > 0 {
 		o.log.Info().Int("destinations", len(o.learnt)).Msg("learnt figures taken up")
 	}
@@ -137,8 +141,15 @@
 		case e.Answer == ledger.Abandoned:
 			o.tell(p, seam.Abandoned, 0)
 		}
-		o.f.Recover(p.doc, typ, float64(e.Expiry)/1e6-o.clock(now), past)
+		left := float64(e.Expiry)/1e6 - o.clock(now)
+		o.f.Recover(p.doc, typ, left, past)
 		o.counts.recovered++
+		if p.untried = past.Sent == 0 && !past.Answered && !past.Left; p.untried {
+			if o.figures.untried++; left <= 0 {
+				o.figures.expired++
+			}
+			o.untried++
+		}
 		if p.withdrawn = e.Held; p.withdrawn {
 			o.forget(p)
 		}
@@ -147,6 +158,23 @@
 	o.flush()
 }
 
+// settled takes a document that a restart found untried off the count of those that are: it was called, or has ended
+// without. With the last of them a line says how many were.
+func (o *owner) settled(p *paper, called bool) {
+	if !p.untried {
+		return
+	}
+	p.untried = false
+	o.untried--
+	if called {
+		o.figures.called++
+	}
+	if o.untried == 0 {
+		o.log.Info().Int("recovered", o.counts.recovered).Int("untried", o.figures.untried).Int("called", o.figures.called).
+			Int("uncalled", o.figures.untried-o.figures.called).Int("expired_before", o.figures.expired).Msg("recovered documents settled")
+	}
+}
+
 // withdraw ends a document whose caller waited for its final answer and has gone.
 func (o *owner) withdraw(id string) {
 	p := o.byID[id]
@@ -230,8 +258,12 @@
 			o.log.Warn().Str("why", string(n)).Msg("notices not answered")
 		}
 	case watchEnded:
-		o.log.Warn().Str("why", string(n)).Msg("watch ended")
-		o.f.ListFailed()
+		o.log.Warn().Str("why", n.why).Msg("watch ended")
+		if n.silent {
+			o.f.ListSilent()
+		} else {
+			o.f.ListFailed()
+		}
 	case told:
 		for _, door := range n {
 			if p := o.docs[door]; p != nil {
@@ -304,7 +336,7 @@
 	case !listed && o.heard:
 		return declined("unknown destination")
 	case !listed: // the list may be old
-		return seam.Reply{Word: seam.Busy, Wait: int(lateList.Milliseconds())}
+		return seam.Reply{Word: seam.Busy, Wait: int(1000 * min(lateList.Seconds(), o.order.Terms.ComeBackMost))}
 	}
 	if a.From.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
 		return seam.Reply{Word: seam.Busy}
@@ -398,6 +430,7 @@
 // forget lets go of a document of which nothing more can be heard.
 func (o *owner) forget(p *paper) {
 	if p.doc.Over() {
+		o.settled(p, false)
 		if p.withdrawn {
 			o.over(p)
 		}
--- a/forward/seam_test.go
+++ b/forward/seam_test.go
@@ -37,6 +37,7 @@
 func (m *memory) Leave()            {}
 func (m *memory) Stay()             {}
 func (m *memory) Shut()             {}
+func (m *memory) Halt()             {}
 func (m *memory) Stop()             {}
 
 // caller waits for its final answer.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"sync"
 	"time"
@@ -20,7 +21,8 @@
 	blankEvery  = 2 * time.Second        // an empty line comes so often while nothing changes
 	mostNotices = 512                    // in one call
 	answerIn    = 2 * time.Second        // a watch that has not begun so long after its connection is over
-	noticeIn    = 300 * time.Millisecond // notices are answered at once: after so long they are sent on a new connection
+	noticeIn    = 120 * time.Millisecond // notices are answered at once: after so long they are sent on a new connection
+	noticeMost  = 4                      // doublings of that while none is answered: the way may be a long one
 	againIn     = 50 * time.Millisecond
 )
 
@@ -42,6 +44,7 @@
 	waiting []seam.Final // not in a call
 	watched bool         // the list was asked for: not where only notices go
 	stopped bool
+	lost    int // calls with notices in a row that were not answered in time
 }
 
 // New has no connections yet.
@@ -86,8 +89,14 @@
 	line   *dial.Line
 	reader http1.Reader
 	code   int
-	rest   []byte // an unfinished line
+	rest   []byte // an unfinished object
+	depth  int    // of brackets open in it
+	quoted bool   // within a string
+	slash  bool   // behind a backslash in it
+	looked bool   // its first line can be the beginning of one
 	timer  *time.Timer
+	turn   int  // counts the times it was waited for, so that a late timer is known as one
+	told   bool // a line has come
 	over   bool
 }
 
@@ -114,7 +123,17 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	w.timer = time.AfterFunc(within, func() { w.end("silent") })
+	w.turn++
+	turn := w.turn
+	w.timer = time.AfterFunc(within, func() { w.silent(turn) })
+}
+
+func (w *watch) silent(turn int) {
+	w.dir.mu.Lock()
+	defer w.dir.mu.Unlock()
+	if w.turn == turn { // else a line came while this waited for the lock
+		w.ended("silent", w.told)
+	}
 }
 
 func (w *watch) close() {
@@ -126,10 +145,10 @@
 func (w *watch) end(why string) {
 	w.dir.mu.Lock()
 	defer w.dir.mu.Unlock()
-	w.ended(why)
+	w.ended(why, false)
 }
 
-func (w *watch) ended(why string) {
+func (w *watch) ended(why string, silent bool) {
 	if w.over {
 		return
 	}
@@ -137,7 +156,7 @@
 	if w.dir.watch == w {
 		w.dir.watch = nil
 	}
-	w.dir.desk.WatchEnded(why)
+	w.dir.desk.WatchEnded(why, silent)
 }
 
 // Data and Down make a watch a dial.Watcher.
@@ -148,13 +167,12 @@
 	if w.over {
 		return
 	}
-	w.await(blankEvery + blankEvery/2)
 	_, whole, err := w.reader.Feed(b, w)
 	switch {
 	case err != nil:
-		w.ended(err.Error())
+		w.ended(err.Error(), false)
 	case whole:
-		w.ended(fmt.Sprintf("answered %d", w.code))
+		w.ended(fmt.Sprintf("answered %d", w.code), false)
 	}
 }
 
@@ -169,30 +187,65 @@
 	if w.code != 200 {
 		return nil
 	}
-	for {
-		end := bytes.IndexByte(piece, '\n')
-		if end < 0 {
-			if len(w.rest)+len(piece) > mostLine {
-				return errors.New("a line of the list is over the limit")
-			}
-			w.rest = append(w.rest, piece...)
-			return nil
+	for len(piece) > 0 {
+		n, whole := w.scan(piece)
+		if w.rest = append(w.rest, piece[:n]...); len(w.rest) > mostLine {
+			return errors.New("a line of the list is over the limit")
 		}
-		line := piece[:end]
-		if len(w.rest) > 0 {
-			w.rest = append(w.rest, line...)
-			line = w.rest
+		piece = piece[n:]
+		if !whole {
+			return w.cut()
 		}
-		if line = bytes.TrimSpace(line); len(line) > 0 {
+		line := bytes.TrimSpace(w.rest)
+		if len(line) > 0 {
 			l := &seam.List{}
 			if err := json.Unmarshal(line, l); err != nil {
 				return fmt.Errorf("a line of the list cannot be read: %w", err)
 			}
 			w.dir.desk.Listed(l)
 		}
-		w.rest = w.rest[:0]
-		piece = piece[end+1:]
+		w.rest, w.told, w.looked = w.rest[:0], true, false
+		w.await(blankEvery + blankEvery/2) // only now: guards against a link on which bytes trickle and no line comes
+	}
+	return nil
+}
+
+// cut tells, once for each object, if the first line of one that goes on below cannot be the beginning of any.
+func (w *watch) cut() error {
+	end := bytes.IndexByte(w.rest, '\n')
+	if w.looked || end < 0 {
+		return nil
+	}
+	w.looked = true
+	var any json.RawMessage
+	if err := json.NewDecoder(bytes.NewReader(w.rest[:end])).Decode(&any); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+		return fmt.Errorf("a line of the list cannot be read: %w", err)
+	}
+	return nil
+}
+
+// scan finds the end of the next object, or of an empty line, in b. An object may be indented over several lines.
+func (w *watch) scan(b []byte) (n int, whole bool) {
+	for i, c := range b {
+		switch {
+		case w.slash:
+			w.slash = false
+		case w.quoted:
+			w.slash = c == '\\'
+			w.quoted = c != '"' && c != '\n' // a string holds no end of a line: what is spoilt ends there
+		case c == '"':
+			w.quoted = true
+		case c == '{' || c == '[':
+			w.depth++
+		case c == '}' || c == ']':
+			w.depth--
+		}
+		if c == '\n' && w.depth <= 0 {
+			w.depth, w.quoted, w.slash = 0, false, false
+			return i + 1, true
+		}
 	}
+	return len(b), false
 }
 
 // Notify sends a notice, again and again until it is answered.
@@ -211,6 +264,7 @@
 	code   int
 	out    []seam.Final
 	timer  *time.Timer
+	turn   int // counts its calls, so that a late timer is known as one
 }
 
 // report begins a call with the notices that wait, if none is out; the lock is held.
@@ -244,7 +298,24 @@
 	}
 	r.reader.Reset()
 	r.line.Write(http1.End(http1.Begin(nil, "POST", "/v1/notices", d.addr), body))
-	r.timer = time.AfterFunc(noticeIn, func() { r.lost("no answer") })
+	r.turn++
+	turn := r.turn
+	r.timer = time.AfterFunc(noticeIn<<min(d.lost, noticeMost), func() { r.silent(turn) })
+}
+
+// silent makes a call that is not answered again at once, on a new connection. Guards against a final answer told right
+// at a document's expiry going to a connection that has died unseen; a document is lost 300 ms after its expiry.
+func (r *report) silent(turn int) {
+	d := r.dir
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.out != r || r.turn != turn || len(r.out) == 0 { // the answer came while this waited for the lock
+		return
+	}
+	d.lost++
+	d.desk.NoticesLost("no answer")
+	r.drop()
+	d.report()
 }
 
 // lost puts the notices of a call back and makes it again a little later. A notice told twice does no harm.
@@ -293,6 +364,7 @@
 	}
 	if whole {
 		r.timer.Stop()
+		d.lost = 0
 		doors := make([]uint64, len(r.out))
 		for i, n := range r.out {
 			doors[i] = n.Door
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -18,8 +18,13 @@
 	told  chan []uint64
 }
 
-func (d *desk) Listed(l *seam.List)    { d.lists <- l }
-func (d *desk) WatchEnded(why string)  { d.ended <- why }
+func (d *desk) Listed(l *seam.List) { d.lists <- l }
+func (d *desk) WatchEnded(why string, silent bool) {
+	if silent {
+		why += ", having told"
+	}
+	d.ended <- why
+}
 func (d *desk) NoticesLost(why string) { d.lost <- why }
 func (d *desk) Told(doors []uint64)    { d.told <- doors }
 
@@ -99,7 +104,7 @@
 	d.Watch(1)
 	c, _ := accept()
 	c.Write([]byte(open + "1\r\n\n\r\n"))
-	require.Equal(t, "silent", <-k.ended)
+	require.Equal(t, "silent, having told", <-k.ended)
 }
 
 func TestWhereOnlyNoticesGoTheListIsNotAskedForAfterAMove(t *testing.T) {
@@ -112,3 +117,98 @@
 	require.Equal(t, []uint64{1}, <-k.told)
 	require.Nil(t, d.watch)
 }
+
+func TestAListMayBeIndentedOverSeveralLines(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Watch(1)
+	c, _ := accept()
+	list := "{\n  \"rev\": 7,\n  \"all\": true,\n  \"targets\": [\n    {\n      \"uid\": \"a}\\\"{\",\n      \"state\": \"active\"\n    }\n  ]\n}\n\n"
+	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+	for i := range list { // cut anywhere
+		c.Write([]byte(list[i : i+1]))
+	}
+	require.Equal(t, seam.List{Rev: 7, All: true, Targets: []seam.Target{{UID: `a}"{`, State: "active"}}}, *<-k.lists)
+	c.Write([]byte(`{"rev":8,"all":false,"targets":[]}` + "\n" + `{"rev":9,"all":false,"targets":[]}` + "\n"))
+	require.Equal(t, []int64{8, 9}, []int64{(<-k.lists).Rev, (<-k.lists).Rev})
+}
+
+func TestAWatchOnWhichBytesTrickleAndNoLineComesIsSilent(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Watch(1)
+	c, _ := accept()
+	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":1,\"all\":true,\"targets\":[]}\n{"))
+	<-k.lists
+	stop := make(chan struct{})
+	go func() {
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+				c.Write([]byte(" "))
+			}
+		}
+	}()
+	defer close(stop)
+	select {
+	case why := <-k.ended:
+		require.Equal(t, "silent, having told", why)
+	case <-time.After(15 * time.Second):
+		t.Fatal("kept for ever")
+	}
+}
+
+func TestATimerThatFiredWhileALineWasTakenEndsNothing(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Watch(1)
+	c, _ := accept()
+	d.mu.Lock()
+	w := d.watch
+	late := w.turn
+	d.mu.Unlock()
+	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":1,\"all\":true,\"targets\":[]}\n"))
+	<-k.lists
+	d.mu.Lock() // the reader has gone on to wait anew
+	d.mu.Unlock()
+	w.silent(late)
+	require.Empty(t, k.ended)
+	c.Write([]byte("{\"rev\":2,\"all\":false,\"targets\":[]}\n"))
+	require.Equal(t, int64(2), (<-k.lists).Rev)
+}
+
+func TestATimerThatFiredWhileANoticeWasAnsweredSendsNothingAgain(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
+	c, _ := accept()
+	d.mu.Lock()
+	r := d.out
+	late := r.turn
+	d.mu.Unlock()
+	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
+	<-k.told
+	d.Notify(seam.Final{Door: 2, ID: "b", Outcome: seam.Abandoned})
+	r.silent(late)
+	require.Empty(t, k.lost)
+	b := make([]byte, 4000)
+	n, err := c.Read(b)
+	require.NoError(t, err)
+	require.Contains(t, string(b[:n]), `"b"`)
+}
+
+func TestANoticeAtExpiryOnADeadConnectionIsInTime(t *testing.T) {
+	require.Less(t, 2*noticeIn, 300*time.Millisecond, "so long after its expiry a document is lost")
+	d, k, accept := scene(t)
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
+	for i := range 3 { // each is waited for longer: the way may be a long one
+		accept()
+		require.Equal(t, "no answer", <-k.lost)
+		d.mu.Lock()
+		require.Equal(t, i+1, d.lost)
+		d.mu.Unlock()
+	}
+	c, _ := accept()
+	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
+	require.Equal(t, []uint64{1}, <-k.told)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -106,17 +107,19 @@
 
 // Open reads what is owed; limit bounds the bytes in the folder. A folder that another process has is waited for a
 // moment, as one that was killed may still hold it.
-func Open(dir string, limit int64) (*Ledger, error) { return OpenWaiting(dir, limit, dyingFor) }
+func Open(dir string, limit int64) (*Ledger, error) {
+	return OpenWaiting(context.Background(), dir, limit, dyingFor)
+}
 
 // OpenWaiting is Open that waits up to so long for a folder that another process has, as a process that replaces
-// another does while the other ends.
-func OpenWaiting(dir string, limit int64, wait time.Duration) (*Ledger, error) {
+// another does while the other ends. It waits no longer than ctx stands.
+func OpenWaiting(ctx context.Context, dir string, limit int64, wait time.Duration) (*Ledger, error) {
 	l := &Ledger{dir: dir, limit: limit, entries: map[uint64]*Entry{}, next: 1}
 	if l.Room() <= 0 {
 		return nil, fmt.Errorf("a ledger of %d bytes is too small", limit)
 	}
 	var err error
-	if l.lock, err = own(dir, max(wait, dyingFor)); err != nil {
+	if l.lock, err = own(ctx, dir, max(wait, dyingFor)); err != nil {
 		return nil, err
 	}
 	numbers, err := numbers(dir)
--- a/internal/ledger/own.go
+++ b/internal/ledger/own.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -34,7 +35,7 @@
 // own locks a folder for this process. Guards against two forwarders that send what one of them owes twice. The kernel
 // lets go of the lock when the process ends, however it does, so that nothing is left to clear up. Where the file
 // cannot be made or locked (a full disk, a file system without locks) the forwarder goes on unguarded: nil.
-func own(dir string, wait time.Duration) (*os.File, error) {
+func own(ctx context.Context, dir string, wait time.Duration) (*os.File, error) {
 	f, err := os.OpenFile(filepath.Join(dir, ownerFile), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, nil
@@ -44,6 +45,10 @@
 		if !errors.Is(err, syscall.EWOULDBLOCK) && !errors.Is(err, syscall.EINTR) {
 			break
 		}
+		if ctx.Err() != nil {
+			f.Close()
+			return nil, ctx.Err()
+		}
 		if time.Since(began) > wait {
 			f.Close()
 			return nil, &Owned{Dir: dir, PID: Owner(dir)}
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -116,7 +116,9 @@
 	Leave() // ends each connection once it waits for no answer, so that callers go elsewhere
 	Stay()  // keeps connections again after Leave
 	Shut()  // takes no new connections
-	Stop()  // ends all
+	// Halt reads nothing more. When it returns, whatever was read is at the desk: the last answers follow, then Stop.
+	Halt()
+	Stop() // ends all
 }
 
 // Call is one call to a target with one paper or several.
@@ -172,7 +174,7 @@
 // Board is where a source leaves the list.
 type Board interface {
 	Listed(*List)
-	WatchEnded(why string)
+	WatchEnded(why string, silent bool) // silent: it had told something, and fell silent; else asking failed
 }
 
 // Source brings the list.
