A delivery on the edge of its time is told by a notice too, for it may count as late

Deliveries heard 6 ms and more before passed.

Cause: a document's time counts from its client's sending, here from the reading, a way later (sites have up to 45 ms). A 200 on that edge is late by the client's clock, which is no delivery, while choice.Ended took it for the end and told nobody.

Change: Ended tells an end that is heard within the last 0.1 s as abandoned as well, where answers go out as notices (Doc.Noticed): a notice for what is over does no harm, the key waits until it is heard, the record stays until then. Callers that wait for their answer hear 'delivered' as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	overdue    = 0.01 // seconds after expiry: the call's end should have come
 	lookAgain  = 0.02 // seconds between looks at lines that wait
 	lastCall   = 0.04 // seconds before expiry: nothing is sent after, so that the end is told in time
+	edge       = 0.1  // seconds before expiry: a delivery may count as late by its client's clock
 	firstGuess = 0.9  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
@@ -198,10 +199,16 @@
 // Ended takes the end of the transmission that is out for a document.
 func (f *Forwarder) Ended(d *Doc, e Ending) {
 	c := d.call
+	// On the edge of its time a delivery may count as late, and a late one as none: its client began to count a way
+	// and a moment before. Guards against a document that both sides take for the other's; costs a needless notice.
+	if e.Over && e.Outcome == Delivered && d.Noticed && !d.answered && f.now > d.expiry-edge {
+		d.want, d.telling = wantAbandoned, true
+		f.changed = append(f.changed, d)
+	}
+	if e.Over {
+		f.finish(d)
+	}
 	if c == nil {
-		if e.Over {
-			f.finish(d)
-		}
 		return
 	}
 	t := c.target
@@ -362,9 +369,7 @@
 }
 
 // gap is the random time between two calls to a target that is sick or back.
-func (f *Forwarder) gap(t *Target) float64 {
-	return (0.7 + 0.6*f.dice.unit()) / f.pace(t)
-}
+func (f *Forwarder) gap(t *Target) float64 { return (0.7 + 0.6*f.dice.unit()) / f.pace(t) }
 
 // pace is the calls a second that a target may get while it is sick or back, so that all forwarders
 // together, each judging by its own part, stay within what a cold destination stands.
@@ -548,8 +553,7 @@
 	if (mute || d.out > 0 && (part == capIll || long)) && f.out >= share(f.terms.Slots, allIll) {
 		return nil
 	}
-	var best *Target
-	score := math.Inf(1)
+	best, score := (*Target)(nil), math.Inf(1)
 	for _, t := range d.targets {
 		if t.standing != Ready || f.now < t.next || !f.open(t.route) || f.silent(t) {
 			continue
@@ -645,8 +649,7 @@
 	return batch
 }
 
-func (f *Forwarder) turn(d *Destination, retries bool) int {
-	released := 0
+func (f *Forwarder) turn(d *Destination, retries bool) (released int) {
 	for released < turnSize {
 		t := f.place(d)
 		if t == nil {
@@ -668,8 +671,7 @@
 	reused := len(t.calls) == 0 && t.kept && idle > 0.5 && idle < f.terms.IdleLife
 	c := &call{target: t, began: f.now, docs: len(docs), reused: reused}
 	t.calls = append(t.calls, c)
-	t.often = idle < f.terms.IdleLife
-	t.lastUsed = f.now
+	t.often, t.lastUsed = idle < f.terms.IdleLife, f.now
 	t.route.tokens--
 	t.route.rate += 0.5
 	d.out++
@@ -740,12 +742,10 @@
 			continue
 		}
 		mayRun := d.ranFrom > 0 && d.typ.Repeat != Replayable
-		spent := f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions
-		late := f.short(d)
 		lost := mayRun && (d.typ.Repeat == Binding || f.now > d.ranFrom+d.typ.Memory-0.05)
 		// While nothing answers, one whose mark is soon forgotten goes back; its client may still repeat it.
 		lost = lost || mayRun && !d.typ.ZoneGroup && f.now > d.ranFrom+d.typ.Memory*2/3 && f.dark(d.Dest)
-		if spent || late || lost {
+		if lost || f.short(d) || f.terms.Transmissions > 0 && d.sent >= f.terms.Transmissions {
 			f.answer(d)
 			i--
 		}
--- a/choice/restart_test.go
+++ b/choice/restart_test.go
@@ -93,3 +93,29 @@
 	h.pass(0.02)
 	require.Len(t, h.sent, 1)
 }
+
+func TestADeliveryOnTheEdgeOfItsTimeIsToldTooAndItsKeyWaits(t *testing.T) {
+	h := start(onSockets())
+	d := h.receiver(0, 0)
+	onEdge := func(noticed bool, ends float64) *Doc {
+		doc := &Doc{Dest: d, Key: 5, Noticed: noticed}
+		h.Take(doc, ticket, 1)
+		h.settle()
+		h.now += ends
+		h.Clock(h.now)
+		h.ends(doc, Delivered, 0)
+		h.settle()
+		return doc
+	}
+	require.Empty(t, h.done[onEdge(true, 0.8)], "in its time by any clock")
+	require.Empty(t, h.done[onEdge(false, 0.98)], "nobody judges it by another clock")
+	first := onEdge(true, 0.98)
+	require.Equal(t, "abandoned", h.done[first])
+	next := h.take(d, ticket, 5)
+	h.pass(0.2)
+	require.NotEqual(t, next, h.sent[len(h.sent)-1].doc, "the one before may count as open until its end is heard")
+	h.Told(first)
+	h.pass(0.04)
+	require.Equal(t, next, h.sent[len(h.sent)-1].doc)
+	require.Equal(t, "abandoned", h.done[first], "once")
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -63,6 +63,8 @@
 	Dest   *Destination
 	Size   int // bytes that it takes where documents are kept
 
+	Noticed bool // its final answer, unless it is delivered in time, is a notice to who judges the time by another clock
+
 	typ      *DocType
 	expiry   float64
 	time     float64 // that it had when it was taken
@@ -85,6 +87,9 @@
 	back  float64
 }
 
+// Telling tells that its final answer is still to be heard.
+func (d *Doc) Telling() bool { return d.telling }
+
 // Over tells that nothing more can be heard of the document.
 func (d *Doc) Over() bool { return d.answered && d.call == nil && !d.telling }
 
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -190,7 +190,7 @@
 // paper makes the module's document of an entry.
 func (o *owner) paper(e *ledger.Entry, typ int) *paper {
 	p := &paper{Paper: seam.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ, came: time.Now(), traced: o.trace.picks(e.ID, e.Key)}
-	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size()}
+	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size(), Noticed: o.teller != nil}
 	o.docs[e.Seq], o.byID[e.ID] = p, p
 	return p
 }
@@ -359,6 +359,7 @@
 	}
 	p := o.paper(e, typ)
 	p.holder, p.came = holder, in.Came
+	p.doc.Noticed = p.doc.Noticed && !held
 	o.f.Take(p.doc, typ, left)
 	if !a.From.Answer(seam.Reply{Word: seam.Taken}) { // not heard: its caller hands it in again under another id
 		o.f.Withdrawn(p.doc)
@@ -401,7 +402,11 @@
 	if end.Written() {
 		o.figures.relayed++
 	}
-	if over {
+	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait, Most: e.Most,
+		Left: e.Left})
+	switch {
+	case over && p.doc.Telling(): // owed until that is heard, so it stays recorded
+	case over:
 		o.over(p)
 		final := seam.Abandoned
 		if outcome == choice.Delivered {
@@ -412,11 +417,11 @@
 		if p.holder != nil && !p.withdrawn {
 			p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
 		}
-	} else if err := o.ledger.Back(door, end.Ran()); err != nil {
-		o.unkept(err)
+	default:
+		if err := o.ledger.Back(door, end.Ran()); err != nil {
+			o.unkept(err)
+		}
 	}
-	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait, Most: e.Most,
-		Left: e.Left})
 	o.forget(p)
 }
 
