Bytes read and not heard yet keep a connection from the next call

Seen, by reading: Line.Quiet proved an idle connection by a read of its socket, while the network's poller may have read bytes from it already (a second copy of an answer, noise behind one) and wait for the outlet's lock, which Send holds. The call then went out on that connection, and the bytes were taken for its answer: a document counted as delivered that no target had answered.

Change: the line reads its socket itself (OnRead), and says from the read on until its watcher has them that bytes are unheard; Quiet is false meanwhile.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,7 +20,11 @@
 // ErrNoRoom is the cause of a connection for which there was no descriptor.
 var ErrNoRoom = errors.New("all descriptors for connections are taken")
 
-const stopWithin = 200 * time.Millisecond
+const (
+	stopWithin = 200 * time.Millisecond
+	readBuffer = 32 << 10
+	readsATime = 64 // of one line, while others wait
+)
 
 // Watcher hears what becomes of a line. Calls come from the network's goroutines;
 // Down comes exactly once, as the last, unless the owner closed the line itself.
@@ -52,15 +57,19 @@
 	early   []byte // written before it was up
 	wanted  int64
 	cancel  context.CancelFunc
+	reading sync.Mutex // held while the socket is read
+	unheard bool       // what was read is on its way to the watcher; under reading
 }
 
 // New starts the network; most bounds the lines open at once.
 func New(name string, most int) (*Dialer, error) {
 	d := &Dialer{most: int64(most)}
-	d.engine = nbio.NewEngine(nbio.Config{Name: name, NPoller: 1, ReadBufferSize: 32 << 10, MaxConnReadTimesPerEventLoop: 64})
-	d.engine.OnData(func(c *nbio.Conn, b []byte) {
-		if l, ok := c.Session().(*Line); ok && l.alive() {
-			l.watcher.Data(b)
+	d.engine = nbio.NewEngine(nbio.Config{Name: name, NPoller: 1, ReadBufferSize: 1})
+	buffer := make([]byte, readBuffer) // there is one poller
+	d.engine.OnRead(func(c *nbio.Conn) {
+		d.open.Load() // the race detector does not see nbio's locks: this orders what follows behind Dial
+		if l, ok := c.Session().(*Line); ok {
+			l.read(c, buffer)
 		}
 	})
 	d.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
@@ -125,6 +134,37 @@
 	}
 }
 
+// read takes what the socket has and tells it.
+func (l *Line) read(c *nbio.Conn, buffer []byte) {
+	for i, n := 0, len(buffer); i < readsATime && n == len(buffer) && l.alive(); i++ {
+		var err error
+		l.reading.Lock()
+		for n, err = c.Read(buffer); errors.Is(err, syscall.EINTR); {
+			n, err = c.Read(buffer)
+		}
+		l.unheard = n > 0
+		l.reading.Unlock()
+		if n == 0 && err == nil {
+			err = io.EOF
+		}
+		if n > 0 && l.alive() {
+			l.watcher.Data(buffer[:n])
+		}
+		l.Heard() // also by a watcher that never asks
+		if err != nil && !errors.Is(err, syscall.EAGAIN) {
+			c.CloseWithError(err)
+			return
+		}
+	}
+}
+
+// Heard says that the watcher has what was read. One that asks Quiet under a lock of its own says so under it.
+func (l *Line) Heard() {
+	l.reading.Lock()
+	l.unheard = false
+	l.reading.Unlock()
+}
+
 func (l *Line) alive() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -170,13 +210,19 @@
 }
 
 // Quiet tells that the line is up and nothing has come on it that was not told yet. It may be called only while
-// nothing is expected: what has come is lost.
+// nothing is expected: what has come is lost. Guards against bytes that were read and wait for the watcher's lock being
+// taken for the answer to a call that is written before the watcher has them.
 func (l *Line) Quiet() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.over || l.conn == nil {
 		return false
 	}
+	l.reading.Lock()
+	defer l.reading.Unlock()
+	if l.unheard {
+		return false
+	}
 	_, err := l.conn.Read(make([]byte, 1))
 	return errors.Is(err, syscall.EAGAIN)
 }
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -222,6 +222,7 @@
 	o := t.outlet
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	t.line.Heard()
 	if t.call == nil { // nothing was asked for
 		o.drop(t)
 		t.line.Close()
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -105,6 +106,31 @@
 	require.Zero(t, s.Idle())
 }
 
+func TestBytesOnTheirWayToTheOutletAreNotTheAnswerToTheNextCall(t *testing.T) {
+	s := newScene(t)
+	s.send(time.Minute, "b")
+	c := s.accepts()
+	c.Write([]byte(ok))
+	s.ends(seam.Took)
+	s.mu.Lock()
+	c.Write([]byte(ok)) // once more: read from the socket, and not heard yet
+	require.Eventually(t, func() bool {
+		all := make([]byte, 1<<20)
+		for _, g := range strings.Split(string(all[:runtime.Stack(all, true)]), "\n\n") {
+			if strings.Contains(g, "outlet.(*trunk).Data(") && strings.Contains(g, "[sync.Mutex.Lock") {
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, time.Millisecond)
+	used := s.rested(s.door)
+	s.mu.Unlock()
+	require.Nil(t, used, "a call on it would be taken for done")
+	s.send(time.Minute, "b")
+	s.accepts().Write([]byte("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
+	s.ends(seam.Failed)
+}
+
 func TestBrokenConnectionsAreToldApartByWhetherTheCallWasWrittenWhole(t *testing.T) {
 	s := newScene(t)
 	s.send(time.Minute, "b")
