A command whose rest is being read is not refused as stuck; older lists end the watch

Its rest read between the two was taken on as well: one request, two answers, and a document that its client holds for failed. Now the refusal asks again under the reader's lock. - Intake.opened took the connection that makes room off its table before it asked whether it may close it; Halt, passing between, did not wait for what was being read from it. Now it stays on the table until it is closed. - A list's object with a version older than what is held was applied: a target that drains served again. It ends the watch, which is asked for anew; a whole list in answer to the question counts, as discovery may number anew (directory.go, Body).

Tests: the reader is held at its lock with the rest in the socket; without the lock the refusal lies at the desk. Older versions in answer and later end the watch, a whole one first does not; without the lines the test waits in vain. For the table there is no test: no line between is open to one (docs/design/crossings.md).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -95,8 +95,9 @@
 	slash  bool   // behind a backslash in it
 	looked bool   // its first line can be the beginning of one
 	timer  *time.Timer
-	turn   int  // counts the times it was waited for, so that a late timer is known as one
-	told   bool // a line has come
+	turn   int   // counts the times it was waited for, so that a late timer is known as one
+	told   bool  // a line has come
+	rev    int64 // the latest version that is held
 	over   bool
 }
 
@@ -110,7 +111,7 @@
 	if d.watch != nil {
 		d.watch.close()
 	}
-	w := &watch{dir: d}
+	w := &watch{dir: d, rev: rev}
 	d.watch, d.watched = w, true
 	w.line = d.dialer.Dial(d.addr, d.connect, w)
 	path := "/v1/endpoints?stream=1&index=" + strconv.FormatInt(rev, 10)
@@ -202,6 +203,12 @@
 			if err := json.Unmarshal(line, l); err != nil {
 				return fmt.Errorf("a line of the list cannot be read: %w", err)
 			}
+			// Guards against changes that are older than what is held, by which a target that drains would serve
+			// again. A whole list in answer to the question may be: discovery then counts its versions anew.
+			if l.Rev < w.rev && (w.told || !l.All) {
+				return fmt.Errorf("version %d of the list came after version %d", l.Rev, w.rev)
+			}
+			w.rev = l.Rev
 			w.dir.desk.Listed(l)
 		}
 		w.rest, w.told, w.looked = w.rest[:0], true, false
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -212,3 +213,24 @@
 	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
 	require.Equal(t, []uint64{1}, <-k.told)
 }
+
+func TestAVersionOlderThanWhatIsHeldEndsTheWatchUnheard(t *testing.T) {
+	for name, told := range map[string][]string{
+		"in answer to the question": {`{"rev":6,"all":false,"targets":[]}`},
+		"later":                     {`{"rev":8,"all":false,"targets":[]}`, `{"rev":7,"all":true,"targets":[]}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, k, accept := scene(t)
+			d.Watch(7)
+			c, _ := accept()
+			c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + strings.Join(told, "\n") + "\n"))
+			require.Contains(t, <-k.ended, "of the list came after version")
+			require.Len(t, k.lists, len(told)-1)
+		})
+	}
+	d, k, accept := scene(t)
+	d.Watch(7)
+	c, _ := accept()
+	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + `{"rev":2,"all":true,"targets":[]}` + "\n" + `{"rev":2,"all":false,"targets":[]}` + "\n"))
+	require.Equal(t, []int64{2, 2}, []int64{(<-k.lists).Rev, (<-k.lists).Rev}, "counted anew; and a version told twice is no older")
+}
--- a/internal/intake/crossing_test.go
+++ b/internal/intake/crossing_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+func TestACommandWhoseRestIsBeingReadIsNotRefusedAsStuck(t *testing.T) {
+	s := newScene(t, 9, 1800)
+	c, from := s.served()
+	whole := standin.Command("PING")
+	_, err := io.WriteString(c, whole[:5])
+	require.NoError(t, err)
+	require.Eventually(t, from.partial.Load, 5*time.Second, time.Millisecond)
+	from.reading.Lock() // the rest is read, and not counted yet
+	_, err = io.WriteString(c, whole[5:])
+	require.NoError(t, err)
+	s.in.sweep(time.Now().Add(time.Hour))
+	require.Empty(t, s.table)
+	from.reading.Unlock()
+	s.answered(c)
+	require.Zero(t, s.in.Tally().Stuck)
+}
+
 func TestAConnectionThatIsReadFromWhileItIsToCloseClosesAfterItsAnswer(t *testing.T) {
 	s := newScene(t, 9, 1800)
 	c, from := s.served()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -189,6 +189,9 @@
 func (in *Intake) sweep(now time.Time) {
 	var over, late []*Client
 	before := func(t time.Time, seconds float64) bool { return now.Sub(t).Seconds() > seconds }
+	stuck := func(c *Client) bool {
+		return c.partial.Load() && (before(c.since, in.patience.Silent) || !c.spoke && before(c.born, in.patience.Silent))
+	}
 	in.mu.Lock()
 	for c := range in.clients {
 		switch {
@@ -200,9 +203,8 @@
 		case in.leaving && c.spoke && !c.partial.Load(): // its answer and its reader each left the close to the other
 			over = append(over, c)
 		case c.partial.Load():
-			if before(c.since, in.patience.Silent) || !c.spoke && before(c.born, in.patience.Silent) {
+			if stuck(c) {
 				late = append(late, c)
-				in.counts.Stuck++
 			}
 		case !c.spoke && before(c.last, in.patience.Silent):
 			in.counts.Silent++
@@ -221,7 +223,20 @@
 		}
 	}
 	for _, c := range late {
-		c.refuse("ERR the command did not go on in time")
+		// Guards against a command whose rest is being read just now: it would be refused and then taken on as well.
+		if !c.reading.TryLock() {
+			continue
+		}
+		in.mu.Lock()
+		still := c.asked.Load() == 0 && stuck(c)
+		if still {
+			in.counts.Stuck++
+		}
+		in.mu.Unlock()
+		if still {
+			c.refuse("ERR the command did not go on in time")
+		}
+		c.reading.Unlock()
 	}
 }
 
@@ -331,21 +346,19 @@
 			oldest = nil
 		} else {
 			in.counts.ForRoom[rank]++
-			delete(in.clients, oldest)
 		}
 	}
-	in.clients[c] = struct{}{}
-	in.counts.Most = max(in.counts.Most, len(in.clients))
 	in.mu.Unlock()
-	if oldest != nil && !oldest.mute.Load() && !oldest.end() { // a command came just now: it stays, over the bound
-		in.mu.Lock()
-		if !oldest.gone.Load() {
-			in.clients[oldest] = struct{}{}
-		}
-		in.mu.Unlock()
-	} else if oldest != nil {
+	if oldest != nil && oldest.mute.Load() {
 		oldest.conn.Close()
+	} else if oldest != nil && !oldest.end() { // a command came just now: it stays, over the bound
+		oldest = nil
 	}
+	in.mu.Lock()
+	delete(in.clients, oldest) // only now: Halt waits for all that may still be read from
+	in.clients[c] = struct{}{}
+	in.counts.Most = max(in.counts.Most, len(in.clients))
+	in.mu.Unlock()
 }
 
 func (in *Intake) closed(c *Client) {
