A 200 before the call was written whole delivers nothing; crossings of watches and signals forced

Seen, by reading: trunk.Data and cut took a 200 for the end of a call whose last byte had not gone out (internal/outlet/outlet.go). A target begins a call with its last byte, so that it is noise or another's answer: a document that counted as delivered and never ran. Now the line is closed and asked then, as the count is final only then; the call ends as cut early, surely never run.

Tests: a target that answers 200, or half of it, with 32 MB still to come; before the change both count as taken. standin.AwaitAtLock holds the program between two lines: the news that an old watch's reader has in hand when the list is asked for anew is told by nobody (fails without the question for over). A watch silent from its start, a notice answered late on its old connection, six signals one upon the other: these hold as the code was.

--- a/cmd/spanflow/restart_test.go
+++ b/cmd/spanflow/restart_test.go
@@ -57,3 +57,26 @@
 	s.put(s.client(), zero, "fresh", "c=status,d=20000,dest=7", "+OK")
 	require.Equal(t, "fresh", s.call().ID, "the wait was told to the process before")
 }
+
+// Words of the platform one upon the other, in any order, before and while the process stops.
+func TestSignalsOneUponTheOtherStopTheProcessOnceAndLoseNothing(t *testing.T) {
+	s := newStage(t, "single")
+	hold := make(chan struct{})
+	s.target.Do(func(standin.Call) standin.Reply { return standin.Reply{Hold: hold} })
+	c := s.start()
+	s.put(c, zero, "out", "c=status,d=20000,dest=7", "+OK")
+	require.Equal(t, "out", s.call().ID)
+	for _, word := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP} {
+		require.NoError(t, s.cmd.Process.Signal(word))
+	}
+	s.await(`"message":"stopping"`)
+	s.put(c, zero, "late", "c=status,d=20000,dest=7", "+OK")
+	close(hold)
+	require.NoError(t, <-s.ended)
+	require.Equal(t, 1, s.log.Count(`"message":"stopping"`))
+	s.target.Do(nil)
+	s.start()
+	for id := ""; id != "late"; id = s.call().ID {
+	}
+	require.Empty(t, s.discovery.Notices)
+}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spanflow/internal/dial"
+	"spanflow/internal/standin"
 	"spanflow/seam"
 )
 
@@ -234,3 +235,43 @@
 	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n" + `{"rev":2,"all":true,"targets":[]}` + "\n" + `{"rev":2,"all":false,"targets":[]}` + "\n"))
 	require.Equal(t, []int64{2, 2}, []int64{(<-k.lists).Rev, (<-k.lists).Rev}, "counted anew; and a version told twice is no older")
 }
+
+func TestAWatchThatIsSilentFromTheStartEnds(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Watch(1)
+	accept()
+	require.Equal(t, "silent", <-k.ended)
+}
+
+// What the old watch's reader had in hand when the list was asked for anew is told by nobody: the new one brings it.
+func TestNewsOfAnOldWatchIsNotToldBehindTheNewOne(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Watch(1)
+	c, _ := accept()
+	d.mu.Lock()
+	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":2,\"all\":true,\"targets\":[]}\n"))
+	standin.AwaitAtLock(t, "directory.(*watch).Data(")
+	d.watch.close() // what Watch and Move do first, with the lock held
+	d.mu.Unlock()
+	d.Watch(1)
+	c, _ = accept()
+	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":3,\"all\":true,\"targets\":[]}\n"))
+	require.Equal(t, int64(3), (<-k.lists).Rev)
+	require.Empty(t, k.lists)
+	require.Empty(t, k.ended)
+}
+
+// A notice that is answered on the old connection after it was sent anew is told once more than need be, and each time by
+// its own number: nothing else counts as heard.
+func TestANoticeAnsweredLateOnTheOldConnectionIsHeardOnTheNew(t *testing.T) {
+	d, k, accept := scene(t)
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Returned})
+	old, _ := accept()
+	require.Equal(t, "no answer", <-k.lost)
+	c, said := accept()
+	require.Contains(t, said, `{"id":"a","state":"returned"}`)
+	d.Notify(seam.Final{Door: 2, ID: "b", Outcome: seam.Returned})
+	old.Write([]byte("HTTP/1.1 204 None\r\n\r\n")) // nobody listens there any more
+	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
+	require.Equal(t, []uint64{1}, <-k.told)
+}
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -242,6 +242,10 @@
 		if !keep {
 			t.line.Close()
 		}
+		if t.answer.code == 200 && !keep && !t.line.Sent() { // who has not had the call whole has not run it
+			t.finish(t.same(seam.BrokenEarly), "an answer before the call was written")
+			return
+		}
 		t.finish(t.answer.ends(t.call), "")
 		if keep {
 			t.rest()
@@ -285,10 +289,11 @@
 	return t.cut(end)
 }
 
-// cut is end for each paper, but for a single one whose answer began with 200: that holds from its line on. Any other
-// status counts only with the whole answer, as one that is spoilt or cut may stand for a document that has run.
+// cut is end for each paper, but for a single one whose answer began with 200: that holds from its line on, if the call
+// was written whole. Any other status counts only with the whole answer, as one that is spoilt or cut may stand for a
+// document that has run. The line is closed.
 func (t *trunk) cut(end seam.End) []seam.End {
-	if t.answer.code == 200 && len(t.call.Papers) == 1 {
+	if t.answer.code == 200 && len(t.call.Papers) == 1 && t.line.Sent() {
 		end = seam.Took
 	}
 	return t.same(end)
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"spanflow/internal/dial"
+	"spanflow/internal/standin"
 	"spanflow/seam"
 )
 
@@ -114,15 +114,7 @@
 	s.ends(seam.Took)
 	s.mu.Lock()
 	c.Write([]byte(ok)) // once more: read from the socket, and not heard yet
-	require.Eventually(t, func() bool {
-		all := make([]byte, 1<<20)
-		for _, g := range strings.Split(string(all[:runtime.Stack(all, true)]), "\n\n") {
-			if strings.Contains(g, "outlet.(*trunk).Data(") && strings.Contains(g, "[sync.Mutex.Lock") {
-				return true
-			}
-		}
-		return false
-	}, 10*time.Second, time.Millisecond)
+	standin.AwaitAtLock(t, "outlet.(*trunk).Data(")
 	used := s.rested(s.door)
 	s.mu.Unlock()
 	require.Nil(t, used, "a call on it would be taken for done")
@@ -170,6 +162,19 @@
 	require.Zero(t, s.Idle())
 }
 
+// A target begins a call when its last byte has come: a 200 before that is noise, or the answer to another.
+func TestA200BeforeTheCallIsWrittenWholeDeliversNothing(t *testing.T) {
+	s := newScene(t)
+	for _, text := range []string{ok, "HTTP/1.1 200 OK\r\nContent-Le"} {
+		s.send(time.Minute, strings.Repeat("x", 32<<20))
+		c := s.accepts()
+		c.Write([]byte(text))
+		c.(*net.TCPConn).CloseWrite() // it reads no more of it
+		s.ends(seam.BrokenEarly)
+		c.Close()
+	}
+}
+
 func TestTheLongestIdleConnectionMakesRoomForACall(t *testing.T) {
 	s := newScene(t)
 	var lines []net.Conn
