--- a/cmd/spanflow/daily_test.go
+++ b/cmd/spanflow/daily_test.go
@@ -22,9 +22,13 @@
 
 // Stories of the operators' days: their address, upgrades beside a running process, drains, bans and figures.
 
-// freeAddress is a loopback address that nobody listens at just now.
+var addresses atomic.Int32
+
+// freeAddress is a loopback address that nobody listens at, of a host that nobody else has: what a test of another process
+// opens meanwhile, or a connection that goes out, takes no port of it.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 100+pid>>8&63, pid&255, 1+addresses.Add(1)%250))
 	require.NoError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/cmd/spanflow/main_test.go
+++ b/cmd/spanflow/main_test.go
@@ -21,14 +21,17 @@
 
 // The tests start the built program and speak to it over sockets.
 
-var program string
+var (
+	program string
+	raced   = "-race=false" // for the build of the program
+)
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "spanflow")
 	if err == nil {
 		program = filepath.Join(dir, "spanflow")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", "build", raced, "-o", program, ".").CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
