An agent is asked again within half a second, however long discovery was down

Seen, by reading: ListFailed doubled the time to the next question up to sixteen seconds and more (choice.go, wait), also where the list lies with an agent. What the agent has at the end of an outage counts as told at once there, so that targets that began to drain in the outage were sent to for seconds beyond the grace. The doubling is for fleets that share one discovery; nobody else asks this agent.

Change: for an agent AskWithin is at most 0.4 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,7 @@
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
 	blip       = 3.0  // seconds of silence that are no outage
 	kept       = 5.0  // calls that an earlier process's times count as, at most
+	agentAsks  = 0.4  // seconds between questions to an agent: what it has counts as told, heard or not
 	asksAtOnce = 4.0  // questions a second for the list, all forwarders together
 	KeepSilent = 2.7  // seconds in which a client has to bring a whole command: slow ones may ask after two
 	KeepQuiet  = 3.0  // seconds that it may be connected between two
@@ -199,8 +200,8 @@
 // Ended takes the end of the transmission that is out for a document.
 func (f *Forwarder) Ended(d *Doc, e Ending) {
 	c := d.call
-	// On the edge of its time a delivery may count as late, and a late one as none: its client began to count a way
-	// and a moment before. Guards against a document that both sides take for the other's; costs a needless notice.
+	// On the edge of its time a delivery may be late by its client's clock, that is none. Guards against a
+	// document without an end; costs a needless notice.
 	if e.Over && e.Outcome == Delivered && d.Noticed && !d.answered && f.now > d.expiry-edge {
 		d.want, d.telling = wantAbandoned, true
 		f.changed = append(f.changed, d)
@@ -389,9 +390,8 @@
 }
 
 // usual is the calls a second that this forwarder makes or may make to a target's destination as a rule: for
-// what it takes, but no more than the destination got done while it was well. Guards against one that was
-// asked for more than it can do, and would be pushed over by a ramp up to that. Hurts where its best is not
-// known yet.
+// what it takes, but no more than the destination got done while it was well. Guards against a ramp that
+// pushes over one that was asked for more than it can do. Hurts where its best is not known yet.
 func (f *Forwarder) usual(t *Target) float64 {
 	d := t.dest
 	rate := d.taken / (f.now - f.began + 2)
--- a/choice/restart_test.go
+++ b/choice/restart_test.go
@@ -94,6 +94,19 @@
 	require.Len(t, h.sent, 1)
 }
 
+func TestAnAgentIsAskedAgainAtOnceHoweverLongDiscoveryWasDown(t *testing.T) {
+	told := onSockets()
+	told.AskList, told.Agent, told.Forwarders = true, true, 300
+	h := start(told)
+	h.receiver(0, 0)
+	h.settle()
+	for n := range 10 { // each question goes wrong at once
+		require.Equal(t, n+1, h.asks)
+		h.ListFailed()
+		h.pass(0.56)
+	}
+}
+
 func TestADeliveryOnTheEdgeOfItsTimeIsToldTooAndItsKeyWaits(t *testing.T) {
 	h := start(onSockets())
 	d := h.receiver(0, 0)
--- a/choice/state.go
+++ b/choice/state.go
@@ -48,6 +48,9 @@
 	if f.terms.AskWithin <= 0 {
 		f.terms.AskWithin = math.Inf(1)
 	}
+	if f.terms.Agent {
+		f.terms.AskWithin = math.Min(f.terms.AskWithin, agentAsks)
+	}
 	f.agreed, f.life = math.Inf(1), math.Inf(1)
 	for _, typ := range terms.Types {
 		f.agreed, f.life = math.Min(f.agreed, typ.Agreed), math.Min(f.life, typ.Life)
