Types of the results of capacity measurements

Change: lab/capacity with the curve, its fit, a fleet trial and the file's content. No behaviour changes; nothing measured yet.

--- /dev/null
+++ b/lab/capacity/results.go
@@ -0,0 +1,68 @@
+// Package capacity holds what measurements of capacity have in common: curves over a size, the straight line fitted
+// to each, and the file in which results are kept for docs/CAPACITY.md.
+package capacity
+
+// Results is the content of the file of measured results, docs/capacity/measured.json.
+type Results struct {
+	Machine string       `json:"machine"` // cores and processor model; no host name
+	Date    string       `json:"date"`    // YYYY-MM-DD
+	Curves  []Curve      `json:"curves"`
+	Fleets  []FleetTrial `json:"fleets"`
+}
+
+// Curve is one quantity measured at several sizes.
+type Curve struct {
+	Role     string  `json:"role"`     // what was measured, as "held message"; the name on the command line
+	Quantity string  `json:"quantity"` // as "memory in the scheduler"
+	SizeUnit string  `json:"size_unit"`
+	Unit     string  `json:"unit"` // of Point.Value
+	Points   []Point `json:"points"`
+	Fit      Fit     `json:"fit"`
+}
+
+// Point is one measurement.
+type Point struct {
+	Size  float64 `json:"size"`
+	Value float64 `json:"value"`
+}
+
+// Shape tells what kind of curve the points make.
+type Shape string
+
+// The shapes of a curve.
+const (
+	Flat        Shape = "flat"         // the value does not depend on the size
+	Linear      Shape = "linear"       // one straight line fits all points
+	Bends       Shape = "bends"        // straight up to Fit.BendAt, steeper or flatter beyond
+	NotStraight Shape = "not straight" // must not be extrapolated
+)
+
+// Fit is the straight line through a curve's points: Value = Intercept + Slope * Size.
+type Fit struct {
+	Shape     Shape   `json:"shape"`
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	Residual  float64 `json:"residual"`          // root mean square of the relative errors
+	BendAt    float64 `json:"bend_at,omitempty"` // the size from which the line does not hold, 0 if it holds
+}
+
+// FleetTrial is one run of many hollow forwarders against one discovery server.
+type FleetTrial struct {
+	Scenario     string  `json:"scenario"` // as "change", "restart of a third"
+	Forwarders   int     `json:"forwarders"`
+	Destinations int     `json:"destinations"`
+	Changes      int     `json:"changes"`       // list changes published at known moments
+	InForce50    float64 `json:"in_force_50_s"` // seconds until so many percent of the forwarders have it in force
+	InForce99    float64 `json:"in_force_99_s"`
+	InForceLast  float64 `json:"in_force_last_s"`
+	Missed       int     `json:"missed"` // forwarders that did not get it within the time of the trial
+
+	ForwarderBytesPerChange float64 `json:"forwarder_bytes_per_change"`
+	ForwarderCPUPerChange   float64 `json:"forwarder_cpu_per_change_s"`
+	ForwarderIdleBytes      float64 `json:"forwarder_idle_bytes_per_s"`
+	ForwarderIdleCPU        float64 `json:"forwarder_idle_cpu_share"` // of one core
+	ForwarderMemory         float64 `json:"forwarder_memory_bytes"`
+	ServerBytes             float64 `json:"server_bytes"` // the discovery server's, over the trial
+	ServerCPU               float64 `json:"server_cpu_s"`
+	Note                    string  `json:"note,omitempty"` // what limits the trial or went wrong
+}
