--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -173,6 +173,7 @@
 	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":1,\"all\":true,\"targets\":[]}\n"))
 	<-k.lists
 	d.mu.Lock() // the reader has gone on to wait anew
+	//lint:ignore SA2001 the lock is taken to wait for its holder
 	d.mu.Unlock()
 	w.silent(late)
 	require.Empty(t, k.ended)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -60,6 +60,12 @@
 	return true
 }
 
+// awaitReader returns once nothing is being read from the connection.
+func (c *Client) awaitReader() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+}
+
 // Patience is how long connections without an open command are kept, in seconds.
 type Patience struct {
 	Silent float64 // without a whole command, or with one that does not go on
@@ -267,8 +273,7 @@
 	all := slices.Collect(maps.Keys(in.clients))
 	in.mu.Unlock()
 	for _, c := range all {
-		c.reading.Lock()
-		c.reading.Unlock()
+		c.awaitReader()
 	}
 }
 
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -67,7 +67,7 @@
 	}
 	switch {
 	case len(s.Classes) == 0:
-		return choice.Terms{}, Names{}, errors.New("Classes states no document type")
+		return choice.Terms{}, Names{}, errors.New("no document type in Classes")
 	case s.Extra.CallsOut < 1:
 		return choice.Terms{}, Names{}, errors.New("Extra.CallsOut is not a number of slots")
 	case s.NInstances < 1:
@@ -128,7 +128,10 @@
 		return fmt.Errorf("WeightKind: unknown word %q", s.WeightKind)
 	}
 	for i, c := range s.Classes {
-		bad := func(field string, v any) error { return fmt.Errorf("Classes[%d].%s: %v is out of range", i, field, v) }
+		bad := func(field string, v any) error {
+			path := fmt.Sprintf("Classes[%d].%s", i, field)
+			return fmt.Errorf("%s: %v is out of range", path, v)
+		}
 		switch {
 		case c.Worth != nil && *c.Worth < 0:
 			return bad("Worth", *c.Worth)
--- a/lab/partner/partner.go
+++ b/lab/partner/partner.go
@@ -73,14 +73,13 @@
 
 // Call is one call on its way through a target.
 type Call struct {
-	From    int
-	Docs    []Doc
-	Answer  func(Answer) // at most once; never if the answer gets lost
-	target  *Target
-	came    float64
-	queued  bool
-	over    bool // answered, or the caller has gone
-	started bool
+	From   int
+	Docs   []Doc
+	Answer func(Answer) // at most once; never if the answer gets lost
+	target *Target
+	came   float64
+	queued bool
+	over   bool // answered, or the caller has gone
 }
 
 // Answer is what a caller gets.
