choice: tests in files by concern

No line of a test changes: `go test -list .` names the same tests, and the sorted lines of before and after differ in package clauses and imports only.

--- /dev/null
+++ b/choice/discovery_test.go
@@ -0,0 +1,95 @@
+package choice
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestListIsAskedForAgainAfterAFailure(t *testing.T) {
+	asks := terms
+	asks.AskList = true
+	h := start(asks)
+	h.settle()
+	require.Equal(t, 1, h.asks)
+	h.ListFailed()
+	h.pass(2)
+	require.Equal(t, 2, h.asks)
+}
+
+// Thirty-six forwarders start at once beside a discovery that takes their calls in turn, six a second, and fails one
+// that has waited for two seconds, its work done in vain. Each is served within half a minute, since those that
+// failed come back ever later; asked again within a second, most never were.
+func TestManyForwardersThatAskAtOnceAreAllServed(t *testing.T) {
+	asks := terms
+	asks.AskList, asks.AskWithin, asks.Forwarders = true, 10, 36
+	type call struct {
+		of   *fake
+		came float64
+	}
+	var fleet []*fake
+	var line []call
+	asked, served := map[*fake]int{}, map[*fake]bool{}
+	for seed := range asks.Forwarders {
+		h := &fake{now: 100, done: map[*Doc]string{}, back: map[*Doc]float64{}}
+		h.Forwarder = New(asks, uint64(seed), h.now, h)
+		h.receiver(0, 0)
+		fleet = append(fleet, h)
+	}
+	news := []Listing{}
+	for tick := range 1500 {
+		now := 100 + float64(tick)*0.02
+		for _, h := range fleet {
+			h.now = now
+			h.settle()
+			for ; asked[h] < h.asks; asked[h]++ {
+				line = append(line, call{h, now})
+			}
+		}
+		if tick%8 == 7 && len(line) > 0 { // the next in turn is done, for somebody who may have given up long ago
+			if c := line[0]; now-c.came <= 2 {
+				served[c.of] = true
+				c.of.List(true, news)
+			}
+			line = line[1:]
+		}
+		for _, c := range line {
+			if age := now - c.came; age > 2 && age < 2.02 {
+				c.of.ListFailed()
+			}
+		}
+	}
+	require.Len(t, served, asks.Forwarders)
+}
+
+func TestAForwarderWithoutAListAsksAtOnce(t *testing.T) {
+	asks := terms
+	asks.AskList, asks.AskWithin, asks.Forwarders = true, 10, 300
+	h := start(asks)
+	h.settle()
+	require.Equal(t, 1, h.asks)
+
+	h = start(asks)
+	h.receiver(0, 0) // known from before
+	h.settle()
+	require.Zero(t, h.asks)
+	h.pass(asks.AskWithin / 2)
+	require.Equal(t, 1, h.asks)
+}
+
+func TestQuestionsForTheListStayWithinWhatTheRulesWant(t *testing.T) {
+	asks := terms
+	asks.AskList, asks.AskWithin, asks.Forwarders = true, 10, 300
+	h := start(asks)
+	h.settle()
+	for range 20 { // four times the time is theirs after a failure
+		was := h.asks
+		h.ListFailed()
+		h.pass(1.4 * asks.AskWithin)
+		require.Greater(t, h.asks, was)
+	}
+	h.List(true, nil)
+	h.ListFailed()
+	h.pass(1.3*asks.AskWithin/2 + 0.1) // the first failure after a list counts as the first
+	require.Equal(t, 22, h.asks)
+}
--- a/choice/host_test.go
+++ b/choice/host_test.go
@@ -99,6 +99,13 @@
 	}
 }
 
+// out1 takes a document and has it transmitted.
+func (h *fake) out1(d *Destination) *Doc {
+	doc := h.take(d, status, 0)
+	h.pass(0.1)
+	return doc
+}
+
 func (h *fake) Transmit(d *Doc, t *Target, timeout float64) {
 	h.sent = append(h.sent, transmission{d, t, h.now, timeout})
 }
--- /dev/null
+++ b/choice/timeout_test.go
@@ -0,0 +1,54 @@
+package choice
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAFewQuickAnswersDoNotShortenTheTimeOutMuch(t *testing.T) {
+	after := func(n int) float64 {
+		h := start(terms)
+		d := h.receiver(0, 0)
+		for range n {
+			h.take(d, status, 0)
+			h.pass(0.4)
+			h.answers(d, Delivered)
+		}
+		h.take(d, status, 0)
+		h.settle()
+		return h.sent[n].timeout
+	}
+	require.Greater(t, after(2), 1.3*after(60))
+}
+
+func TestRememberedTimesRuleTheFirstCallsAndGiveWay(t *testing.T) {
+	learnt := func(d *Destination, h *fake) float64 {
+		h.take(d, status, 0)
+		h.settle()
+		return h.sent[len(h.sent)-1].timeout
+	}
+	old := start(terms)
+	slow := old.receiver(0, 0)
+	for range 30 {
+		old.take(slow, status, 0)
+		old.pass(0.1)
+		old.Ended(old.sent[len(old.sent)-1].doc, Ending{Outcome: Delivered, Over: true, Took: 3})
+	}
+	h := start(terms)
+	fresh, known := h.receiver(0, 0), h.receiver(0, 0)
+	require.True(t, h.Remember(known, slow.Times()))
+	require.Greater(t, learnt(known, h), 1.3*learnt(fresh, h))
+	h.answers(known, Delivered)
+	for range 80 {
+		h.take(known, status, 0)
+		h.pass(0.1)
+		h.answers(known, Delivered)
+	}
+	require.Less(t, learnt(known, h), 1.0, "quick calls outweigh it")
+	for _, spoilt := range [][]float64{nil, {1}, make([]float64, 16), append(make([]float64, 15), -1), append(make([]float64, 15), math.NaN())} {
+		require.False(t, h.Remember(h.receiver(0, 0), spoilt))
+	}
+	require.False(t, h.Remember(known, slow.Times()), "it has measured by itself")
+}
