intake: one file a concern

Only package clauses and imports differ between the sorted lines before and after. Tests of internal/intake and cmd/spanflow pass.

--- /dev/null
+++ b/internal/intake/accept.go
@@ -0,0 +1,106 @@
+package intake
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+// door is the listener; it turns connections away before nbio knows of them.
+type door struct {
+	net.Listener
+	intake *Intake
+}
+
+func (d door) Accept() (net.Conn, error) {
+	for {
+		c, err := d.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				<-d.intake.stop // shut: the connections that there are go on
+			}
+			time.Sleep(acceptPause)
+			return nil, err
+		}
+		if d.intake.welcome() {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+// welcome counts a connection that comes and tells if there is room for it.
+func (in *Intake) welcome() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.counts.Came++
+	if len(in.clients) < in.hard {
+		return true
+	}
+	in.counts.Turned++
+	return false
+}
+
+// What closes first to make room. One that was served comes before one that was not yet: its client takes the end of an
+// idle connection as such, while the first command of the other, which may be slow to come, would be lost.
+const (
+	told   = iota // it has had its last answer
+	quiet         // between commands
+	silent        // no whole command since it came
+	busy          // never
+)
+
+func (c *Client) rank() int {
+	switch {
+	case !c.ends.IsZero():
+		return told
+	case c.asked.Load() > 0 || c.spoke && c.partial.Load():
+		return busy
+	case c.spoke:
+		return quiet
+	}
+	return silent
+}
+
+// opened makes room for a connection over the bound by closing another: the one first by rank, then the one from which
+// nothing has come for the longest.
+func (in *Intake) opened(conn *nbio.Conn) {
+	now := time.Now()
+	c := &Client{intake: in, conn: conn, born: now, last: now}
+	conn.SetSession(c)
+	in.mu.Lock()
+	var oldest *Client
+	if len(in.clients) >= in.most {
+		for o := range in.clients {
+			if oldest == nil || o.rank() < oldest.rank() ||
+				o.rank() == oldest.rank() && o.last.Before(oldest.last) {
+				oldest = o
+			}
+		}
+		if rank := oldest.rank(); rank == busy {
+			oldest = nil
+		} else {
+			in.counts.ForRoom[rank]++
+		}
+	}
+	in.mu.Unlock()
+	if oldest != nil && oldest.mute.Load() {
+		oldest.conn.Close()
+	} else if oldest != nil && !oldest.end() { // a command came just now: it stays, over the bound
+		oldest = nil
+	}
+	in.mu.Lock()
+	delete(in.clients, oldest) // only now: Halt waits for all that may still be read from
+	in.clients[c] = struct{}{}
+	in.counts.Most = max(in.counts.Most, len(in.clients))
+	in.mu.Unlock()
+}
+
+func (in *Intake) closed(c *Client) {
+	c.gone.Store(true)
+	in.mu.Lock()
+	delete(in.clients, c)
+	in.mu.Unlock()
+}
--- /dev/null
+++ b/internal/intake/read.go
@@ -0,0 +1,71 @@
+package intake
+
+import (
+	"errors"
+	"io"
+	"syscall"
+	"time"
+)
+
+// read takes what a connection has; while it does, nobody else closes it.
+func (in *Intake) read(c *Client, buffer []byte) {
+	_, halted := in.state()
+	if halted { // the process ends within moments
+		time.Sleep(haltedPause)
+		return
+	}
+	c.reading.Lock()
+	_, halted = in.state() // asked again: Halt may have passed between the two lines
+	var err error
+	for n, i := len(buffer), 0; i < readsATime && n == len(buffer) && !halted; i++ {
+		for n, err = c.conn.Read(buffer); errors.Is(err, syscall.EINTR); {
+			n, err = c.conn.Read(buffer)
+		}
+		if n == 0 && err == nil {
+			err = io.EOF
+		}
+		if n > 0 {
+			in.data(c, buffer[:n])
+		}
+	}
+	c.reading.Unlock()
+	if err != nil && !errors.Is(err, syscall.EAGAIN) {
+		c.conn.CloseWithError(err)
+		return
+	}
+	if leaving, _ := in.state(); leaving {
+		c.end()
+	}
+}
+
+func (in *Intake) state() (leaving, halted bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.leaving, in.halted
+}
+
+func (in *Intake) data(c *Client, b []byte) {
+	if c.mute.Load() {
+		if c.spilled += len(b); c.spilled > mostSpilled {
+			c.conn.Close()
+		}
+		return
+	}
+	now, whole := time.Now(), false
+	err := c.reader.Feed(b, func(args [][]byte) error {
+		whole = true
+		c.asked.Add(1)
+		in.desk.Ask(command(c, args))
+		return nil
+	})
+	in.mu.Lock()
+	c.last, c.spoke = now, c.spoke || whole
+	if whole || !c.partial.Load() {
+		c.since = now
+	}
+	in.mu.Unlock()
+	c.partial.Store(c.reader.Waiting() > 0)
+	if err != nil {
+		c.refuse("ERR " + err.Error())
+	}
+}
