--- /dev/null
+++ b/forward/attempts.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"spanflow/choice"
+	"spanflow/seam"
+)
+
+func (o *owner) ended(e seam.Ended) {
+	for pass := range 2 { // delivered ones first: the module judges a call by the first end
+		for i, p := range e.Call.Papers {
+			if (e.Ends[i] == seam.Took) == (pass == 0) {
+				o.end(p.Door, e.Ends[i], &e)
+			}
+		}
+	}
+	if e.Why != "" {
+		o.log.Info().Str("target", e.Call.Target).Stringer("end", e.Ends[0]).Dur("took_ms", e.Took).Str("why", e.Why).
+			Msg("call failed")
+	}
+}
+
+func (o *owner) end(door uint64, end seam.End, e *seam.Ended) {
+	o.counts.ends[end]++
+	o.meter.End(end, e.Took)
+	p := o.docs[door]
+	if p == nil {
+		return
+	}
+	if p.traced {
+		o.log.Info().Str("id", p.ID).Stringer("end", end).Dur("took_ms", e.Took).Msg("trace: end of a transmission")
+	}
+	outcome, over := end.Outcome()
+	if end.Written() {
+		o.figures.relayed++
+	}
+	o.f.Ended(p.doc, choice.Ending{Outcome: outcome, Over: over, Took: e.Took.Seconds(), Wait: e.Wait, Most: e.Most,
+		Left: e.Left})
+	switch {
+	case over && p.doc.Telling(): // owed until that is heard, so it stays recorded
+	case over:
+		o.over(p)
+		final := seam.Abandoned
+		if outcome == choice.Delivered {
+			final = seam.Delivered
+			o.counts.delivered++
+		}
+		o.final(p, final)
+		if p.holder != nil && !p.withdrawn {
+			p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
+		}
+	default:
+		if err := o.ledger.Back(door, end.Ran()); err != nil {
+			o.unkept(err)
+		}
+	}
+	o.forget(p)
+}
--- /dev/null
+++ b/forward/counts.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"spanflow/internal/dial"
+	"spanflow/seam"
+)
+
+// counts are for the log.
+type counts struct {
+	taken, refused, delivered, returned, abandoned, recovered, withdrawn int
+	ends                                                                 [seam.Recalled + 1]int
+}
+
+func (c *counts) write(e *zerolog.Event) *zerolog.Event {
+	e = e.Int("taken", c.taken).Int("recovered", c.recovered).Int("refused", c.refused).Int("delivered", c.delivered).
+		Int("returned", c.returned).Int("abandoned", c.abandoned)
+	if c.withdrawn > 0 {
+		e = e.Int("withdrawn", c.withdrawn)
+	}
+	for i, n := range c.ends {
+		if n > 0 {
+			e = e.Int(fmt.Sprintf("end_%s", strings.ReplaceAll(seam.End(i).String(), " ", "_")), n)
+		}
+	}
+	return e
+}
+
+// levels are the figures that are read when they are asked for.
+func (o *owner) levels(dialer *dial.Dialer) []seam.Level {
+	return []seam.Level{
+		{Name: "held_documents", Read: func() float64 { return float64(o.held.Load()) }},
+		{Name: "ledger_bytes", Read: func() float64 { return float64(o.onDisk.Load()) }},
+		{Name: "outgoing_connections", Read: func() float64 { return float64(dialer.Open()) }},
+	}
+}
+
+// report writes the counts, the first front's with the forwarder's own.
+func (o *owner) report(dialer *dial.Dialer) {
+	idle := 0
+	for _, by := range o.outlets {
+		idle += by.Idle()
+	}
+	e := tally(o.counts.write(o.log.Info()).Int("held", len(o.docs)), o.fronts[0].Tally())
+	e.Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", idle).Int64("disk", o.ledger.Used()).Msg("counts")
+	for _, l := range o.fronts[1:] {
+		tally(o.log.Info().Str("front", l.terms.Name), l.Tally()).Msg("counts of a front")
+	}
+}
+
+func tally(e *zerolog.Event, c seam.Tally) *zerolog.Event {
+	return e.Int("clients", c.Now).Int("most_clients", c.Most).
+		Int("clients_came", c.Came).Int("clients_turned_away", c.Turned).Ints("clients_closed_for_room", c.ForRoom[:]).
+		Int("clients_silent", c.Silent).Int("clients_quiet", c.Quiet).Int("clients_stuck", c.Stuck)
+}
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) Asked(string, seam.Word)           {}
+func (noMeter) End(seam.End, time.Duration)       {}
+func (noMeter) Final(seam.Outcome, time.Duration) {}
+func (noMeter) Turn(int, time.Duration)           {}
+func (noMeter) Addr() string                      { return "" }
+func (noMeter) Stop()                             {}
--- /dev/null
+++ b/forward/list.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"spanflow/choice"
+	"spanflow/seam"
+)
+
+// target is what the list says of one, as far as carrying out needs it.
+type target struct {
+	uid, addr   string
+	dest        uint64
+	zone, batch int
+	outlet      seam.Outlet
+	module      *choice.Target
+	line        choice.Listing // as the list has it last
+}
+
+func (o *owner) listed(l *seam.List, whole bool) {
+	o.rev = l.Rev
+	lines := make([]choice.Listing, 0, len(l.Targets))
+	for _, e := range l.Targets {
+		t := o.byUID[e.UID]
+		if t == nil {
+			if e.State == "left" {
+				continue // heard of only as it goes
+			}
+			o.lastDoor++
+			t = &target{uid: e.UID, dest: e.Dest, outlet: o.outletOf(e.Kind), module: &choice.Target{Door: o.lastDoor}}
+			o.targets[o.lastDoor], o.byUID[e.UID] = t, t
+		}
+		kind := index(o.order.Names.Kinds, e.Kind)
+		t.zone, t.batch = index(o.order.Names.Zones, e.Zone), 1
+		if e.Endpoint != "" {
+			t.addr = e.Endpoint
+		}
+		if kind < len(o.order.Terms.KindBatch) {
+			t.batch = max(1, o.order.Terms.KindBatch[kind])
+		}
+		line := choice.Listing{Target: t.module, Dest: o.dest(e.Dest), Kind: kind, Zone: t.zone, Rate: e.Rate}
+		switch e.State {
+		case "active":
+			line.Standing = choice.Ready
+		case "leaving":
+			line.Standing = choice.Draining
+		case "left":
+			line.Standing = choice.Gone
+		default:
+			o.log.Warn().Str("target", e.UID).Str("state", e.State).Msg("unknown state in the list")
+			line.Standing = choice.Draining
+		}
+		t.line = line
+		line.Standing = o.rota.Standing(t.uid, line.Standing)
+		lines = append(lines, line)
+	}
+	o.f.List(whole, lines)
+	if len(o.waits) > 0 {
+		o.heedWaits()
+	}
+}
+
+// outletOf is the outlet by which targets of a kind are reached.
+func (o *owner) outletOf(kind string) seam.Outlet {
+	if by := o.outlets[o.order.KindOutlet[kind]]; by != nil {
+		return by
+	}
+	return o.outlets[usualCarriage]
+}
+
+func (o *owner) dest(number uint64) *choice.Destination {
+	d := o.dests[number]
+	if d == nil {
+		if len(o.dests) >= o.sweepAt {
+			for n, d := range o.dests {
+				if o.f.Forget(d) {
+					delete(o.dests, n)
+				}
+			}
+			o.sweepAt = 2*len(o.dests) + leastSweep
+		}
+		d = o.f.NewDestination(number)
+		o.dests[number] = d
+		if times := o.learnt[number]; times != nil {
+			o.f.Remember(d, times)
+			delete(o.learnt, number)
+		}
+	}
+	return d
+}
+
+// index is a name's number; one that the settings do not have gets a number beyond them.
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return len(names)
+}
--- /dev/null
+++ b/forward/messages.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"time"
+
+	"spanflow/choice"
+	"spanflow/internal/ledger"
+	"spanflow/seam"
+)
+
+// paper is a document that is owed or was until just now.
+type paper struct {
+	seam.Paper
+	doc       *choice.Doc
+	typ       int
+	holder    seam.Holder // whom the final answer is for; nil: the teller
+	came      time.Time
+	traced    bool
+	untried   bool // an earlier process took it on, and no call has begun yet
+	withdrawn bool // its holder has gone: nothing is owed, though a transmission may be out
+}
+
+// paper makes the module's document of an entry.
+func (o *owner) paper(e *ledger.Entry, typ int) *paper {
+	p := &paper{Paper: seam.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ, came: time.Now(), traced: o.trace.picks(e.ID, e.Key)}
+	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size(), Noticed: o.teller != nil}
+	o.docs[e.Seq], o.byID[e.ID] = p, p
+	return p
+}
+
+// withdraw ends a document whose caller waited for its final answer and has gone.
+func (o *owner) withdraw(id string) {
+	p := o.byID[id]
+	if p == nil || p.holder == nil || p.withdrawn {
+		return
+	}
+	o.counts.withdrawn++
+	p.withdrawn = true
+	o.f.Withdrawn(p.doc)
+	o.forget(p)
+}
+
+// over records that nothing more is owed for a document.
+func (o *owner) over(p *paper) {
+	if err := o.ledger.Over(p.Door); err != nil {
+		o.unkept(err)
+	}
+}
+
+// forget lets go of a document of which nothing more can be heard.
+func (o *owner) forget(p *paper) {
+	if p.doc.Over() {
+		o.settled(p, false)
+		if p.withdrawn {
+			o.over(p)
+		}
+		delete(o.docs, p.Door)
+		if o.byID[p.ID] == p {
+			delete(o.byID, p.ID)
+			o.past.add(p.ID)
+		}
+	}
+}
--- /dev/null
+++ b/forward/recovery.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"time"
+
+	"spanflow/choice"
+	"spanflow/internal/ledger"
+	"spanflow/seam"
+)
+
+// begin gives the module the known list and what an earlier process owed.
+func (o *owner) begin(now time.Time) {
+	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
+	if o.order.Inherited > 0 { // this process and the one before are one forwarder; a restart ends the waits
+		o.waits = readWaits(o.order.Folder, o.clock(now))
+	}
+	if o.learnt = readLearnt(o.order.Folder, o.order.shape(), &o.log); len(o.learnt) > 0 {
+		o.log.Info().Int("destinations", len(o.learnt)).Msg("learnt figures taken up")
+	}
+	o.listed(&o.order.Known, true)
+	o.emptyTray()
+	for _, e := range o.ledger.Owed() {
+		typ, known := o.types[e.Type]
+		if !known {
+			o.log.Error().Str("id", e.ID).Str("type", e.Type).Msg("recovered document of an unknown type")
+			typ = 0
+		}
+		past := choice.Past{Sent: e.Sent, Ran: float64(e.Ran) / 1e6, Zone: e.RanZone}
+		if e.Out > 0 { // it was out when that process ended
+			if err := o.ledger.Back(e.Seq, true); err != nil {
+				o.unkept(err)
+			}
+			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
+		}
+		p := o.paper(e, typ)
+		past.Left = e.Held
+		switch past.Answered = e.Answer != ledger.None; {
+		case e.Held: // its caller's connection died with that process: told to nobody
+			o.counts.withdrawn++
+		case e.Answer == ledger.Returned:
+			o.tell(p, seam.Returned, e.After)
+		case e.Answer == ledger.Abandoned:
+			o.tell(p, seam.Abandoned, 0)
+		}
+		left := float64(e.Expiry)/1e6 - o.clock(now)
+		o.f.Recover(p.doc, typ, left, past)
+		o.counts.recovered++
+		if p.untried = past.Sent == 0 && !past.Answered && !past.Left; p.untried {
+			if o.figures.untried++; left <= 0 {
+				o.figures.expired++
+			}
+			o.untried++
+		}
+		if p.withdrawn = e.Held; p.withdrawn {
+			o.forget(p)
+		}
+	}
+	o.f.Settle()
+	o.flush()
+}
+
+// settled takes a document that a restart found untried off the count of those that are: it was called, or has ended
+// without. With the last of them a line says how many were.
+func (o *owner) settled(p *paper, called bool) {
+	if !p.untried {
+		return
+	}
+	p.untried = false
+	o.untried--
+	if called {
+		o.figures.called++
+	}
+	if o.untried == 0 {
+		o.log.Info().Int("recovered", o.counts.recovered).Int("untried", o.figures.untried).Int("called", o.figures.called).
+			Int("uncalled", o.figures.untried-o.figures.called).Int("expired_before", o.figures.expired).Msg("recovered documents settled")
+	}
+}
