forward: Run, the loop, recovery, admission and the list cut into named steps

Their steps are functions of their own now: newOwner, listenInherited, openLedger, completeTerms, openMeter, openFronts, logReady; the state of an ending process with stop and step; recover and pastOf; refused, entry, noteUnknown and take; targetOf and standing; connectOutlets and connectSource. No behaviour, log line or order of opening and closing changes; listed, turn, begin, dest and paper keep their names. Tests of forward and cmd/spanflow pass.

--- a/forward/admission.go
+++ b/forward/admission.go
@@ -8,6 +8,7 @@
 	"spanflow/seam"
 )
 
+// asked carries out what a caller wants.
 func (o *owner) asked(a *asked) {
 	switch {
 	case a.Alive && o.lame: // clients are sent elsewhere: their front asks, and takes this for a no
@@ -31,36 +32,30 @@
 	}
 }
 
+const (
+	refuseMost = 9_999_999   // milliseconds
+	lateList   = time.Second // until discovery has told its list, most likely
+	mostNames  = 16          // unknown names that get a line
+)
+
+func declined(why string) seam.Reply { return seam.Reply{Word: seam.Declined, Why: why} }
+
 // handedIn takes a document on, if the module will, and answers its caller then; any other answer it returns.
 func (o *owner) handedIn(a *asked) seam.Reply {
 	in := a.Paper
-	declined := func(why string) seam.Reply { return seam.Reply{Word: seam.Declined, Why: why} }
 	typ, known := o.types[in.Type]
 	if !known {
 		return declined("unknown type of document")
 	}
-	_, listed := o.dests[in.Dest]
-	switch {
-	case o.byID[in.ID] != nil || o.past.has(in.ID):
-		return declined("a document with this id was taken on")
-	case o.order.Terms.Types[typ].Repeat == choice.Numbered && in.Mark == "":
-		return declined("k is missing, by which a repeat is known")
-	case !listed && o.heard:
-		return declined("unknown destination")
-	case !listed: // the list may be old
-		return seam.Reply{Word: seam.Busy, Wait: int(1000 * min(lateList.Seconds(), o.order.Terms.ComeBackMost))}
+	if reply, refused := o.refused(in, typ); refused {
+		return reply
 	}
 	if a.From.Gone() { // nobody hears the answer: whatever happened to it would count for nothing
 		return seam.Reply{Word: seam.Busy}
 	}
-	holder, held := a.From.(seam.Holder)
-	e := &ledger.Entry{Key: in.Key, Dest: in.Dest, Tenant: index(o.order.Names.Tenants, in.Tenant), Type: in.Type, ID: in.ID,
-		Mark: in.Mark, Body: in.Body, Expiry: in.Came.UnixMicro() + micros(in.Left), Front: a.front.name, Held: held}
+	e := o.entry(a)
 	left := in.Left - time.Since(in.Came).Seconds()
-	if in.Unknown != "" && !o.unknown[in.Unknown] && len(o.unknown) < mostNames {
-		o.unknown[in.Unknown] = true
-		o.log.Warn().Str("name", in.Unknown).Msg("unknown name with a document")
-	}
+	o.noteUnknown(in.Unknown)
 	if taken, back := o.f.Admit(e.Size(), left); !taken {
 		o.counts.refused++
 		return seam.Reply{Word: seam.Busy, Wait: min(int(back*1000), refuseMost)}
@@ -69,19 +64,68 @@
 		o.unkept(err)
 		return seam.Reply{Word: seam.Busy}
 	}
+	o.take(a, e, typ, left)
+	return seam.Reply{Word: seam.Taken}
+}
+
+// refused tells if a document is turned away for what it says, and with which answer.
+func (o *owner) refused(in *seam.Handed, typ int) (reply seam.Reply, refused bool) {
+	_, listed := o.dests[in.Dest]
+	switch {
+	case o.byID[in.ID] != nil || o.past.has(in.ID):
+		return declined("a document with this id was taken on"), true
+	case o.order.Terms.Types[typ].Repeat == choice.Numbered && in.Mark == "":
+		return declined("k is missing, by which a repeat is known"), true
+	case !listed && o.heard:
+		return declined("unknown destination"), true
+	case !listed: // the list may be old
+		return seam.Reply{Word: seam.Busy, Wait: int(1000 * min(lateList.Seconds(), o.order.Terms.ComeBackMost))}, true
+	}
+	return seam.Reply{}, false
+}
+
+// entry is what the ledger keeps of a document.
+func (o *owner) entry(a *asked) *ledger.Entry {
+	in := a.Paper
+	_, held := a.From.(seam.Holder)
+	return &ledger.Entry{
+		Key:    in.Key,
+		Dest:   in.Dest,
+		Tenant: index(o.order.Names.Tenants, in.Tenant),
+		Type:   in.Type,
+		ID:     in.ID,
+		Mark:   in.Mark,
+		Body:   in.Body,
+		Expiry: in.Came.UnixMicro() + micros(in.Left),
+		Front:  a.front.name,
+		Held:   held,
+	}
+}
+
+// noteUnknown logs a name that came with a document and is not known here, each once.
+func (o *owner) noteUnknown(name string) {
+	if name != "" && !o.unknown[name] && len(o.unknown) < mostNames {
+		o.unknown[name] = true
+		o.log.Warn().Str("name", name).Msg("unknown name with a document")
+	}
+}
+
+// take gives the module a document that the ledger has, and answers its caller.
+func (o *owner) take(a *asked, e *ledger.Entry, typ int, left float64) {
+	in := a.Paper
 	p := o.paper(e, typ)
-	p.holder, p.came = holder, in.Came
-	p.doc.Noticed = p.doc.Noticed && !held
+	p.holder, _ = a.From.(seam.Holder)
+	p.came = in.Came
+	p.doc.Noticed = p.doc.Noticed && p.holder == nil
 	o.f.Take(p.doc, typ, left)
 	if !a.From.Answer(seam.Reply{Word: seam.Taken}) { // not heard: its caller hands it in again under another id
 		o.f.Withdrawn(p.doc)
 		o.over(p)
 		o.forget(p)
-		return seam.Reply{Word: seam.Taken}
+		return
 	}
 	if p.traced {
 		o.log.Info().Str("id", p.ID).Uint64("dest", in.Dest).Str("type", in.Type).Float64("left_s", left).Msg("trace: taken")
 	}
 	o.counts.taken++
-	return seam.Reply{Word: seam.Taken}
 }
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -5,6 +5,7 @@
 	"spanflow/seam"
 )
 
+// ended takes in the end of a call.
 func (o *owner) ended(e seam.Ended) {
 	for pass := range 2 { // delivered ones first: the module judges a call by the first end
 		for i, p := range e.Call.Papers {
@@ -19,6 +20,7 @@
 	}
 }
 
+// end takes in the end of one document's transmission.
 func (o *owner) end(door uint64, end seam.End, e *seam.Ended) {
 	o.counts.ends[end]++
 	o.meter.End(end, e.Took)
@@ -38,16 +40,7 @@
 	switch {
 	case over && p.doc.Telling(): // owed until that is heard, so it stays recorded
 	case over:
-		o.over(p)
-		final := seam.Abandoned
-		if outcome == choice.Delivered {
-			final = seam.Delivered
-			o.counts.delivered++
-		}
-		o.final(p, final)
-		if p.holder != nil && !p.withdrawn {
-			p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
-		}
+		o.finish(p, outcome)
 	default:
 		if err := o.ledger.Back(door, end.Ran()); err != nil {
 			o.unkept(err)
@@ -55,3 +48,17 @@
 	}
 	o.forget(p)
 }
+
+// finish records and tells the final answer of a document whose last transmission gave it.
+func (o *owner) finish(p *paper, outcome choice.Outcome) {
+	o.over(p)
+	final := seam.Abandoned
+	if outcome == choice.Delivered {
+		final = seam.Delivered
+		o.counts.delivered++
+	}
+	o.final(p, final)
+	if p.holder != nil && !p.withdrawn {
+		p.holder.Tell(seam.Final{Door: p.Door, ID: p.ID, Outcome: final})
+	}
+}
--- a/forward/connect.go
+++ b/forward/connect.go
@@ -10,15 +10,33 @@
 	"spanflow/seam"
 )
 
+const (
+	connectAtMost = 30 * time.Second
+	usualCarriage = "http"
+)
+
 // connect makes the outlets, the list's source and the teller that the order asks for.
 func (o *owner) connect(dialer *dial.Dialer) error {
-	order, x := o.order, o.exchange
-	connect := time.Duration(order.Names.Connect * float64(time.Second))
+	connect := time.Duration(o.order.Names.Connect * float64(time.Second))
 	if connect <= 0 {
 		connect = connectAtMost
 	}
-	terms := Carrier{Connect: connect, KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second)), Limit: order.Names.Limit,
-		Left: order.Names.Left}
+	if err := o.connectOutlets(dialer, connect); err != nil {
+		return err
+	}
+	o.connectSource(dialer, connect)
+	return nil
+}
+
+// connectOutlets makes the order's outlets, and the usual one unless the order has its own by that name.
+func (o *owner) connectOutlets(dialer *dial.Dialer, connect time.Duration) error {
+	order := o.order
+	terms := Carrier{
+		Connect:  connect,
+		KeepIdle: time.Duration(order.Terms.KeepIdle() * float64(time.Second)),
+		Limit:    order.Names.Limit,
+		Left:     order.Names.Left,
+	}
 	o.outlets = map[string]seam.Outlet{}
 	for _, w := range append(slices.Clone(order.Outlets), Outlet{Name: usualCarriage, Protocol: usualCarriage}) {
 		if o.outlets[w.Name] != nil { // the order's own in place of the usual
@@ -32,13 +50,19 @@
 		if c == nil {
 			return fmt.Errorf("outlets: %s: unknown protocol %q", w.Name, w.Protocol)
 		}
-		o.outlets[w.Name] = c(dialer, t, x)
+		o.outlets[w.Name] = c(dialer, t, o.exchange)
 	}
 	for kind, name := range order.KindOutlet {
 		if o.outlets[name] == nil {
 			return fmt.Errorf("kinds: %s: unknown outlet %q", kind, name)
 		}
 	}
+	return nil
+}
+
+// connectSource makes the list's source, discovery or the order's own list, and the teller.
+func (o *owner) connectSource(dialer *dial.Dialer, connect time.Duration) {
+	order, x := o.order, o.exchange
 	if order.Discovery != "" {
 		d := directory.New(dialer, order.Discovery, connect, x)
 		o.source, o.moves = d, d
@@ -57,5 +81,4 @@
 		d := directory.New(dialer, order.toldNotices, connect, x)
 		o.teller, o.notices = d, d
 	}
-	return nil
 }
--- a/forward/counts.go
+++ b/forward/counts.go
@@ -47,7 +47,8 @@
 		idle += by.Idle()
 	}
 	e := tally(o.counts.write(o.log.Info()).Int("held", len(o.docs)), o.fronts[0].Tally())
-	e.Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", idle).Int64("disk", o.ledger.Used()).Msg("counts")
+	e.Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", idle).
+		Int64("disk", o.ledger.Used()).Msg("counts")
 	for _, l := range o.fronts[1:] {
 		tally(o.log.Info().Str("front", l.terms.Name), l.Tally()).Msg("counts of a front")
 	}
--- a/forward/daily.go
+++ b/forward/daily.go
@@ -35,6 +35,22 @@
 	reply func(admin.Answer)
 }
 
+func newDesk(order *Order, x *Exchange) *desk {
+	d := &desk{x: x}
+	if order.Inherited > 0 {
+		d.lobby.Store(newLobby(order))
+	}
+	return d
+}
+
+// takeOver has calls go to the owner from here on. It tells if clients are to be sent away.
+func (d *desk) takeOver() (lame bool) {
+	if l := d.lobby.Load(); l != nil {
+		return l.leave()
+	}
+	return false
+}
+
 func (d *desk) Ready() bool { return d.ready.Load() }
 
 func (d *desk) Ask(c admin.Call, reply func(admin.Answer)) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -20,24 +21,9 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/rs/zerolog"
 
-	"spanflow/choice"
 	"spanflow/internal/admin"
 	"spanflow/internal/dial"
 	"spanflow/internal/ledger"
-	"spanflow/internal/rota"
-)
-
-const (
-	killAfter     = 3700 * time.Millisecond // after the word to stop, a forwarder may be killed
-	killMargin    = 500 * time.Millisecond  // what is left of it for the end itself
-	comingFor     = 500 * time.Millisecond  // new connections may still come for so long
-	lookEvery     = 20 * time.Millisecond
-	countsEvery   = 10 * time.Second
-	learnEvery    = 3 * time.Second
-	descriptors   = 32 // for files, pollers and the like
-	spareClients  = 4  // connections that are closed to make room while as many come
-	connectAtMost = 30 * time.Second
-	usualCarriage = "http"
 )
 
 // Confine makes the whole process keep to the order's limits and its log lines bear times a person can read. A program
@@ -57,11 +43,7 @@
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
-	x := newExchange()
-	operators := &desk{x: x}
-	if order.Inherited > 0 {
-		operators.lobby.Store(newLobby(order))
-	}
+	operators := newDesk(order, newExchange())
 	if order.Admin != "" {
 		a, err := admin.Open(order.Admin, operators)
 		if err != nil {
@@ -69,98 +51,51 @@
 		}
 		defer a.Stop()
 	}
-	wait := time.Duration(0)
 	if order.Inherited > 0 {
-		l, err := inherit(order.Inherited)
+		l, err := order.listenInherited()
 		if err != nil {
 			return err
 		}
 		defer l.Close()
-		order.Fronts = slices.Clone(order.Fronts)
-		order.Fronts[0].Listener = l
 		// It can serve once the process that it replaces has gone, and that one is told to go by this yes.
 		operators.ready.Store(true)
-		if wait = handOverWait; ledger.Owner(order.Folder) != 0 {
-			log.Info().Int("pid", ledger.Owner(order.Folder)).Msg("waiting for the folder")
-		}
 	}
-	led, err := ledger.OpenWaiting(ctx, order.Folder, int64(order.DiskMB)*1_000_000, wait)
+	led, err := openLedger(ctx, order, log)
 	if errors.Is(err, context.Canceled) {
 		log.Info().Msg("told to stop while waiting for the folder")
 		return nil
 	}
 	if err != nil {
-		return fmt.Errorf("PROXY_STATE: %w", err)
+		return err
 	}
 	defer led.Close()
-	room := order.Sockets - descriptors
-	dialer, err := dial.New("outlet", room/3)
+	dialer, err := dial.New("outlet", (order.Sockets-descriptors)/3)
 	if err != nil {
 		return err
 	}
 	defer dialer.Stop()
-	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
-	order.Terms.Agent = !order.Terms.AskList && order.Discovery != ""
-	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
-	o := &owner{operators: operators, rota: rota.New(readOut(order.Folder)), order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
-		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
-		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{}, logTo: logTo,
-		said: map[string]time.Time{}}
-	for i, name := range order.Names.Types {
-		o.types[name] = i
-	}
+	order.completeTerms(led.Room())
+	o := newOwner(order, led, operators)
+	o.asRead, o.log, o.logTo = asRead, log, logTo
 	if err := o.connect(dialer); err != nil {
 		return err
 	}
 	defer o.source.Stop()
-	if order.Metrics != "" {
-		if order.Meter == nil {
-			return errors.New("metrics: this program has none")
-		}
-		var fronts []string
-		for _, f := range order.Fronts {
-			fronts = append(fronts, f.Name)
-		}
-		m, err := order.Meter(order.Metrics, order.Name, fronts, o.levels(dialer))
-		if err != nil {
-			return fmt.Errorf("metrics: %w", err)
-		}
-		o.meter, o.metered = m, true
-		defer m.Stop()
-	}
-	lame := false
-	if l := operators.lobby.Load(); l != nil {
-		lame = l.leave()
+	if err := o.openMeter(dialer); err != nil {
+		return err
 	}
+	defer o.meter.Stop()
+	lame := operators.takeOver()
 	o.begin(o.epoch)
-	most, err := shares(order.Fronts, Clients(order.Sockets))
-	if err == nil {
-		o.fronts, err = o.open(order.Fronts, most)
-	}
-	if err != nil {
+	if err := o.openFronts(); err != nil {
 		return err
 	}
-	defer func() {
-		for _, l := range append(o.fronts, o.leaving...) {
-			o.close(l)
-		}
-	}()
-	said := log.Info()
-	for i, l := range o.fronts {
-		name := "listen"
-		if i > 0 {
-			name += "_" + l.terms.Name
-		}
-		said = said.Str(name, l.Addr())
-	}
-	if o.metered {
-		said = said.Str("metrics", o.meter.Addr())
-	}
+	defer o.closeFronts()
 	if lame {
 		o.lameduck(true)
 	}
 	operators.ready.Store(true)
-	said.Int("recovered", o.counts.recovered).Int("dropped_records", led.Dropped).Int("targets", len(o.targets)).Msg("ready")
+	o.logReady()
 	if ready != nil {
 		ready(o.fronts[0].Addr())
 	}
@@ -171,3 +106,75 @@
 	o.counts.write(log.Info()).Int("owed", len(led.Owed())).Msg("end")
 	return nil
 }
+
+// listenInherited puts the socket that the platform hands down in the place of the first front's address.
+func (o *Order) listenInherited() (net.Listener, error) {
+	l, err := inherit(o.Inherited)
+	if err != nil {
+		return nil, err
+	}
+	o.Fronts = slices.Clone(o.Fronts)
+	o.Fronts[0].Listener = l
+	return l, nil
+}
+
+// openLedger opens the folder. A process that replaces another waits until that one has left it.
+func openLedger(ctx context.Context, order *Order, log zerolog.Logger) (*ledger.Ledger, error) {
+	wait := time.Duration(0)
+	if order.Inherited > 0 {
+		wait = handOverWait
+		if pid := ledger.Owner(order.Folder); pid != 0 {
+			log.Info().Int("pid", pid).Msg("waiting for the folder")
+		}
+	}
+	led, err := ledger.OpenWaiting(ctx, order.Folder, int64(order.DiskMB)*1_000_000, wait)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_STATE: %w", err)
+	}
+	return led, nil
+}
+
+// completeTerms sets what the module is told of this process beside the order's own terms; room is the ledger's, in
+// bytes.
+func (o *Order) completeTerms(room int) {
+	o.Terms.Keep, o.Terms.Confirmed = room, true
+	o.Terms.Agent = !o.Terms.AskList && o.Discovery != ""
+	o.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
+}
+
+// openMeter starts to serve the metrics, if the order asks for them.
+func (o *owner) openMeter(dialer *dial.Dialer) error {
+	if o.order.Metrics == "" {
+		return nil
+	}
+	if o.order.Meter == nil {
+		return errors.New("metrics: this program has none")
+	}
+	var fronts []string
+	for _, f := range o.order.Fronts {
+		fronts = append(fronts, f.Name)
+	}
+	m, err := o.order.Meter(o.order.Metrics, o.order.Name, fronts, o.levels(dialer))
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	o.meter, o.metered = m, true
+	return nil
+}
+
+// logReady logs where clients are served from now on.
+func (o *owner) logReady() {
+	e := o.log.Info()
+	for i, l := range o.fronts {
+		name := "listen"
+		if i > 0 {
+			name += "_" + l.terms.Name
+		}
+		e = e.Str(name, l.Addr())
+	}
+	if o.metered {
+		e = e.Str("metrics", o.meter.Addr())
+	}
+	e.Int("recovered", o.counts.recovered).Int("dropped_records", o.ledger.Dropped).
+		Int("targets", len(o.targets)).Msg("ready")
+}
--- a/forward/host.go
+++ b/forward/host.go
@@ -36,7 +36,8 @@
 	}
 	o.settled(p, true)
 	if p.traced {
-		o.log.Info().Str("id", p.ID).Uint64("dest", t.dest).Str("target", t.uid).Float64("timeout_s", timeout).Msg("trace: transmission")
+		o.log.Info().Str("id", p.ID).Uint64("dest", t.dest).Str("target", t.uid).Float64("timeout_s", timeout).
+			Msg("trace: transmission")
 	}
 	allow := time.Duration(timeout * float64(time.Second))
 	for _, c := range o.calls {
@@ -46,7 +47,8 @@
 			return
 		}
 	}
-	o.calls = append(o.calls, pending{t.outlet, &seam.Call{Door: to.Door, Target: t.addr, Papers: []seam.Paper{p.Paper}, Allow: allow}})
+	call := &seam.Call{Door: to.Door, Target: t.addr, Papers: []seam.Paper{p.Paper}, Allow: allow}
+	o.calls = append(o.calls, pending{t.outlet, call})
 }
 
 func (o *owner) Reject(d *choice.Doc, comeBack float64) {
--- a/forward/list.go
+++ b/forward/list.go
@@ -15,40 +15,20 @@
 	line        choice.Listing // as the list has it last
 }
 
+// listed takes up a list of targets: all of them, or changes.
 func (o *owner) listed(l *seam.List, whole bool) {
 	o.rev = l.Rev
 	lines := make([]choice.Listing, 0, len(l.Targets))
-	for _, e := range l.Targets {
-		t := o.byUID[e.UID]
-		if t == nil {
-			if e.State == "left" {
-				continue // heard of only as it goes
-			}
-			o.lastDoor++
-			t = &target{uid: e.UID, dest: e.Dest, outlet: o.outletOf(e.Kind), module: &choice.Target{Door: o.lastDoor}}
-			o.targets[o.lastDoor], o.byUID[e.UID] = t, t
-		}
+	for i := range l.Targets {
+		e := &l.Targets[i]
 		kind := index(o.order.Names.Kinds, e.Kind)
-		t.zone, t.batch = index(o.order.Names.Zones, e.Zone), 1
-		if e.Endpoint != "" {
-			t.addr = e.Endpoint
-		}
-		if kind < len(o.order.Terms.KindBatch) {
-			t.batch = max(1, o.order.Terms.KindBatch[kind])
-		}
-		line := choice.Listing{Target: t.module, Dest: o.dest(e.Dest), Kind: kind, Zone: t.zone, Rate: e.Rate}
-		switch e.State {
-		case "active":
-			line.Standing = choice.Ready
-		case "leaving":
-			line.Standing = choice.Draining
-		case "left":
-			line.Standing = choice.Gone
-		default:
-			o.log.Warn().Str("target", e.UID).Str("state", e.State).Msg("unknown state in the list")
-			line.Standing = choice.Draining
+		t := o.targetOf(e, kind)
+		if t == nil {
+			continue
 		}
-		t.line = line
+		t.line = choice.Listing{Target: t.module, Dest: o.dest(e.Dest), Kind: kind, Zone: t.zone, Rate: e.Rate,
+			Standing: o.standing(e)}
+		line := t.line
 		line.Standing = o.rota.Standing(t.uid, line.Standing)
 		lines = append(lines, line)
 	}
@@ -58,6 +38,43 @@
 	}
 }
 
+// targetOf is the target that a line of the list speaks of, as the line has it; nil for one heard of only as it goes.
+// kind is the number of the line's kind.
+func (o *owner) targetOf(e *seam.Target, kind int) *target {
+	t := o.byUID[e.UID]
+	if t == nil {
+		if e.State == "left" {
+			return nil
+		}
+		o.lastDoor++
+		t = &target{uid: e.UID, dest: e.Dest, outlet: o.outletOf(e.Kind), module: &choice.Target{Door: o.lastDoor}}
+		o.targets[o.lastDoor], o.byUID[e.UID] = t, t
+	}
+	t.zone, t.batch = index(o.order.Names.Zones, e.Zone), 1
+	if e.Endpoint != "" {
+		t.addr = e.Endpoint
+	}
+	if kind < len(o.order.Terms.KindBatch) {
+		t.batch = max(1, o.order.Terms.KindBatch[kind])
+	}
+	return t
+}
+
+// standing is what the list says of a target. A state that is not known here lets its calls end and begins none.
+func (o *owner) standing(e *seam.Target) choice.Standing {
+	switch e.State {
+	case "active":
+		return choice.Ready
+	case "leaving":
+		return choice.Draining
+	case "left":
+		return choice.Gone
+	default:
+		o.log.Warn().Str("target", e.UID).Str("state", e.State).Msg("unknown state in the list")
+		return choice.Draining
+	}
+}
+
 // outletOf is the outlet by which targets of a kind are reached.
 func (o *owner) outletOf(kind string) seam.Outlet {
 	if by := o.outlets[o.order.KindOutlet[kind]]; by != nil {
@@ -66,23 +83,26 @@
 	return o.outlets[usualCarriage]
 }
 
+const leastSweep = 64 // destinations
+
+// dest is the module's destination of a number, a new one if there is none.
 func (o *owner) dest(number uint64) *choice.Destination {
-	d := o.dests[number]
-	if d == nil {
-		if len(o.dests) >= o.sweepAt {
-			for n, d := range o.dests {
-				if o.f.Forget(d) {
-					delete(o.dests, n)
-				}
+	if d := o.dests[number]; d != nil {
+		return d
+	}
+	if len(o.dests) >= o.sweepAt {
+		for n, d := range o.dests {
+			if o.f.Forget(d) {
+				delete(o.dests, n)
 			}
-			o.sweepAt = 2*len(o.dests) + leastSweep
-		}
-		d = o.f.NewDestination(number)
-		o.dests[number] = d
-		if times := o.learnt[number]; times != nil {
-			o.f.Remember(d, times)
-			delete(o.learnt, number)
 		}
+		o.sweepAt = 2*len(o.dests) + leastSweep
+	}
+	d := o.f.NewDestination(number)
+	o.dests[number] = d
+	if times := o.learnt[number]; times != nil {
+		o.f.Remember(d, times)
+		delete(o.learnt, number)
 	}
 	return d
 }
--- a/forward/messages.go
+++ b/forward/messages.go
@@ -22,7 +22,12 @@
 
 // paper makes the module's document of an entry.
 func (o *owner) paper(e *ledger.Entry, typ int) *paper {
-	p := &paper{Paper: seam.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body}, typ: typ, came: time.Now(), traced: o.trace.picks(e.ID, e.Key)}
+	p := &paper{
+		Paper:  seam.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body},
+		typ:    typ,
+		came:   time.Now(),
+		traced: o.trace.picks(e.ID, e.Key),
+	}
 	p.doc = &choice.Doc{Door: e.Seq, Tenant: e.Tenant, Key: e.Key, Dest: o.dest(e.Dest), Size: e.Size(), Noticed: o.teller != nil}
 	o.docs[e.Seq], o.byID[e.ID] = p, p
 	return p
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -65,16 +65,41 @@
 const (
 	slowTurn   = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
 	floodPause = time.Second            // between two lines of a kind that may come in floods
-	refuseMost = 9_999_999              // milliseconds
-	leastSweep = 64                     // destinations
-	lateList   = time.Second            // until discovery has told its list, most likely
-	mostNames  = 16                     // unknown names that get a line
 )
 
+// newOwner makes the owner of an order's forwarder, whose operators and news come by the desk and its exchange.
+func newOwner(order *Order, led *ledger.Ledger, operators *desk) *owner {
+	o := &owner{
+		order:     order,
+		exchange:  operators.x,
+		operators: operators,
+		ledger:    led,
+		rota:      rota.New(readOut(order.Folder)),
+		epoch:     time.Now(),
+		docs:      map[uint64]*paper{},
+		byID:      map[string]*paper{},
+		past:      newRecent(),
+		targets:   map[uint64]*target{},
+		byUID:     map[string]*target{},
+		types:     map[string]int{},
+		dests:     map[uint64]*choice.Destination{},
+		unknown:   map[string]bool{},
+		trace:     newTrace(order.Log),
+		meter:     noMeter{},
+		said:      map[string]time.Time{},
+	}
+	for i, name := range order.Names.Types {
+		o.types[name] = i
+	}
+	return o
+}
+
+// clock is a time on the module's clock, in seconds.
 func (o *owner) clock(t time.Time) float64 {
 	return float64(o.epoch.UnixMicro())/1e6 + t.Sub(o.epoch).Seconds()
 }
 
+// micros is so many seconds in whole microseconds.
 func micros(seconds float64) int64 { return int64(seconds * 1e6) }
 
 // turn takes all news, lets the module settle once, and carries out what it decides. It tells if the process may end.
@@ -103,6 +128,7 @@
 	return o.f.Done()
 }
 
+// hear takes one of the news in.
 func (o *owner) hear(n any) {
 	switch n := n.(type) {
 	case *asked:
@@ -119,20 +145,9 @@
 			o.log.Warn().Str("why", string(n)).Msg("notices not answered")
 		}
 	case watchEnded:
-		o.log.Warn().Str("why", n.why).Msg("watch ended")
-		if n.silent {
-			o.f.ListSilent()
-		} else {
-			o.f.ListFailed()
-		}
+		o.watchEnded(n)
 	case told:
-		for _, door := range n {
-			if p := o.docs[door]; p != nil {
-				o.over(p)
-				o.f.Told(p.doc)
-				o.forget(p)
-			}
-		}
+		o.told(n)
 	case stopping:
 		o.f.Stop(time.Duration(n).Seconds())
 	case operation:
@@ -140,6 +155,27 @@
 	}
 }
 
+// watchEnded tells the module that the list is not heard of any more.
+func (o *owner) watchEnded(n watchEnded) {
+	o.log.Warn().Str("why", n.why).Msg("watch ended")
+	if n.silent {
+		o.f.ListSilent()
+	} else {
+		o.f.ListFailed()
+	}
+}
+
+// told lets go of documents whose final answers were heard.
+func (o *owner) told(doors told) {
+	for _, door := range doors {
+		if p := o.docs[door]; p != nil {
+			o.over(p)
+			o.f.Told(p.doc)
+			o.forget(p)
+		}
+	}
+}
+
 // worth tells if a line of a kind is to be written, at most one a while.
 func (o *owner) worth(kind string) bool {
 	now := time.Now()
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -20,45 +20,60 @@
 	o.listed(&o.order.Known, true)
 	o.emptyTray()
 	for _, e := range o.ledger.Owed() {
-		typ, known := o.types[e.Type]
-		if !known {
-			o.log.Error().Str("id", e.ID).Str("type", e.Type).Msg("recovered document of an unknown type")
-			typ = 0
-		}
-		past := choice.Past{Sent: e.Sent, Ran: float64(e.Ran) / 1e6, Zone: e.RanZone}
-		if e.Out > 0 { // it was out when that process ended
-			if err := o.ledger.Back(e.Seq, true); err != nil {
-				o.unkept(err)
-			}
-			past.Ran, past.Zone = float64(e.Ran)/1e6, e.RanZone
-		}
-		p := o.paper(e, typ)
-		past.Left = e.Held
-		switch past.Answered = e.Answer != ledger.None; {
-		case e.Held: // its caller's connection died with that process: told to nobody
-			o.counts.withdrawn++
-		case e.Answer == ledger.Returned:
-			o.tell(p, seam.Returned, e.After)
-		case e.Answer == ledger.Abandoned:
-			o.tell(p, seam.Abandoned, 0)
-		}
-		left := float64(e.Expiry)/1e6 - o.clock(now)
-		o.f.Recover(p.doc, typ, left, past)
-		o.counts.recovered++
-		if p.untried = past.Sent == 0 && !past.Answered && !past.Left; p.untried {
-			if o.figures.untried++; left <= 0 {
-				o.figures.expired++
-			}
-			o.untried++
-		}
-		if p.withdrawn = e.Held; p.withdrawn {
-			o.forget(p)
-		}
+		o.recover(e, now)
 	}
 	o.f.Settle()
 	o.flush()
 }
 
+// recover takes up a document that an earlier process owed.
+func (o *owner) recover(e *ledger.Entry, now time.Time) {
+	typ, known := o.types[e.Type]
+	if !known {
+		o.log.Error().Str("id", e.ID).Str("type", e.Type).Msg("recovered document of an unknown type")
+		typ = 0
+	}
+	past := o.pastOf(e)
+	p := o.paper(e, typ)
+	switch {
+	case e.Held: // its caller's connection died with that process: told to nobody
+		o.counts.withdrawn++
+	case e.Answer == ledger.Returned:
+		o.tell(p, seam.Returned, e.After)
+	case e.Answer == ledger.Abandoned:
+		o.tell(p, seam.Abandoned, 0)
+	}
+	left := float64(e.Expiry)/1e6 - o.clock(now)
+	o.f.Recover(p.doc, typ, left, past)
+	o.counts.recovered++
+	if p.untried = past.Sent == 0 && !past.Answered && !past.Left; p.untried {
+		if o.figures.untried++; left <= 0 {
+			o.figures.expired++
+		}
+		o.untried++
+	}
+	if p.withdrawn = e.Held; p.withdrawn {
+		o.forget(p)
+	}
+}
+
+// pastOf is what the module is told of a document's earlier transmissions. One that was out when that process ended
+// counts as ended with it, and may have run.
+func (o *owner) pastOf(e *ledger.Entry) choice.Past {
+	if e.Out > 0 {
+		if err := o.ledger.Back(e.Seq, true); err != nil {
+			o.unkept(err)
+		}
+	}
+	return choice.Past{
+		Sent:     e.Sent,
+		Ran:      float64(e.Ran) / 1e6,
+		Zone:     e.RanZone,
+		Answered: e.Answer != ledger.None,
+		Left:     e.Held,
+	}
+}
+
 // settled takes a document that a restart found untried off the count of those that are: it was called, or has ended
 // without. With the last of them a line says how many were.
 func (o *owner) settled(p *paper, called bool) {
@@ -72,6 +87,7 @@
 	}
 	if o.untried == 0 {
 		o.log.Info().Int("recovered", o.counts.recovered).Int("untried", o.figures.untried).Int("called", o.figures.called).
-			Int("uncalled", o.figures.untried-o.figures.called).Int("expired_before", o.figures.expired).Msg("recovered documents settled")
+			Int("uncalled", o.figures.untried-o.figures.called).Int("expired_before", o.figures.expired).
+			Msg("recovered documents settled")
 	}
 }
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -9,6 +9,25 @@
 	"spanflow/internal/dial"
 )
 
+const (
+	killAfter   = 3700 * time.Millisecond // after the word to stop, a forwarder may be killed
+	killMargin  = 500 * time.Millisecond  // what is left of it for the end itself
+	comingFor   = 500 * time.Millisecond  // new connections may still come for so long
+	lookEvery   = 20 * time.Millisecond
+	countsEvery = 10 * time.Second
+	learnEvery  = 3 * time.Second
+)
+
+// shutdown is how far the end of a process has come. A channel is nil while its event is not waited for.
+type shutdown struct {
+	asked   <-chan struct{}  // the word to stop
+	coming  <-chan time.Time // from then on no new connections are waited for
+	look    <-chan time.Time // to see if the clients have gone
+	end     <-chan time.Time // from then on nothing is waited for
+	handing bool             // another process takes over
+	shut    bool             // and the fronts are shut for it
+}
+
 // serve turns until the module lets the process end.
 func (o *owner) serve(ctx context.Context, again <-chan os.Signal, dialer *dial.Dialer) {
 	timer := time.NewTimer(0)
@@ -16,21 +35,15 @@
 	defer report.Stop()
 	learn := time.NewTicker(learnEvery)
 	defer learn.Stop()
-	asked := ctx.Done()
-	var coming, end, look <-chan time.Time
-	handing, shut := false, false
 	var tray <-chan time.Time
 	if o.order.Inherited > 0 { // a process that replaces this one may wait and be called
 		ticker := time.NewTicker(trayEvery)
 		defer ticker.Stop()
 		tray = ticker.C
 	}
+	s := shutdown{asked: ctx.Done()}
 	for {
-		if o.wakeAt.IsZero() {
-			timer.Stop()
-		} else {
-			timer.Reset(time.Until(o.wakeAt))
-		}
+		o.setTimer(timer)
 		select {
 		case <-o.exchange.bell:
 		case <-timer.C:
@@ -41,61 +54,80 @@
 			o.keepLearnt()
 			continue
 		case <-tray:
-			if handing || !o.emptyTray() { // what is called once this one hands over, its successor takes up
+			if s.handing || !o.emptyTray() { // what is called once this one hands over, its successor takes up
 				continue
 			}
 		case <-again:
 			o.reread()
 			continue
-		case <-asked:
-			asked, o.stopping = nil, true
-			o.operators.ready.Store(false)
-			end = time.After(killAfter - killMargin)
-			if handing = o.order.Inherited > 0; handing {
-				// Another process takes the clients from the shared socket and what is owed from the folder: its
-				// order goes on there once this one has its calls back.
-				o.log.Info().Int("held", len(o.docs)).Int("out", o.f.Out()).Msg("handing over")
-				o.exchange.leave(stopping(0))
-				look = time.Tick(lookEvery)
-				break
-			}
-			o.log.Info().Int("held", len(o.docs)).Msg("stopping")
-			coming = time.After(comingFor)
-			o.exchange.leave(stopping(killAfter - killMargin))
-		case <-coming:
-			coming = nil
+		case <-s.asked:
+			o.stop(&s)
+		case <-s.coming:
+			s.coming = nil
 			for _, l := range o.fronts {
 				l.Leave()
 			}
-			look = time.Tick(lookEvery)
-		case <-look: // if the clients have gone
-		case <-end:
+			s.look = time.Tick(lookEvery)
+		case <-s.look: // if the clients have gone
+		case <-s.end:
 			return
 		}
-		clients := 0
-		for _, l := range o.fronts {
-			clients += l.Clients()
-		}
-		if len(o.leaving) > 0 {
-			o.gone()
-		}
-		done := o.turn()
-		if handing && !shut && o.f.Out() == 0 {
-			// Clients are taken and kept for the successor until the calls are back, so that the socket is without
-			// anybody who accepts for as short a time as can be: the successor starts once the folder is free.
-			shut = true
-			for _, l := range o.fronts {
-				l.Shut()
-				l.Leave()
-			}
-			continue
-		}
-		if (done || shut) && coming == nil && clients == 0 {
+		if o.step(&s) {
 			return
 		}
 	}
 }
 
+// setTimer has the timer fire when the module is to be woken.
+func (o *owner) setTimer(timer *time.Timer) {
+	if o.wakeAt.IsZero() {
+		timer.Stop()
+	} else {
+		timer.Reset(time.Until(o.wakeAt))
+	}
+}
+
+// stop begins the end of the process.
+func (o *owner) stop(s *shutdown) {
+	s.asked, o.stopping = nil, true
+	o.operators.ready.Store(false)
+	s.end = time.After(killAfter - killMargin)
+	if s.handing = o.order.Inherited > 0; s.handing {
+		// Another process takes the clients from the shared socket and what is owed from the folder: its order goes on
+		// there once this one has its calls back.
+		o.log.Info().Int("held", len(o.docs)).Int("out", o.f.Out()).Msg("handing over")
+		o.exchange.leave(stopping(0))
+		s.look = time.Tick(lookEvery)
+		return
+	}
+	o.log.Info().Int("held", len(o.docs)).Msg("stopping")
+	s.coming = time.After(comingFor)
+	o.exchange.leave(stopping(killAfter - killMargin))
+}
+
+// step takes a turn. It tells if the process may end.
+func (o *owner) step(s *shutdown) bool {
+	clients := 0
+	for _, l := range o.fronts {
+		clients += l.Clients()
+	}
+	if len(o.leaving) > 0 {
+		o.gone()
+	}
+	done := o.turn()
+	if s.handing && !s.shut && o.f.Out() == 0 {
+		// Clients are taken and kept for the successor until the calls are back, so that the socket is without anybody
+		// who accepts for as short a time as can be: the successor starts once the folder is free.
+		s.shut = true
+		for _, l := range o.fronts {
+			l.Shut()
+			l.Leave()
+		}
+		return false
+	}
+	return (done || s.shut) && s.coming == nil && clients == 0
+}
+
 // last answers what callers have asked up to the end. Guards against a command that was read behind the last turn and
 // lost with the process: what is read is answered, what is not its client sends once more. No call begins any more.
 func (o *owner) last() {
--- a/forward/wiring.go
+++ b/forward/wiring.go
@@ -81,6 +81,11 @@
 func KnowsProtocol(name string) bool { return protocols[name] != nil }
 func KnowsCarriage(name string) bool { return carriages[name] != nil }
 
+const (
+	descriptors  = 32 // for files, pollers and the like
+	spareClients = 4  // connections that are closed to make room while as many come
+)
+
 // Clients is how many connections of clients an order's descriptors allow, all fronts together.
 func Clients(descriptorsInAll int) int { room := descriptorsInAll - descriptors; return room - room/3 }
 
@@ -145,6 +150,23 @@
 	return open, nil
 }
 
+// openFronts opens the order's fronts.
+func (o *owner) openFronts() error {
+	most, err := shares(o.order.Fronts, Clients(o.order.Sockets))
+	if err != nil {
+		return err
+	}
+	o.fronts, err = o.open(o.order.Fronts, most)
+	return err
+}
+
+// closeFronts closes all fronts, also those that have gone from the order.
+func (o *owner) closeFronts() {
+	for _, l := range append(o.fronts, o.leaving...) {
+		o.close(l)
+	}
+}
+
 func (o *owner) close(l *listener) {
 	l.Stop()
 	o.exchange.shutGate(l.gate)
