forward: newOwner takes the order, the log and the exchange

An owner without a ledger, fronts or operators is wanted beside Run. newOwner now makes one that has heard of nothing, and Run sets the rest; askForList holds what the module is told of the list's way.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -24,6 +24,7 @@
 	"spanflow/internal/admin"
 	"spanflow/internal/dial"
 	"spanflow/internal/ledger"
+	"spanflow/internal/rota"
 )
 
 // Confine makes the whole process keep to the order's limits and its log lines bear times a person can read. A program
@@ -43,7 +44,8 @@
 	logging.SetLogger(networkLog{log})
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
-	operators := newDesk(order, newExchange())
+	x := newExchange()
+	operators := newDesk(order, x)
 	if order.Admin != "" {
 		a, err := admin.Open(order.Admin, operators)
 		if err != nil {
@@ -74,9 +76,10 @@
 		return err
 	}
 	defer dialer.Stop()
-	order.completeTerms(led.Room())
-	o := newOwner(order, led, operators)
-	o.asRead, o.log, o.logTo = asRead, log, logTo
+	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
+	order.askForList()
+	o := newOwner(order, log, x)
+	o.asRead, o.ledger, o.operators, o.rota, o.logTo = asRead, led, operators, rota.New(readOut(order.Folder)), logTo
 	if err := o.connect(dialer); err != nil {
 		return err
 	}
@@ -134,12 +137,10 @@
 	return led, nil
 }
 
-// completeTerms sets what the module is told of this process beside the order's own terms; room is the ledger's, in
-// bytes.
-func (o *Order) completeTerms(room int) {
-	o.Terms.Keep, o.Terms.Confirmed = room, true
+// askForList tells the module that the list comes by a watch that is asked for, whatever discovery is like.
+func (o *Order) askForList() {
 	o.Terms.Agent = !o.Terms.AskList && o.Discovery != ""
-	o.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
+	o.Terms.AskList = true
 }
 
 // openMeter starts to serve the metrics, if the order asks for them.
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -67,26 +67,25 @@
 	floodPause = time.Second            // between two lines of a kind that may come in floods
 )
 
-// newOwner makes the owner of an order's forwarder, whose operators and news come by the desk and its exchange.
-func newOwner(order *Order, led *ledger.Ledger, operators *desk) *owner {
+// newOwner has heard of nothing yet. Its ledger, operators and rota are the caller's to set.
+func newOwner(order *Order, log zerolog.Logger, x *Exchange) *owner {
 	o := &owner{
-		order:     order,
-		exchange:  operators.x,
-		operators: operators,
-		ledger:    led,
-		rota:      rota.New(readOut(order.Folder)),
-		epoch:     time.Now(),
-		docs:      map[uint64]*paper{},
-		byID:      map[string]*paper{},
-		past:      newRecent(),
-		targets:   map[uint64]*target{},
-		byUID:     map[string]*target{},
-		types:     map[string]int{},
-		dests:     map[uint64]*choice.Destination{},
-		unknown:   map[string]bool{},
-		trace:     newTrace(order.Log),
-		meter:     noMeter{},
-		said:      map[string]time.Time{},
+		order:    order,
+		asRead:   order.Terms,
+		log:      log,
+		exchange: x,
+		epoch:    time.Now(),
+		docs:     map[uint64]*paper{},
+		byID:     map[string]*paper{},
+		past:     newRecent(),
+		targets:  map[uint64]*target{},
+		byUID:    map[string]*target{},
+		types:    map[string]int{},
+		dests:    map[uint64]*choice.Destination{},
+		unknown:  map[string]bool{},
+		trace:    newTrace(order.Log),
+		meter:    noMeter{},
+		said:     map[string]time.Time{},
 	}
 	for i, name := range order.Names.Types {
 		o.types[name] = i
