intake: plain names for the state of a connection

asked, spoke, born, last, since, ends, mute and spilled of Client are unanswered, hadCommand, openedAt, lastReadAt, commandBegan, closeAt, refused and discardedBytes now.

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -54,11 +54,11 @@
 
 func (c *Client) rank() int {
 	switch {
-	case !c.ends.IsZero():
+	case !c.closeAt.IsZero():
 		return told
-	case c.asked.Load() > 0 || c.spoke && c.partial.Load():
+	case c.unanswered.Load() > 0 || c.hadCommand && c.partial.Load():
 		return busy
-	case c.spoke:
+	case c.hadCommand:
 		return quiet
 	}
 	return silent
@@ -67,10 +67,10 @@
 // opened takes a connection on. Over the bound it makes room by closing another.
 func (in *Intake) opened(conn *nbio.Conn) {
 	now := time.Now()
-	c := &Client{intake: in, conn: conn, born: now, last: now}
+	c := &Client{intake: in, conn: conn, openedAt: now, lastReadAt: now}
 	conn.SetSession(c)
 	oldest := in.closesFirst()
-	if oldest != nil && oldest.mute.Load() {
+	if oldest != nil && oldest.refused.Load() {
 		oldest.conn.Close()
 	} else if oldest != nil && !oldest.end() { // a command came just now: it stays, over the bound
 		oldest = nil
@@ -92,7 +92,7 @@
 	}
 	var oldest *Client
 	for c := range in.clients {
-		if oldest == nil || c.rank() < oldest.rank() || c.rank() == oldest.rank() && c.last.Before(oldest.last) {
+		if oldest == nil || c.rank() < oldest.rank() || c.rank() == oldest.rank() && c.lastReadAt.Before(oldest.lastReadAt) {
 			oldest = c
 		}
 	}
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -13,26 +13,26 @@
 
 // Client is one connection.
 type Client struct {
-	intake  *Intake
-	conn    *nbio.Conn
-	reading sync.Mutex // held while something is read: what is closed meanwhile may have been read and never answered
-	reader  resp.Reader
-	asked   atomic.Int32 // commands without an answer
-	partial atomic.Bool  // a command is read in part
-	gone    atomic.Bool
-	mute    atomic.Bool // what came could not be understood: nothing more is read
-	spilled int         // bytes that came after that
+	intake         *Intake
+	conn           *nbio.Conn
+	reading        sync.Mutex // held while something is read: what is closed meanwhile may have been read and never answered
+	reader         resp.Reader
+	unanswered     atomic.Int32 // commands without an answer
+	partial        atomic.Bool  // a command is read in part
+	gone           atomic.Bool
+	refused        atomic.Bool // what came could not be understood: nothing more is read
+	discardedBytes int         // bytes that came after that
 
 	// Under the intake's lock:
-	spoke bool      // a whole command has come
-	born  time.Time // when the connection came
-	last  time.Time // when something came last, or the connection
-	since time.Time // when the command that is read in part began
-	ends  time.Time // told its last answer: closed from then on
+	hadCommand   bool      // a whole command has come
+	openedAt     time.Time // when the connection came
+	lastReadAt   time.Time // when something came last, or the connection
+	commandBegan time.Time // when the command that is read in part began
+	closeAt      time.Time // told its last answer: closed from then on
 }
 
 // quiet tells that closing the connection takes no answer from anybody, as long as nothing is read meanwhile.
-func (c *Client) quiet() bool { return c.asked.Load() == 0 && !c.partial.Load() }
+func (c *Client) quiet() bool { return c.unanswered.Load() == 0 && !c.partial.Load() }
 
 // end closes the connection if it is quiet still and nothing is being read from it. Guards against a command that is
 // read between the question and the close, whose caller would never be answered; one that waits unread in the socket
@@ -57,8 +57,8 @@
 
 // refuse leaves a connection's last answer at the desk and reads nothing more.
 func (c *Client) refuse(why string) {
-	if c.mute.CompareAndSwap(false, true) {
-		c.asked.Add(1)
+	if c.refused.CompareAndSwap(false, true) {
+		c.unanswered.Add(1)
 		c.intake.desk.Ask(seam.Asked{From: c, Why: why, Last: true})
 	}
 }
@@ -69,11 +69,11 @@
 // Answer writes the answer to the oldest command without one. It tells if the connection stood.
 func (c *Client) Answer(r seam.Reply) bool {
 	_, err := c.conn.Write(line(r))
-	c.asked.Add(-1)
+	c.unanswered.Add(-1)
 	c.intake.mu.Lock()
 	leaving := c.intake.leaving
 	if r.Last {
-		c.ends = time.Now().Add(lingers)
+		c.closeAt = time.Now().Add(lingers)
 	}
 	c.intake.mu.Unlock()
 	if leaving && !r.Last {
--- a/internal/intake/read.go
+++ b/internal/intake/read.go
@@ -45,8 +45,8 @@
 }
 
 func (in *Intake) data(c *Client, b []byte) {
-	if c.mute.Load() {
-		if c.spilled += len(b); c.spilled > mostSpilled {
+	if c.refused.Load() {
+		if c.discardedBytes += len(b); c.discardedBytes > mostSpilled {
 			c.conn.Close()
 		}
 		return
@@ -54,14 +54,14 @@
 	now, whole := time.Now(), false
 	err := c.reader.Feed(b, func(args [][]byte) error {
 		whole = true
-		c.asked.Add(1)
+		c.unanswered.Add(1)
 		in.desk.Ask(command(c, args))
 		return nil
 	})
 	in.mu.Lock()
-	c.last, c.spoke = now, c.spoke || whole
+	c.lastReadAt, c.hadCommand = now, c.hadCommand || whole
 	if whole || !c.partial.Load() {
-		c.since = now
+		c.commandBegan = now
 	}
 	in.mu.Unlock()
 	c.partial.Store(c.reader.Waiting() > 0)
--- a/internal/intake/sweep.go
+++ b/internal/intake/sweep.go
@@ -20,7 +20,7 @@
 func (in *Intake) sweep(now time.Time) {
 	over, stuck := in.overdue(now)
 	for _, c := range over {
-		if c.mute.Load() { // it has had its last answer
+		if c.refused.Load() { // it has had its last answer
 			c.conn.Close()
 		} else {
 			c.end()
@@ -37,21 +37,21 @@
 	defer in.mu.Unlock()
 	for c := range in.clients {
 		switch {
-		case !c.ends.IsZero():
-			if now.After(c.ends) {
+		case !c.closeAt.IsZero():
+			if now.After(c.closeAt) {
 				over = append(over, c)
 			}
-		case c.mute.Load() || c.asked.Load() > 0:
-		case in.leaving && c.spoke && !c.partial.Load(): // its answer and its reader each left the close to the other
+		case c.refused.Load() || c.unanswered.Load() > 0:
+		case in.leaving && c.hadCommand && !c.partial.Load(): // its answer and its reader each left the close to the other
 			over = append(over, c)
 		case c.partial.Load():
 			if in.stuck(c, now) {
 				stuck = append(stuck, c)
 			}
-		case !c.spoke && longAgo(c.last, in.patience.Silent, now):
+		case !c.hadCommand && longAgo(c.lastReadAt, in.patience.Silent, now):
 			in.counts.Silent++
 			over = append(over, c)
-		case longAgo(c.last, in.patience.Quiet, now):
+		case longAgo(c.lastReadAt, in.patience.Quiet, now):
 			in.counts.Quiet++
 			over = append(over, c)
 		}
@@ -64,7 +64,7 @@
 	if !c.partial.Load() {
 		return false
 	}
-	return longAgo(c.since, in.patience.Silent, now) || !c.spoke && longAgo(c.born, in.patience.Silent, now)
+	return longAgo(c.commandBegan, in.patience.Silent, now) || !c.hadCommand && longAgo(c.openedAt, in.patience.Silent, now)
 }
 
 // refuseStuck gives a connection that stopped within a command its last answer, if it has not gone on meanwhile. Guards
@@ -75,7 +75,7 @@
 	}
 	defer c.reading.Unlock()
 	in.mu.Lock()
-	still := c.asked.Load() == 0 && in.stuck(c, now)
+	still := c.unanswered.Load() == 0 && in.stuck(c, now)
 	if still {
 		in.counts.Stuck++
 	}
