intake: idle connections, and ranks that say what they rank

quiet and end of Client are idle and closeIfIdle; the ranks told, quiet, silent and busy are rankClosing, rankIdle, rankUnused and rankBusy (one test names a rank and follows).

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -46,22 +46,22 @@
 // What closes first to make room. One that was served comes before one that was not yet: its client takes the end of an
 // idle connection as such, while the first command of the other, which may be slow to come, would be lost.
 const (
-	told   = iota // it has had its last answer
-	quiet         // between commands
-	silent        // no whole command since it came
-	busy          // never
+	rankClosing = iota // it has had its last answer
+	rankIdle           // between commands
+	rankUnused         // no whole command since it came
+	rankBusy           // never
 )
 
 func (c *Client) rank() int {
 	switch {
 	case !c.closeAt.IsZero():
-		return told
+		return rankClosing
 	case c.unanswered.Load() > 0 || c.hadCommand && c.partial.Load():
-		return busy
+		return rankBusy
 	case c.hadCommand:
-		return quiet
+		return rankIdle
 	}
-	return silent
+	return rankUnused
 }
 
 // opened takes a connection on. Over the bound it makes room by closing another.
@@ -72,7 +72,7 @@
 	oldest := in.closesFirst()
 	if oldest != nil && oldest.refused.Load() {
 		oldest.conn.Close()
-	} else if oldest != nil && !oldest.end() { // a command came just now: it stays, over the bound
+	} else if oldest != nil && !oldest.closeIfIdle() { // a command came just now: it stays, over the bound
 		oldest = nil
 	}
 	in.mu.Lock()
@@ -97,7 +97,7 @@
 		}
 	}
 	rank := oldest.rank()
-	if rank == busy {
+	if rank == rankBusy {
 		return nil
 	}
 	in.counts.ForRoom[rank]++
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -31,18 +31,18 @@
 	closeAt      time.Time // told its last answer: closed from then on
 }
 
-// quiet tells that closing the connection takes no answer from anybody, as long as nothing is read meanwhile.
-func (c *Client) quiet() bool { return c.unanswered.Load() == 0 && !c.partial.Load() }
+// idle tells that closing the connection takes no answer from anybody, as long as nothing is read meanwhile.
+func (c *Client) idle() bool { return c.unanswered.Load() == 0 && !c.partial.Load() }
 
-// end closes the connection if it is quiet still and nothing is being read from it. Guards against a command that is
-// read between the question and the close, whose caller would never be answered; one that waits unread in the socket
+// closeIfIdle closes the connection if it is idle still and nothing is being read from it. Guards against a command that
+// is read between the question and the close, whose caller would never be answered; one that waits unread in the socket
 // is the client's to send once more. A connection that is read from just then is asked about again by its reader.
-func (c *Client) end() bool {
+func (c *Client) closeIfIdle() bool {
 	if !c.reading.TryLock() {
 		return false
 	}
 	defer c.reading.Unlock()
-	if !c.quiet() {
+	if !c.idle() {
 		return false
 	}
 	c.conn.Close()
@@ -77,7 +77,7 @@
 	}
 	c.intake.mu.Unlock()
 	if leaving && !r.Last {
-		c.end()
+		c.closeIfIdle()
 	}
 	return err == nil
 }
--- a/internal/intake/crossing_test.go
+++ b/internal/intake/crossing_test.go
@@ -73,7 +73,7 @@
 			other, err := net.Dial("tcp", s.in.Addr())
 			require.NoError(s.t, err)
 			s.t.Cleanup(func() { other.Close() })
-			require.Eventually(s.t, func() bool { return s.in.Tally().ForRoom[quiet] == 1 && s.in.Clients() == 2 }, 5*time.Second, time.Millisecond)
+			require.Eventually(s.t, func() bool { return s.in.Tally().ForRoom[rankIdle] == 1 && s.in.Clients() == 2 }, 5*time.Second, time.Millisecond)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,7 +25,7 @@
 	engine   *nbio.Engine
 	desk     seam.Desk
 	patience Patience
-	most     int // from here on one without a command, else the longest quiet one, is closed for each new one
+	most     int // from here on one without a command, else the longest idle one, is closed for each new one
 	hard     int // from here on new ones are turned away unread, so that descriptors do not run out
 	mu       sync.Mutex
 	clients  map[*Client]struct{}
@@ -109,7 +109,7 @@
 	all := slices.Collect(maps.Keys(in.clients))
 	in.mu.Unlock()
 	for _, c := range all {
-		c.end()
+		c.closeIfIdle()
 	}
 }
 
--- a/internal/intake/read.go
+++ b/internal/intake/read.go
@@ -34,7 +34,7 @@
 		return
 	}
 	if leaving, _ := in.state(); leaving {
-		c.end()
+		c.closeIfIdle()
 	}
 }
 
--- a/internal/intake/sweep.go
+++ b/internal/intake/sweep.go
@@ -23,7 +23,7 @@
 		if c.refused.Load() { // it has had its last answer
 			c.conn.Close()
 		} else {
-			c.end()
+			c.closeIfIdle()
 		}
 	}
 	for _, c := range stuck {
