intake: limits are called limits

door, welcome, most and hard are boundedListener, admits, softLimit and hardLimit; lingers, mostSpilled, readBuffer, readsATime and sweepEvery are lingerFor, maxDiscardedBytes, readBufferBytes, maxReadsInARow and sweepInterval.

--- a/internal/intake/accept.go
+++ b/internal/intake/accept.go
@@ -8,35 +8,35 @@
 	"github.com/lesismal/nbio"
 )
 
-// door is the listener; it turns connections away before nbio knows of them.
-type door struct {
+// boundedListener is the listener; it turns connections away before nbio knows of them.
+type boundedListener struct {
 	net.Listener
 	intake *Intake
 }
 
-func (d door) Accept() (net.Conn, error) {
+func (l boundedListener) Accept() (net.Conn, error) {
 	for {
-		c, err := d.Listener.Accept()
+		c, err := l.Listener.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
-				<-d.intake.stop // shut: the connections that there are go on
+				<-l.intake.stop // shut: the connections that there are go on
 			}
 			time.Sleep(acceptPause)
 			return nil, err
 		}
-		if d.intake.welcome() {
+		if l.intake.admits() {
 			return c, nil
 		}
 		c.Close()
 	}
 }
 
-// welcome counts a connection that comes and tells if there is room for it.
-func (in *Intake) welcome() bool {
+// admits counts a connection that comes and tells if there is room for it.
+func (in *Intake) admits() bool {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.counts.Came++
-	if len(in.clients) < in.hard {
+	if len(in.clients) < in.hardLimit {
 		return true
 	}
 	in.counts.Turned++
@@ -87,7 +87,7 @@
 func (in *Intake) closesFirst() *Client {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if len(in.clients) < in.most {
+	if len(in.clients) < in.softLimit {
 		return nil
 	}
 	var oldest *Client
--- a/internal/intake/client.go
+++ b/internal/intake/client.go
@@ -73,7 +73,7 @@
 	c.intake.mu.Lock()
 	leaving := c.intake.leaving
 	if r.Last {
-		c.closeAt = time.Now().Add(lingers)
+		c.closeAt = time.Now().Add(lingerFor)
 	}
 	c.intake.mu.Unlock()
 	if leaving && !r.Last {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,52 +22,60 @@
 
 // Intake holds the clients' connections.
 type Intake struct {
-	engine   *nbio.Engine
-	desk     seam.Desk
-	patience Patience
-	most     int // from here on one without a command, else the longest idle one, is closed for each new one
-	hard     int // from here on new ones are turned away unread, so that descriptors do not run out
-	mu       sync.Mutex
-	clients  map[*Client]struct{}
-	leaving  bool
-	halted   bool // nothing more is read
-	stop     chan struct{}
-	counts   seam.Tally
-	ln       net.Listener
+	engine    *nbio.Engine
+	desk      seam.Desk
+	patience  Patience
+	softLimit int // from here on one without a command, else the longest idle one, is closed for each new one
+	hardLimit int // from here on new ones are turned away unread, so that descriptors do not run out
+	mu        sync.Mutex
+	clients   map[*Client]struct{}
+	leaving   bool
+	halted    bool // nothing more is read
+	stop      chan struct{}
+	counts    seam.Tally
+	ln        net.Listener
 }
 
 const (
-	acceptPause = 20 * time.Millisecond // after a failed accept, for want of descriptors say
-	stopWithin  = 200 * time.Millisecond
-	sweepEvery  = 100 * time.Millisecond
-	lingers     = 200 * time.Millisecond // after the last answer, so that it is read before the connection ends
-	mostSpilled = 1 << 20                // bytes that are passed over while it lingers
-	readBuffer  = 72 << 10
-	readsATime  = 8 // of one connection, while others wait
-	haltedPause = 5 * time.Millisecond
+	acceptPause       = 20 * time.Millisecond // after a failed accept, for want of descriptors say
+	stopWithin        = 200 * time.Millisecond
+	sweepInterval     = 100 * time.Millisecond
+	lingerFor         = 200 * time.Millisecond // after the last answer, so that it is read before the connection ends
+	maxDiscardedBytes = 1 << 20                // bytes that are passed over while it lingers
+	readBufferBytes   = 72 << 10
+	maxReadsInARow    = 8 // of one connection, while others wait
+	haltedPause       = 5 * time.Millisecond
 )
 
-// Open listens at an address; most and hard bound the connections.
-func Open(addr string, most, hard int, patience Patience, desk seam.Desk) (*Intake, error) {
-	return open(addr, net.Listen, most, hard, patience, desk)
+// Open listens at an address. For each connection over softLimit an idle one is closed, if there is one; over
+// hardLimit they are turned away.
+func Open(addr string, softLimit, hardLimit int, patience Patience, desk seam.Desk) (*Intake, error) {
+	return open(addr, net.Listen, softLimit, hardLimit, patience, desk)
 }
 
 // OpenOn takes connections by a socket that listens already, such as one handed down by the platform, which other
 // processes may share: the connections are taken from the time of the call on.
-func OpenOn(l net.Listener, most, hard int, patience Patience, desk seam.Desk) (*Intake, error) {
-	return open(l.Addr().String(), func(string, string) (net.Listener, error) { return l, nil }, most, hard, patience, desk)
+func OpenOn(l net.Listener, softLimit, hardLimit int, patience Patience, desk seam.Desk) (*Intake, error) {
+	listen := func(string, string) (net.Listener, error) { return l, nil }
+	return open(l.Addr().String(), listen, softLimit, hardLimit, patience, desk)
 }
 
-func open(addr string, listen func(network, addr string) (net.Listener, error), most, hard int, patience Patience,
-	desk seam.Desk) (*Intake, error) {
-	in := &Intake{desk: desk, patience: patience, most: most, hard: hard, clients: map[*Client]struct{}{},
-		stop: make(chan struct{})}
+func open(addr string, listen func(network, addr string) (net.Listener, error), softLimit, hardLimit int,
+	patience Patience, desk seam.Desk) (*Intake, error) {
+	in := &Intake{
+		desk:      desk,
+		patience:  patience,
+		softLimit: softLimit,
+		hardLimit: hardLimit,
+		clients:   map[*Client]struct{}{},
+		stop:      make(chan struct{}),
+	}
 	in.engine = nbio.NewEngine(nbio.Config{Name: "intake", Network: "tcp", Addrs: []string{addr}, NPoller: 1,
 		ReadBufferSize: 1, MaxWriteBufferSize: 256 << 10,
 		Listen: func(network, addr string) (net.Listener, error) {
 			l, err := listen(network, addr)
 			in.ln = l
-			return door{l, in}, err
+			return boundedListener{l, in}, err
 		}})
 	in.engine.OnOpen(in.opened)
 	in.engine.OnClose(func(c *nbio.Conn, _ error) {
@@ -75,7 +83,7 @@
 			in.closed(cl)
 		}
 	})
-	buffer := make([]byte, readBuffer) // there is one poller
+	buffer := make([]byte, readBufferBytes) // there is one poller
 	in.engine.OnRead(func(c *nbio.Conn) {
 		if cl, ok := c.Session().(*Client); ok {
 			in.read(cl, buffer)
--- a/internal/intake/read.go
+++ b/internal/intake/read.go
@@ -17,7 +17,7 @@
 	c.reading.Lock()
 	_, halted = in.state() // asked again: Halt may have passed between the two lines
 	var err error
-	for n, i := len(buffer), 0; i < readsATime && n == len(buffer) && !halted; i++ {
+	for n, i := len(buffer), 0; i < maxReadsInARow && n == len(buffer) && !halted; i++ {
 		for n, err = c.conn.Read(buffer); errors.Is(err, syscall.EINTR); {
 			n, err = c.conn.Read(buffer)
 		}
@@ -46,7 +46,7 @@
 
 func (in *Intake) data(c *Client, b []byte) {
 	if c.refused.Load() {
-		if c.discardedBytes += len(b); c.discardedBytes > mostSpilled {
+		if c.discardedBytes += len(b); c.discardedBytes > maxDiscardedBytes {
 			c.conn.Close()
 		}
 		return
--- a/internal/intake/sweep.go
+++ b/internal/intake/sweep.go
@@ -3,7 +3,7 @@
 import "time"
 
 func (in *Intake) watch() {
-	tick := time.NewTicker(sweepEvery)
+	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
 	for {
 		select {
