--- a/forward/owner.go
+++ b/forward/owner.go
@@ -15,51 +15,63 @@
 
 // owner is what the one goroutine that owns the module works with.
 type owner struct {
-	order     *Order
-	asRead    choice.Terms // as the order has them
-	log       zerolog.Logger
-	exchange  *Exchange
-	ledger    *ledger.Ledger
+	order    *Order
+	asRead   choice.Terms // as the order has them
+	exchange *Exchange
+	ledger   *ledger.Ledger
+	f        *choice.Forwarder
+	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
+	wakeAt   time.Time // zero: none set
+	stopping bool      // told to stop
+
+	// Documents
+	docs    map[uint64]*paper
+	byID    map[string]*paper // the same, by the clients' ids
+	past    recent            // ids of documents that were let go of
+	types   map[string]int
+	unknown map[string]bool // names that came with documents
+	untried int             // recovered documents for which no call has begun yet
+
+	// Destinations and targets
+	dests    map[uint64]*choice.Destination
+	sweepAt  int                // so many destinations are looked through for those that clients alone have named
+	targets  map[uint64]*target // by number
+	lastDoor uint64             // number of the latest target
+	byUID    map[string]*target
+	rota     *rota.Rota           // targets out by hand
+	waits    map[string]float64   // of an earlier process, for targets not listed yet
+	learnt   map[uint64][]float64 // call times that an earlier process measured, for destinations not heard of yet
+
+	// Fronts and operators
 	fronts    []*listener
 	leaving   []*listener // that have gone from the order, until their callers have
-	outlets   map[string]seam.Outlet
-	source    seam.Source
-	teller    seam.Teller // nil: the log alone
-	moves     seam.Mover  // the source, if it is discovery
-	notices   seam.Mover  // the teller, if it is not the same
-	logTo     io.Writer
-	own       *static // the source, if it is the order's own list
-	meter     seam.Meter
-	metered   bool
-	trace     trace
-	f         *choice.Forwarder
-	epoch     time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
-	docs      map[uint64]*paper
-	byID      map[string]*paper // the same, by the clients' ids
-	past      recent            // ids of documents that were let go of
-	heard     bool              // discovery has told its list since the start
-	dests     map[uint64]*choice.Destination
-	sweepAt   int                // so many destinations are looked through for those that clients alone have named
-	targets   map[uint64]*target // by number
-	lastDoor  uint64             // number of the latest target
-	byUID     map[string]*target
-	types     map[string]int
-	rev       int64
-	wakeAt    time.Time // zero: none set
-	calls     []pending
-	unknown   map[string]bool // names that came with documents
-	counts    counts
-	held      atomic.Int64         // documents, for the meter
-	onDisk    atomic.Int64         // the ledger's bytes, for the meter
-	said      map[string]time.Time // when lines that may come in floods were last written
 	operators *desk
-	lame      bool       // clients are sent elsewhere, by the operators' word
-	rota      *rota.Rota // targets out by hand
-	figures   figures
-	stopping  bool                 // told to stop
-	untried   int                  // recovered documents for which no call has begun yet
-	waits     map[string]float64   // of an earlier process, for targets not listed yet
-	learnt    map[uint64][]float64 // call times that an earlier process measured, for destinations not heard of yet
+	lame      bool // clients are sent elsewhere, by the operators' word
+
+	// Outlets
+	outlets map[string]seam.Outlet
+	calls   []pending
+
+	// Discovery and notices
+	source  seam.Source
+	moves   seam.Mover // the source, if it is discovery
+	own     *static    // the source, if it is the order's own list
+	rev     int64
+	heard   bool        // discovery has told its list since the start
+	teller  seam.Teller // nil: the log alone
+	notices seam.Mover  // the teller, if it is not the same
+
+	// Log and meter
+	log     zerolog.Logger
+	logTo   io.Writer
+	said    map[string]time.Time // when lines that may come in floods were last written
+	trace   trace
+	meter   seam.Meter
+	metered bool
+	counts  counts
+	figures figures
+	held    atomic.Int64 // documents, for the meter
+	onDisk  atomic.Int64 // the ledger's bytes, for the meter
 }
 
 const (
