--- a/forward/admission.go
+++ b/forward/admission.go
@@ -25,7 +25,7 @@
 			a.From.Answer(reply)
 		}
 	default:
-		if o.worth("bad command") {
+		if o.mayLog("bad command") {
 			o.log.Warn().Str("answer", a.Why).Msg("bad command")
 		}
 		a.From.Answer(seam.Reply{Word: seam.Malformed, Why: a.Why, Last: a.Last})
@@ -61,7 +61,7 @@
 		return seam.Reply{Word: seam.Busy, Wait: min(int(back*1000), refuseMost)}
 	}
 	if err := o.ledger.Take(e); err != nil {
-		o.unkept(err)
+		o.logLedgerError(err)
 		return seam.Reply{Word: seam.Busy}
 	}
 	o.take(a, e, typ, left)
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -43,7 +43,7 @@
 		o.finish(p, outcome)
 	default:
 		if err := o.ledger.Back(door, end.Ran()); err != nil {
-			o.unkept(err)
+			o.logLedgerError(err)
 		}
 	}
 	o.forget(p)
--- a/forward/host.go
+++ b/forward/host.go
@@ -29,7 +29,7 @@
 func (o *owner) Transmit(d *choice.Doc, to *choice.Target, timeout float64) {
 	p, t := o.docs[d.Door], o.targets[to.Door]
 	if err := o.ledger.Out(d.Door, micros(o.clock(time.Now())), t.zone); err != nil {
-		o.unkept(err)
+		o.logLedgerError(err)
 		c := &seam.Call{Door: to.Door, Target: t.addr, Papers: []seam.Paper{p.Paper}}
 		o.exchange.CallEnded(seam.Ended{Call: c, Ends: []seam.End{seam.Unsent}})
 		return
@@ -64,7 +64,7 @@
 // answer records a final answer and tells it.
 func (o *owner) answer(p *paper, a ledger.Answer, after int) {
 	if err := o.ledger.Answer(p.Door, a, after); err != nil {
-		o.unkept(err)
+		o.logLedgerError(err)
 	}
 	outcome := seam.Abandoned
 	if a == ledger.Returned {
--- a/forward/lobby.go
+++ b/forward/lobby.go
@@ -161,10 +161,10 @@
 				o.log.Error().Str("target", c.Name).Str("why", a.Text).Msg("call in the tray not taken up")
 				return true
 			}
-		} else if o.worth("tray") {
+		} else if o.mayLog("tray") {
 			o.log.Error().Err(err).Msg("call in the tray passed over")
 		}
-		if err := os.Remove(filepath.Join(o.order.Folder, trayDir, name)); err != nil && o.worth("tray") {
+		if err := os.Remove(filepath.Join(o.order.Folder, trayDir, name)); err != nil && o.mayLog("tray") {
 			o.log.Error().Err(err).Msg("call in the tray not removed")
 		}
 	}
--- a/forward/messages.go
+++ b/forward/messages.go
@@ -48,7 +48,7 @@
 // over records that nothing more is owed for a document.
 func (o *owner) over(p *paper) {
 	if err := o.ledger.Over(p.Door); err != nil {
-		o.unkept(err)
+		o.logLedgerError(err)
 	}
 }
 
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -62,42 +62,42 @@
 	notices seam.Mover  // the teller, if it is not the same
 
 	// Log and meter
-	log     zerolog.Logger
-	logTo   io.Writer
-	said    map[string]time.Time // when lines that may come in floods were last written
-	trace   trace
-	meter   seam.Meter
-	metered bool
-	counts  counts
-	figures figures
-	held    atomic.Int64 // documents, for the meter
-	onDisk  atomic.Int64 // the ledger's bytes, for the meter
+	log        zerolog.Logger
+	logTo      io.Writer
+	lastLogged map[string]time.Time // when lines that may come in floods were last written
+	trace      trace
+	meter      seam.Meter
+	metered    bool
+	counts     counts
+	figures    figures
+	held       atomic.Int64 // documents, for the meter
+	onDisk     atomic.Int64 // the ledger's bytes, for the meter
 }
 
 const (
-	slowTurn   = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
-	floodPause = time.Second            // between two lines of a kind that may come in floods
+	slowTurn = 100 * time.Millisecond // a turn of the owner or a wait for it that is worth a line
+	logPause = time.Second            // between two lines of a kind that may come in floods
 )
 
 // newOwner has heard of nothing yet. Its ledger, operators and rota are the caller's to set.
 func newOwner(order *Order, log zerolog.Logger, x *Exchange) *owner {
 	o := &owner{
-		order:    order,
-		asRead:   order.Terms,
-		log:      log,
-		exchange: x,
-		epoch:    time.Now(),
-		docs:     map[uint64]*paper{},
-		byID:     map[string]*paper{},
-		past:     newRecent(),
-		targets:  map[uint64]*target{},
-		byUID:    map[string]*target{},
-		types:    map[string]int{},
-		dests:    map[uint64]*choice.Destination{},
-		unknown:  map[string]bool{},
-		trace:    newTrace(order.Log),
-		meter:    noMeter{},
-		said:     map[string]time.Time{},
+		order:      order,
+		asRead:     order.Terms,
+		log:        log,
+		exchange:   x,
+		epoch:      time.Now(),
+		docs:       map[uint64]*paper{},
+		byID:       map[string]*paper{},
+		past:       newRecent(),
+		targets:    map[uint64]*target{},
+		byUID:      map[string]*target{},
+		types:      map[string]int{},
+		dests:      map[uint64]*choice.Destination{},
+		unknown:    map[string]bool{},
+		trace:      newTrace(order.Log),
+		meter:      noMeter{},
+		lastLogged: map[string]time.Time{},
 	}
 	for i, name := range order.Names.Types {
 		o.types[name] = i
@@ -133,7 +133,7 @@
 		o.held.Store(int64(len(o.docs)))
 		o.onDisk.Store(o.ledger.Used())
 	}
-	if waited := start.Sub(since); (len(news) > 0 && waited > slowTurn || end.Sub(start) > slowTurn) && o.worth("late") {
+	if waited := start.Sub(since); (len(news) > 0 && waited > slowTurn || end.Sub(start) > slowTurn) && o.mayLog("late") {
 		o.log.Warn().Int("news", len(news)).Dur("waited_ms", waited).Dur("turn_ms", end.Sub(start)).Msg("late")
 	}
 	return o.f.Done()
@@ -152,7 +152,7 @@
 		o.heard = true
 		o.listed(n, n.All)
 	case noticesLost:
-		if o.worth("notices") {
+		if o.mayLog("notices") {
 			o.log.Warn().Str("why", string(n)).Msg("notices not answered")
 		}
 	case watchEnded:
@@ -187,19 +187,19 @@
 	}
 }
 
-// worth tells if a line of a kind is to be written, at most one a while.
-func (o *owner) worth(kind string) bool {
+// mayLog tells if a line of a kind is to be written, at most one a while.
+func (o *owner) mayLog(kind string) bool {
 	now := time.Now()
-	if now.Before(o.said[kind].Add(floodPause)) {
+	if now.Before(o.lastLogged[kind].Add(logPause)) {
 		return false
 	}
-	o.said[kind] = now
+	o.lastLogged[kind] = now
 	return true
 }
 
-// unkept logs that the ledger could not be written.
-func (o *owner) unkept(err error) {
-	if o.worth("ledger") {
+// logLedgerError logs that the ledger could not be written.
+func (o *owner) logLedgerError(err error) {
+	if o.mayLog("ledger") {
 		o.log.Error().Err(err).Msg("ledger cannot be written")
 	}
 }
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -62,7 +62,7 @@
 func (o *owner) pastOf(e *ledger.Entry) choice.Past {
 	if e.Out > 0 {
 		if err := o.ledger.Back(e.Seq, true); err != nil {
-			o.unkept(err)
+			o.logLedgerError(err)
 		}
 	}
 	return choice.Past{
