--- a/forward/admission.go
+++ b/forward/admission.go
@@ -72,7 +72,7 @@
 func (o *owner) refused(in *seam.Handed, typ int) (reply seam.Reply, refused bool) {
 	_, listed := o.dests[in.Dest]
 	switch {
-	case o.byID[in.ID] != nil || o.past.has(in.ID):
+	case o.byID[in.ID] != nil || o.recentIDs.has(in.ID):
 		return declined("a document with this id was taken on"), true
 	case o.order.Terms.Types[typ].Repeat == choice.Numbered && in.Mark == "":
 		return declined("k is missing, by which a repeat is known"), true
--- a/forward/messages.go
+++ b/forward/messages.go
@@ -62,7 +62,7 @@
 		delete(o.docs, p.Door)
 		if o.byID[p.ID] == p {
 			delete(o.byID, p.ID)
-			o.past.add(p.ID)
+			o.recentIDs.add(p.ID)
 		}
 	}
 }
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -25,12 +25,12 @@
 	stopping bool      // told to stop
 
 	// Documents
-	docs    map[uint64]*paper
-	byID    map[string]*paper // the same, by the clients' ids
-	past    recent            // ids of documents that were let go of
-	types   map[string]int
-	unknown map[string]bool // names that came with documents
-	untried int             // recovered documents for which no call has begun yet
+	docs      map[uint64]*paper
+	byID      map[string]*paper // the same, by the clients' ids
+	recentIDs recentlySeen      // ids of documents that were let go of
+	types     map[string]int
+	unknown   map[string]bool // names that came with documents
+	untried   int             // recovered documents for which no call has begun yet
 
 	// Destinations and targets
 	dests    map[uint64]*choice.Destination
@@ -89,7 +89,7 @@
 		epoch:      time.Now(),
 		docs:       map[uint64]*paper{},
 		byID:       map[string]*paper{},
-		past:       newRecent(),
+		recentIDs:  newRecentlySeen(),
 		targets:    map[uint64]*target{},
 		byUID:      map[string]*target{},
 		types:      map[string]int{},
--- a/forward/recent.go
+++ b/forward/recent.go
@@ -2,9 +2,9 @@
 
 import "hash/maphash"
 
-// recent remembers the ids of the latest documents that were let go of, so that none is taken on under the id of one
+// recentlySeen remembers the ids of the latest documents that were let go of, so that none is taken on under the id of one
 // that may have run.
-type recent struct {
+type recentlySeen struct {
 	seed   maphash.Seed
 	hashes map[uint64]struct{}
 	ring   []uint64
@@ -13,14 +13,16 @@
 
 const mostRecent = 4096
 
-func newRecent() recent { return recent{seed: maphash.MakeSeed(), hashes: map[uint64]struct{}{}} }
+func newRecentlySeen() recentlySeen {
+	return recentlySeen{seed: maphash.MakeSeed(), hashes: map[uint64]struct{}{}}
+}
 
-func (r *recent) has(id string) bool {
+func (r *recentlySeen) has(id string) bool {
 	_, known := r.hashes[maphash.String(r.seed, id)]
 	return known
 }
 
-func (r *recent) add(id string) {
+func (r *recentlySeen) add(id string) {
 	h := maphash.String(r.seed, id)
 	if _, known := r.hashes[h]; known {
 		return
