--- a/forward/admission.go
+++ b/forward/admission.go
@@ -120,8 +120,8 @@
 	o.f.Take(p.doc, typ, left)
 	if !a.From.Answer(seam.Reply{Word: seam.Taken}) { // not heard: its caller hands it in again under another id
 		o.f.Withdrawn(p.doc)
-		o.over(p)
-		o.forget(p)
+		o.recordDone(p)
+		o.removeIfDone(p)
 		return
 	}
 	if p.traced {
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -46,12 +46,12 @@
 			o.logLedgerError(err)
 		}
 	}
-	o.forget(p)
+	o.removeIfDone(p)
 }
 
 // finish records and tells the final answer of a document whose last transmission gave it.
 func (o *owner) finish(p *paper, outcome choice.Outcome) {
-	o.over(p)
+	o.recordDone(p)
 	final := seam.Abandoned
 	if outcome == choice.Delivered {
 		final = seam.Delivered
--- a/forward/host.go
+++ b/forward/host.go
@@ -34,7 +34,7 @@
 		o.exchange.CallEnded(seam.Ended{Call: c, Ends: []seam.End{seam.Unsent}})
 		return
 	}
-	o.settled(p, true)
+	o.noLongerUntried(p, true)
 	if p.traced {
 		o.log.Info().Str("id", p.ID).Uint64("dest", t.dest).Str("target", t.uid).Float64("timeout_s", timeout).
 			Msg("trace: transmission")
@@ -81,7 +81,7 @@
 	if p.traced {
 		o.log.Info().Str("id", p.ID).Stringer("outcome", outcome).Int("after_ms", after).Msg("trace: final answer")
 	}
-	o.settled(p, false)
+	o.noLongerUntried(p, false)
 	switch {
 	case p.holder != nil:
 		p.holder.Tell(f)
--- a/forward/messages.go
+++ b/forward/messages.go
@@ -42,22 +42,22 @@
 	o.counts.withdrawn++
 	p.withdrawn = true
 	o.f.Withdrawn(p.doc)
-	o.forget(p)
+	o.removeIfDone(p)
 }
 
-// over records that nothing more is owed for a document.
-func (o *owner) over(p *paper) {
+// recordDone records that nothing more is owed for a document.
+func (o *owner) recordDone(p *paper) {
 	if err := o.ledger.Over(p.Door); err != nil {
 		o.logLedgerError(err)
 	}
 }
 
-// forget lets go of a document of which nothing more can be heard.
-func (o *owner) forget(p *paper) {
+// removeIfDone lets go of a document if nothing more can be heard of it.
+func (o *owner) removeIfDone(p *paper) {
 	if p.doc.Over() {
-		o.settled(p, false)
+		o.noLongerUntried(p, false)
 		if p.withdrawn {
-			o.over(p)
+			o.recordDone(p)
 		}
 		delete(o.docs, p.Door)
 		if o.byID[p.ID] == p {
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -180,9 +180,9 @@
 func (o *owner) told(doors told) {
 	for _, door := range doors {
 		if p := o.docs[door]; p != nil {
-			o.over(p)
+			o.recordDone(p)
 			o.f.Told(p.doc)
-			o.forget(p)
+			o.removeIfDone(p)
 		}
 	}
 }
--- a/forward/recent.go
+++ b/forward/recent.go
@@ -2,8 +2,8 @@
 
 import "hash/maphash"
 
-// recentlySeen remembers the ids of the latest documents that were let go of, so that none is taken on under the id of one
-// that may have run.
+// recentlySeen remembers the ids of the latest documents that were let go of, so that none is taken on under the id of
+// one that may have run.
 type recentlySeen struct {
 	seed   maphash.Seed
 	hashes map[uint64]struct{}
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -53,7 +53,7 @@
 		o.untried++
 	}
 	if p.withdrawn = e.Held; p.withdrawn {
-		o.forget(p)
+		o.removeIfDone(p)
 	}
 }
 
@@ -74,9 +74,9 @@
 	}
 }
 
-// settled takes a document that a restart found untried off the count of those that are: it was called, or has ended
-// without. With the last of them a line says how many were.
-func (o *owner) settled(p *paper, called bool) {
+// noLongerUntried takes a document that a restart found untried off the count of those that are: it was called, or has
+// ended without. With the last of them a line says how many were.
+func (o *owner) noLongerUntried(p *paper, called bool) {
 	if !p.untried {
 		return
 	}
