--- a/choice/heap.go
+++ b/choice/heap.go
@@ -38,13 +38,6 @@
 	*heap = h
 }
 
-// fix restores the order after the key of a member of this heap has changed.
-func (o *ordering[T]) fix(heap []T, member T) {
-	i := int(*o.position(member)) - 1
-	o.down(heap, i)
-	o.up(heap, int(*o.position(member))-1)
-}
-
 func (o *ordering[T]) up(heap []T, i int) {
 	member := heap[i]
 	for i > 0 {
--- a/forward/host.go
+++ b/forward/host.go
@@ -29,14 +29,15 @@
 func (o *owner) Transmit(d *choice.Doc, to *choice.Target, timeout float64) {
 	p, t := o.docs[d.Door], o.targets[to.Door]
 	if err := o.ledger.Out(d.Door, micros(o.clock(time.Now())), t.zone); err != nil {
-		o.unkept(err)
+		o.logLedgerError(err)
 		c := &seam.Call{Door: to.Door, Target: t.addr, Papers: []seam.Paper{p.Paper}}
 		o.exchange.CallEnded(seam.Ended{Call: c, Ends: []seam.End{seam.Unsent}})
 		return
 	}
-	o.settled(p, true)
+	o.noLongerUntried(p, true)
 	if p.traced {
-		o.log.Info().Str("id", p.ID).Uint64("dest", t.dest).Str("target", t.uid).Float64("timeout_s", timeout).Msg("trace: transmission")
+		o.log.Info().Str("id", p.ID).Uint64("dest", t.dest).Str("target", t.uid).Float64("timeout_s", timeout).
+			Msg("trace: transmission")
 	}
 	allow := time.Duration(timeout * float64(time.Second))
 	for _, c := range o.calls {
@@ -46,7 +47,8 @@
 			return
 		}
 	}
-	o.calls = append(o.calls, pending{t.outlet, &seam.Call{Door: to.Door, Target: t.addr, Papers: []seam.Paper{p.Paper}, Allow: allow}})
+	call := &seam.Call{Door: to.Door, Target: t.addr, Papers: []seam.Paper{p.Paper}, Allow: allow}
+	o.calls = append(o.calls, pending{t.outlet, call})
 }
 
 func (o *owner) Reject(d *choice.Doc, comeBack float64) {
@@ -62,7 +64,7 @@
 // answer records a final answer and tells it.
 func (o *owner) answer(p *paper, a ledger.Answer, after int) {
 	if err := o.ledger.Answer(p.Door, a, after); err != nil {
-		o.unkept(err)
+		o.logLedgerError(err)
 	}
 	outcome := seam.Abandoned
 	if a == ledger.Returned {
@@ -79,7 +81,7 @@
 	if p.traced {
 		o.log.Info().Str("id", p.ID).Stringer("outcome", outcome).Int("after_ms", after).Msg("trace: final answer")
 	}
-	o.settled(p, false)
+	o.noLongerUntried(p, false)
 	switch {
 	case p.holder != nil:
 		p.holder.Tell(f)
