Backlog store: lanes over shared segments, moves between log and store, policy without I/O

Messages for a destination that is out or far behind take 570 bytes of memory each today. internal/backlog keeps them on disk: FIFO by destination and tenant, a fixed entry of memory each. Not wired into forward yet.

--- /dev/null
+++ b/internal/backlog/fault_test.go
@@ -0,0 +1,236 @@
+package backlog
+
+import (
+	"errors"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"syscall"
+)
+
+var (
+	errKilled = errors.New("the process is killed")
+	errFault  = errors.New("injected fault")
+)
+
+// damage is what a failing call leaves behind.
+type damage int
+
+const (
+	nothingDone damage = iota
+	halfDone           // of a write; other calls do nothing
+	allDone            // the call does its work and fails all the same
+	shortWrite         // a write that writes half and gives no error
+)
+
+// memFS is a filesystem in memory that fails at a chosen call: the process is killed there, or it gets an error.
+type memFS struct {
+	files    map[string][]byte
+	locked   bool
+	capacity int // bytes; 0: no bound
+
+	calls    int // so far; those that alter something alone if kill is set
+	failAt   int // the call that fails, from 1; 0: none
+	kill     bool
+	leaving  damage
+	dead     bool
+	open     int // files
+	mostOpen int
+}
+
+func newMemFS() *memFS { return &memFS{files: map[string][]byte{}} }
+
+// reboot gives the files as a process that starts after a kill finds them.
+func (m *memFS) reboot() *memFS {
+	fresh := newMemFS()
+	fresh.capacity = m.capacity
+	for name, text := range m.files {
+		fresh.files[name] = slices.Clone(text)
+	}
+	return fresh
+}
+
+// step counts a call. It gives the error of a call that fails, and what the call still does.
+func (m *memFS) step(alters bool) (damage, error) {
+	if m.dead {
+		return nothingDone, errKilled
+	}
+	if m.kill && !alters {
+		return allDone, nil
+	}
+	m.calls++
+	if m.calls != m.failAt {
+		return allDone, nil
+	}
+	if m.kill {
+		m.dead = true
+		return m.leaving, errKilled
+	}
+	return m.leaving, errFault
+}
+
+func (m *memFS) MakeDir(string) error {
+	_, err := m.step(true)
+	return err
+}
+
+func (m *memFS) List(dir string) ([]string, error) {
+	if _, err := m.step(false); err != nil {
+		return nil, err
+	}
+	var names []string
+	for name := range m.files {
+		if filepath.Dir(name) == dir {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	return names, nil
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	left, err := m.step(true)
+	if _, has := m.files[name]; has && (err == nil || left == allDone) {
+		return nil, fs.ErrExist
+	}
+	if err == nil || left == allDone {
+		m.files[name] = nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return m.opened(name), nil
+}
+
+func (m *memFS) Open(name string) (File, error) {
+	if _, err := m.step(false); err != nil {
+		return nil, err
+	}
+	if _, has := m.files[name]; !has {
+		return nil, fs.ErrNotExist
+	}
+	return m.opened(name), nil
+}
+
+func (m *memFS) opened(name string) File {
+	m.open++
+	m.mostOpen = max(m.mostOpen, m.open)
+	return &memFile{fs: m, name: name}
+}
+
+func (m *memFS) Remove(name string) error {
+	left, err := m.step(true)
+	if err != nil && left != allDone {
+		return err
+	}
+	if _, has := m.files[name]; !has {
+		return fs.ErrNotExist
+	}
+	delete(m.files, name)
+	return err
+}
+
+func (m *memFS) Lock(name string) (io.Closer, error) {
+	if _, err := m.step(false); err != nil {
+		return nil, err
+	}
+	if m.locked {
+		return nil, &LockedError{Name: name}
+	}
+	m.locked = true
+	return unlock{m}, nil
+}
+
+type unlock struct{ fs *memFS }
+
+func (u unlock) Close() error {
+	u.fs.locked = false
+	return nil
+}
+
+// used is the bytes of all files.
+func (m *memFS) used() int {
+	n := 0
+	for _, text := range m.files {
+		n += len(text)
+	}
+	return n
+}
+
+type memFile struct {
+	fs     *memFS
+	name   string
+	closed bool
+}
+
+func (f *memFile) Write(b []byte) (int, error) {
+	left, err := f.fs.step(true)
+	if err == nil {
+		return f.add(b)
+	}
+	switch left {
+	case halfDone:
+		n, _ := f.add(b[:len(b)/2])
+		return n, err
+	case shortWrite:
+		n, _ := f.add(b[:len(b)/2])
+		if f.fs.kill {
+			return n, err
+		}
+		return n, nil
+	case allDone:
+		n, _ := f.add(b)
+		return n, err
+	}
+	return 0, err
+}
+
+func (f *memFile) add(b []byte) (int, error) {
+	n := len(b)
+	if f.fs.capacity > 0 {
+		n = max(0, min(n, f.fs.capacity-f.fs.used()))
+	}
+	f.fs.files[f.name] = append(f.fs.files[f.name], b[:n]...)
+	if n < len(b) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+func (f *memFile) ReadAt(b []byte, at int64) (int, error) {
+	if _, err := f.fs.step(false); err != nil {
+		return 0, err
+	}
+	text := f.fs.files[f.name]
+	if at > int64(len(text)) {
+		return 0, io.EOF
+	}
+	n := copy(b, text[at:])
+	if n < len(b) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (f *memFile) Size() (int64, error) {
+	if _, err := f.fs.step(false); err != nil {
+		return 0, err
+	}
+	return int64(len(f.fs.files[f.name])), nil
+}
+
+func (f *memFile) Truncate(size int64) error {
+	left, err := f.fs.step(true)
+	if err == nil || left == allDone {
+		f.fs.files[f.name] = f.fs.files[f.name][:size:size]
+	}
+	return err
+}
+
+func (f *memFile) Close() error {
+	if !f.closed {
+		f.fs.open--
+		f.closed = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/backlog/move.go
@@ -0,0 +1,152 @@
+package backlog
+
+import "errors"
+
+// Log is the write-ahead log, as far as moves need it.
+type Log interface {
+	// Restore records a message whole, with its history, under the number that it has. It may be recorded already: the
+	// latest record counts.
+	Restore(m *Message) error
+	// Forget records that the log owes nothing more for a number. It is no error if it owed nothing.
+	Forget(seq uint64) error
+}
+
+// Mover moves messages between the write-ahead log and the store, so that a kill at any line leaves a message in one,
+// or in both and known by its number. It is not safe for use by several goroutines.
+//
+// Out (Spill): 1. the store has the message; 2. the log forgets it.
+// Back (BringBack): 1. the log has the message; 2. the store releases it; only then is it handed to the scheduler.
+//
+// Where both have a message, the log's copy counts: nothing happens to a message while the store has it, so the log's
+// is as new or newer. Messages leave for the store newest first and come back oldest first: at each moment all of a
+// lane that the log has were taken before all that the store has.
+type Mover struct {
+	log   Log
+	store *Store
+	// unforgotten are numbers of messages that the store has and that the log could not forget yet.
+	unforgotten map[uint64]struct{}
+	// unreleased are messages that the log has again and that the store could not release yet.
+	unreleased Batch
+}
+
+// Batch is messages that have come back together.
+type Batch struct {
+	Messages []*Message
+	// Expired says that they must be answered without an attempt, as their time is over. If not, the scheduler takes
+	// them, in this order, before anything newer of their lane.
+	Expired bool
+}
+
+// NewMover makes the mover of a log and a store.
+func NewMover(log Log, store *Store) *Mover {
+	return &Mover{log: log, store: store, unforgotten: map[uint64]struct{}{}}
+}
+
+// Resolve ends the moves that a kill has cut short, before anything else is done after a start. Owed are the messages
+// that the log owes; those that the store has too are released from it. It gives those that the log owes though their
+// lane has older ones stored: they had been brought back to be answered at the end of their time, and must be answered
+// without an attempt, since one would overtake the older ones.
+func (m *Mover) Resolve(owed []Ref) (overtaking []Ref, err error) {
+	var both []Ref
+	for _, ref := range owed {
+		if m.store.Contains(ref.Lane, ref.Seq) {
+			both = append(both, ref)
+		}
+	}
+	if err := m.store.Release(both); err != nil {
+		return nil, err
+	}
+	for _, ref := range owed {
+		if l := m.store.lanes[ref.Lane]; l != nil && ref.Seq > l.first().seq {
+			overtaking = append(overtaking, ref)
+		}
+	}
+	return overtaking, nil
+}
+
+// Spill moves messages of one lane, given in the order of taking, out to the store, the newest first. None of them may
+// be in flight. It gives how many of them, from the end, are in the store now; an error says why not all. With the
+// error of the log alone all those are moved, and the log is asked to forget them again later.
+func (m *Mover) Spill(messages []*Message) (moved int, err error) {
+	if err := m.Retry(); err != nil {
+		return 0, err
+	}
+	for i := len(messages) - 1; i >= 0; i-- {
+		if err := m.store.Append(messages[i]); err != nil && !errors.Is(err, ErrStored) {
+			return moved, err
+		}
+		moved++
+		if err := m.forget(messages[i].Seq); err != nil {
+			return moved, err
+		}
+	}
+	return moved, nil
+}
+
+func (m *Mover) forget(seq uint64) error {
+	m.unforgotten[seq] = struct{}{}
+	if err := m.log.Forget(seq); err != nil {
+		return err
+	}
+	delete(m.unforgotten, seq)
+	return nil
+}
+
+// Retry asks the log again to forget what the store has.
+func (m *Mover) Retry() error {
+	for seq := range m.unforgotten {
+		if err := m.forget(seq); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BringBack moves the first n messages of a lane back to the log and gives those that the scheduler now has to take,
+// in the order of taking. A batch that an error has kept from coming back before comes in its place, whatever it was
+// for. With an error the batch may be shorter, also empty.
+func (m *Mover) BringBack(lane Lane, n int) (Batch, error) {
+	if len(m.unreleased.Messages) > 0 {
+		return m.release()
+	}
+	messages, err := m.store.Head(lane, n)
+	return m.back(Batch{Messages: messages}, err)
+}
+
+// BringBackExpired moves up to n messages whose time is over at a moment back to the log, in the order of expiry. What
+// is said of BringBack holds here too.
+func (m *Mover) BringBackExpired(now int64, n int) (Batch, error) {
+	if len(m.unreleased.Messages) > 0 {
+		return m.release()
+	}
+	messages, err := m.store.Expired(now, n)
+	return m.back(Batch{Messages: messages, Expired: true}, err)
+}
+
+func (m *Mover) back(wanted Batch, err error) (Batch, error) {
+	m.unreleased = Batch{Expired: wanted.Expired}
+	for _, message := range wanted.Messages {
+		if logErr := m.log.Restore(message); logErr != nil {
+			err = errors.Join(err, logErr)
+			break
+		}
+		delete(m.unforgotten, message.Seq)
+		m.unreleased.Messages = append(m.unreleased.Messages, message)
+	}
+	done, releaseErr := m.release()
+	return done, errors.Join(err, releaseErr)
+}
+
+// release ends the second step of the messages on the way back.
+func (m *Mover) release() (Batch, error) {
+	refs := make([]Ref, len(m.unreleased.Messages))
+	for i, message := range m.unreleased.Messages {
+		refs[i] = message.Ref()
+	}
+	if err := m.store.Release(refs); err != nil {
+		return Batch{}, err
+	}
+	done := m.unreleased
+	m.unreleased = Batch{}
+	return done, nil
+}
--- /dev/null
+++ b/internal/backlog/policy/drain.go
@@ -0,0 +1,45 @@
+package policy
+
+import "time"
+
+const (
+	leastWait  = time.Second
+	mostWait   = 30 * time.Second
+	rateWindow = 10 * time.Second // over which the rate is measured
+)
+
+// drainRate measures how fast bytes leave the store.
+type drainRate struct {
+	since    time.Time // begin of the window that is measured
+	bytes    int64     // that left in it
+	previous float64   // bytes a second in the window before it
+}
+
+// left says that bytes have left the store.
+func (d *drainRate) left(bytes int64, now time.Time) {
+	d.roll(now)
+	d.bytes += bytes
+}
+
+func (d *drainRate) roll(now time.Time) {
+	if d.since.IsZero() {
+		d.since = now
+	}
+	passed := now.Sub(d.since)
+	if passed < rateWindow {
+		return
+	}
+	d.previous = float64(d.bytes) / passed.Seconds()
+	d.since, d.bytes = now, 0
+}
+
+// wait is when there may be room for so many bytes, between one second and thirty.
+func (d *drainRate) wait(bytes int64, now time.Time) time.Duration {
+	d.roll(now)
+	rate := max(d.previous, float64(d.bytes)/rateWindow.Seconds())
+	if rate <= 0 {
+		return mostWait
+	}
+	seconds := float64(bytes) / rate
+	return min(max(time.Duration(seconds*float64(time.Second)), leastWait), mostWait)
+}
--- /dev/null
+++ b/internal/backlog/replay.go
@@ -0,0 +1,228 @@
+package backlog
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// load reads the segments of a folder without altering anything.
+func load(fs FS, dir string, bounds Bounds) (*Store, error) {
+	s := &Store{fs: fs, dir: dir, bounds: bounds, lanes: map[Lane]*lane{}}
+	numbers, err := listSegments(fs, dir)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.replayAll(numbers); err != nil {
+		return nil, err
+	}
+	s.finishReplay()
+	return s, nil
+}
+
+// listSegments gives the numbers of a folder's segments, in order. It is an error if one between them is missing.
+func listSegments(fs FS, dir string) ([]uint32, error) {
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, err
+	}
+	var numbers []uint32
+	for _, name := range names {
+		if n, ok := segmentNumber(name); ok {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	for i := 1; i < len(numbers); i++ {
+		if numbers[i] != numbers[i-1]+1 {
+			return nil, &DamageError{File: segmentName(dir, numbers[i-1]+1), What: "missing"}
+		}
+	}
+	return numbers, nil
+}
+
+// opened is a segment's file at the start.
+type opened struct {
+	file   File
+	name   string
+	size   int64
+	header *header // nil: cut short, as the process was killed while it began the segment
+}
+
+// openSegment opens a segment and reads its header. A cut header is no damage in the last segment.
+func openSegment(fs FS, dir string, number uint32, last bool) (*opened, error) {
+	o := &opened{name: segmentName(dir, number)}
+	var err error
+	if o.file, err = fs.Open(o.name); err != nil {
+		return nil, err
+	}
+	if err := o.readHeader(number, last); err != nil {
+		o.file.Close()
+		return nil, err
+	}
+	return o, nil
+}
+
+func (o *opened) readHeader(number uint32, last bool) (err error) {
+	if o.size, err = o.file.Size(); err != nil {
+		return fmt.Errorf("%s: %w", o.name, err)
+	}
+	if o.size < segmentHeader {
+		if last {
+			return nil
+		}
+		return &DamageError{File: o.name, What: "the header is cut short"}
+	}
+	b := make([]byte, segmentHeader)
+	if n, err := o.file.ReadAt(b, 0); n < len(b) {
+		return fmt.Errorf("%s: the header cannot be read: %w", o.name, err)
+	}
+	o.header, err = decodeHeader(o.name, number, b)
+	return err
+}
+
+// replayAll applies all segments in order. How much of one counts is said by the header of the next.
+func (s *Store) replayAll(numbers []uint32) error {
+	var buf []byte
+	var current *opened
+	defer func() {
+		if current != nil {
+			current.file.Close()
+		}
+	}()
+	for i, number := range numbers {
+		next, err := openSegment(s.fs, s.dir, number, i == len(numbers)-1)
+		if err != nil {
+			return err
+		}
+		if current != nil {
+			if err := s.replaySegment(current, next.header, &buf); err != nil {
+				next.file.Close()
+				return err
+			}
+			current.file.Close()
+		}
+		current = next
+	}
+	if current != nil && current.header != nil {
+		return s.replaySegment(current, nil, &buf)
+	}
+	return nil
+}
+
+// replaySegment applies a segment's records; next is the header of the one behind it, nil if there is none.
+func (s *Store) replaySegment(o *opened, next *header, buf *[]byte) error {
+	s.lastSeq = max(s.lastSeq, o.header.lastSeq)
+	g := &segment{number: o.header.number, size: o.size}
+	if next != nil {
+		if g.size = int64(next.previous); g.size > o.size || g.size < segmentHeader {
+			return &DamageError{File: o.name, Offset: o.size, What: fmt.Sprintf("%d bytes long, the next segment says %d", o.size, g.size)}
+		}
+	}
+	s.segments = append(s.segments, g)
+	if want := min(replayBuffer, g.size); int64(len(*buf)) < want {
+		*buf = make([]byte, want)
+	}
+	scan := scanner{file: o.file, name: o.name, end: g.size, torn: next == nil, buf: *buf}
+	sound, err := scan.scan(segmentHeader, func(r scanned) error { return s.replayRecord(g, o.name, r) })
+	g.size, g.excess, *buf = sound, o.size-sound, scan.buf
+	return err
+}
+
+func (s *Store) replayRecord(g *segment, name string, r scanned) error {
+	switch r.payload[0] {
+	case kindMessage:
+		f, ok := decodeFixed(r.payload[1:])
+		if !ok {
+			return &DamageError{File: name, Offset: r.offset, What: "a message of a wrong form"}
+		}
+		g.messages++
+		s.replayMessage(g, &f, r)
+	case kindRelease:
+		refs, ok := decodeRelease(r.payload)
+		if !ok {
+			return &DamageError{File: name, Offset: r.offset, What: "a release of a wrong form"}
+		}
+		g.releases++
+		for _, ref := range refs {
+			s.replayRelease(ref)
+		}
+	default:
+		return &DamageError{File: name, Offset: r.offset, What: fmt.Sprintf("a record of the unknown kind %d", r.payload[0])}
+	}
+	return nil
+}
+
+// replayMessage takes up a message. One that is known is a copy, which counts from then on.
+func (s *Store) replayMessage(g *segment, f *fixedPart, r scanned) {
+	id := Lane{f.destination, f.tenant}
+	l := s.lanes[id]
+	if l == nil {
+		l = &lane{id: id}
+		s.lanes[id] = l
+	}
+	s.ids.add(hashID(recordID(r.payload[1:], f)))
+	s.lastSeq = max(s.lastSeq, f.seq)
+	e := entry{seq: f.seq, expiry: f.expiry, segment: g.number, offset: uint32(r.offset), packed: pack(len(r.raw), f.state()), heapAt: 1}
+	if l.empty() || f.seq > l.last().seq {
+		l.pushBack(e)
+		return
+	}
+	if old := l.find(f.seq); old != nil {
+		*old = e
+		return
+	}
+	if l.late == nil {
+		l.late = map[uint64]entry{}
+	}
+	l.late[f.seq] = e
+}
+
+func (s *Store) replayRelease(ref Ref) {
+	l := s.lanes[ref.Lane]
+	if l == nil {
+		return
+	}
+	e := l.find(ref.Seq)
+	_, late := l.late[ref.Seq]
+	if e == nil && !late {
+		return
+	}
+	s.ids.remove(ref.idHash)
+	delete(l.late, ref.Seq)
+	if e != nil {
+		e.heapAt = 0
+		l.trimEnds()
+	}
+	if l.empty() && len(l.late) == 0 {
+		delete(s.lanes, ref.Lane)
+	}
+}
+
+// finishReplay makes the heaps and the sums.
+func (s *Store) finishReplay() {
+	for _, l := range s.lanes {
+		late := slices.SortedFunc(maps.Values(l.late), func(a, b entry) int { return cmp.Compare(a.seq, b.seq) })
+		l.late = nil
+		l.rebuild(late)
+		for ordinal := l.begin; ordinal != l.end; ordinal++ {
+			e := l.at(ordinal)
+			s.segment(e.segment).live++
+			s.count(l, e, 1)
+		}
+		l.heapAt = len(s.expiries)
+		s.expiries = append(s.expiries, l)
+	}
+	heap.Init(&s.expiries)
+}
+
+// removeTornHead removes a segment whose header was cut short by a kill: it holds nothing.
+func (s *Store) removeTornHead() error {
+	numbers, err := listSegments(s.fs, s.dir)
+	if err != nil || len(numbers) == len(s.segments) {
+		return err
+	}
+	return s.fs.Remove(segmentName(s.dir, numbers[len(numbers)-1]))
+}
