forward: an order may tell a backlog store

Need: configuration, commands and the event loop's part of the store are written side by side. Change: the order's type alone; nothing reads it yet.

--- a/forward/config.go
+++ b/forward/config.go
@@ -46,6 +46,8 @@
 	Protocols map[string]Protocol // of a program's own, beside those that come with this one
 	Carriages map[string]Carriage
 
+	Backlog *Backlog // where messages wait on disk; nil: in memory alone
+
 	Movable bool // fronts, targets and logs may change while it runs
 
 	Reread func() (*Order, error) // the order as it is told by now; nil: it never changes
