--- a/forward/daily.go
+++ b/forward/daily.go
@@ -24,9 +24,9 @@
 
 // desk is the operators' way to the owner: their calls are news in the Exchange like any other.
 type desk struct {
-	x     *Exchange
-	ready atomic.Bool
-	lobby atomic.Pointer[lobby] // answers while another process owns the folder
+	x       *Exchange
+	ready   atomic.Bool
+	standby atomic.Pointer[standby] // answers while another process owns the folder
 }
 
 // operation is a call of the operators' address with the way to its answer.
@@ -38,14 +38,14 @@
 func newDesk(order *Order, x *Exchange) *desk {
 	d := &desk{x: x}
 	if order.Inherited > 0 {
-		d.lobby.Store(newLobby(order))
+		d.standby.Store(newStandby(order))
 	}
 	return d
 }
 
 // takeOver has calls go to the owner from here on. It tells if clients are to be sent away.
 func (d *desk) takeOver() (lame bool) {
-	if l := d.lobby.Load(); l != nil {
+	if l := d.standby.Load(); l != nil {
 		return l.leave()
 	}
 	return false
@@ -54,7 +54,7 @@
 func (d *desk) Ready() bool { return d.ready.Load() }
 
 func (d *desk) Ask(c admin.Call, reply func(admin.Answer)) {
-	if l := d.lobby.Load(); l != nil {
+	if l := d.standby.Load(); l != nil {
 		if a, answered := l.answer(c); answered {
 			reply(a)
 			return
--- a/forward/lobby.go
+++ b/forward/standby.go
@@ -25,8 +25,8 @@
 	trayBytes = 512 // of a call in the tray
 )
 
-// lobby answers the operators until this process owns the folder.
-type lobby struct {
+// standby answers the operators until this process owns the folder.
+type standby struct {
 	mu     sync.Mutex
 	folder string
 	types  []string
@@ -35,48 +35,48 @@
 	left   bool // the owner answers from here on
 }
 
-func newLobby(o *Order) *lobby {
-	l := &lobby{folder: o.Folder, types: o.Names.Types, known: map[string]bool{}}
+func newStandby(o *Order) *standby {
+	s := &standby{folder: o.Folder, types: o.Names.Types, known: map[string]bool{}}
 	for _, t := range o.Known.Targets {
 		if t.State != "left" {
-			l.known[t.UID] = t.State == "active"
+			s.known[t.UID] = t.State == "active"
 		}
 	}
-	return l
+	return s
 }
 
-// leave ends the lobby: calls go to the owner from here on. It tells if clients are to be sent away.
-func (l *lobby) leave() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.left = true
-	return l.lame
+// leave ends the standby: calls go to the owner from here on. It tells if clients are to be sent away.
+func (s *standby) leave() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left = true
+	return s.lame
 }
 
 // answer answers a call, or tells that the owner is to.
-func (l *lobby) answer(c admin.Call) (admin.Answer, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.left {
+func (s *standby) answer(c admin.Call) (admin.Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.left {
 		return admin.Answer{}, false
 	}
 	switch c.Do {
 	case admin.LameOn, admin.LameOff:
-		l.lame = c.Do == admin.LameOn
+		s.lame = c.Do == admin.LameOn
 		return admin.Answer{Yes: true, Text: c.Do.String()}, true
 	case admin.Vars:
-		out, avoided := l.out(), 0
-		for uid, active := range l.known {
+		out, avoided := s.out(), 0
+		for uid, active := range s.known {
 			if active && out.Out(uid) {
 				avoided++
 			}
 		}
-		return admin.Answer{Yes: true, Text: (&figures{}).write(l.types, 0, len(l.known), avoided)}, true
+		return admin.Answer{Yes: true, Text: (&figures{}).write(s.types, 0, len(s.known), avoided)}, true
 	}
-	_, listed := l.known[c.Name]
-	verdict, change := call(l.out(), c, listed)
+	_, listed := s.known[c.Name]
+	verdict, change := call(s.out(), c, listed)
 	if change != rota.Same {
-		if err := lay(l.folder, c); err != nil {
+		if err := lay(s.folder, c); err != nil {
 			return notKept(err), true
 		}
 	}
@@ -84,10 +84,10 @@
 }
 
 // out is the set of targets out by hand as it is once the tray is taken up.
-func (l *lobby) out() *rota.Rota {
-	r := rota.New(readOut(l.folder))
-	for _, name := range trayNames(l.folder) {
-		if c, err := trayCall(l.folder, name); err == nil {
+func (s *standby) out() *rota.Rota {
+	r := rota.New(readOut(s.folder))
+	for _, name := range trayNames(s.folder) {
+		if c, err := trayCall(s.folder, name); err == nil {
 			call(r, c, true)
 		}
 	}
