--- a/forward/daily.go
+++ b/forward/daily.go
@@ -22,8 +22,8 @@
 // replaces: the platform's 6 s to the yes, 3.7 s from the word to stop to the kill, and a moment for the kernel.
 const handOverWait = 15 * time.Second
 
-// desk is the operators' way to the owner: their calls are news in the Exchange like any other.
-type desk struct {
+// adminRequests is the operators' way to the owner: their calls are news in the Exchange like any other.
+type adminRequests struct {
 	x       *Exchange
 	ready   atomic.Bool
 	standby atomic.Pointer[standby] // answers while another process owns the folder
@@ -35,32 +35,32 @@
 	reply func(admin.Answer)
 }
 
-func newDesk(order *Order, x *Exchange) *desk {
-	d := &desk{x: x}
+func newAdminRequests(order *Order, x *Exchange) *adminRequests {
+	a := &adminRequests{x: x}
 	if order.Inherited > 0 {
-		d.standby.Store(newStandby(order))
+		a.standby.Store(newStandby(order))
 	}
-	return d
+	return a
 }
 
 // takeOver has calls go to the owner from here on. It tells if clients are to be sent away.
-func (d *desk) takeOver() (lame bool) {
-	if l := d.standby.Load(); l != nil {
-		return l.leave()
+func (a *adminRequests) takeOver() (lame bool) {
+	if s := a.standby.Load(); s != nil {
+		return s.leave()
 	}
 	return false
 }
 
-func (d *desk) Ready() bool { return d.ready.Load() }
+func (a *adminRequests) Ready() bool { return a.ready.Load() }
 
-func (d *desk) Ask(c admin.Call, reply func(admin.Answer)) {
-	if l := d.standby.Load(); l != nil {
-		if a, answered := l.answer(c); answered {
-			reply(a)
+func (a *adminRequests) Ask(c admin.Call, reply func(admin.Answer)) {
+	if s := a.standby.Load(); s != nil {
+		if answer, answered := s.answer(c); answered {
+			reply(answer)
 			return
 		}
 	}
-	d.x.leave(operation{c, reply})
+	a.x.leave(operation{c, reply})
 }
 
 // inherit takes the listening socket that the platform hands down as a descriptor.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -45,7 +45,7 @@
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
 	x := newExchange()
-	operators := newDesk(order, x)
+	operators := newAdminRequests(order, x)
 	if order.Admin != "" {
 		a, err := admin.Open(order.Admin, operators)
 		if err != nil {
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -45,7 +45,7 @@
 	// Fronts and operators
 	fronts    []*listener
 	leaving   []*listener // that have gone from the order, until their callers have
-	operators *desk
+	operators *adminRequests
 	lame      bool // clients are sent elsewhere, by the operators' word
 
 	// Outlets
