forward: messages for destinations that are out or far behind wait in the backlog store

Change: the event loop asks the policy where a new message goes, spills the tail of a lane that is out or far behind, brings it back as it drains, answers what is stored before its time is over, and ends cut-short moves at the start. Off unless the order has a store. The ledger can reserve numbers and restore a document; the module counts what is stored as asked for. Memory of all lanes is bounded by nine tenths of the room.

--- a/choice/held.go
+++ b/choice/held.go
@@ -222,3 +222,31 @@
 	}
 	d.chainPrevious, d.chainNext = nil, nil
 }
+
+// Waiting tells that a message waits for a call: it may be taken back by Withdrawn without a trace.
+func (d *Doc) Waiting() bool { return d.queued }
+
+// Dark tells that no target of a destination answers.
+func (f *Forwarder) Dark(d *Destination) bool { return f.dark(d) }
+
+// Stored counts a message for a destination that is kept elsewhere from its taking on: it is asked for all the same.
+func (f *Forwarder) Stored(d *Destination) { d.taken++ }
+
+// TakeBack takes a message that was kept elsewhere, with its history, before anything newer of its key.
+func (f *Forwarder) TakeBack(d *Doc, typ int, left float64, past Past) {
+	d.Dest.taken-- // counted before
+	if past.Sent > 0 {
+		f.Recover(d, typ, left, past)
+	} else {
+		f.Take(d, typ, left)
+	}
+}
+
+// GiveUp takes a message that was kept elsewhere, with its history, and has the next settling answer it without a call.
+func (f *Forwarder) GiveUp(d *Doc, typ int, left float64, past Past) {
+	d.Dest.taken--
+	f.Recover(d, typ, left, past)
+	if !d.answered {
+		f.answer(d)
+	}
+}
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -56,6 +56,9 @@
 	e := o.entry(a)
 	left := in.Left - time.Since(in.Came).Seconds()
 	o.noteUnknown(in.Unknown)
+	if reply, done := o.toBacklog(a, e, left); done {
+		return reply
+	}
 	if taken, back := o.f.Admit(e.Size(), left); !taken {
 		o.counts.refused++
 		return seam.Reply{Word: seam.Busy, Wait: min(int(back*1000), refuseMost)}
@@ -72,7 +75,7 @@
 func (o *owner) refused(in *seam.Handed, typ int) (reply seam.Reply, refused bool) {
 	_, listed := o.dests[in.Dest]
 	switch {
-	case o.byID[in.ID] != nil || o.recentIDs.has(in.ID):
+	case o.byID[in.ID] != nil || o.recentIDs.has(in.ID) || o.stored.knows(in.ID):
 		return declined("a document with this id was taken on"), true
 	case o.order.Terms.Types[typ].Repeat == choice.Numbered && in.Mark == "":
 		return declined("k is missing, by which a repeat is known"), true
@@ -118,6 +121,7 @@
 	p.came = in.Came
 	p.doc.Noticed = p.doc.Noticed && p.holder == nil
 	o.f.Take(p.doc, typ, left)
+	o.inMemory(p)
 	if !a.From.Answer(seam.Reply{Word: seam.Taken}) { // not heard: its caller hands it in again under another id
 		o.f.Withdrawn(p.doc)
 		o.recordDone(p)
--- a/forward/attempts.go
+++ b/forward/attempts.go
@@ -46,6 +46,7 @@
 			o.logLedgerError(err)
 		}
 	}
+	o.noteOutage(p.doc.Dest)
 	o.removeIfDone(p)
 }
 
--- a/forward/backlog.go
+++ b/forward/backlog.go
@@ -1,5 +1,19 @@
 package forward
 
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"spanflow/choice"
+	"spanflow/internal/backlog"
+	"spanflow/internal/backlog/policy"
+	"spanflow/internal/ledger"
+	"spanflow/seam"
+)
+
 // Backlog is what an order says of the store in which messages wait for destinations that are out or far behind.
 type Backlog struct {
 	Folder           string
@@ -9,3 +23,278 @@
 	Window           int   // messages of a lane (destination and tenant) that stay in memory before those that are stored
 	Behind           int   // messages of a lane beyond which its destination counts as far behind
 }
+
+// storeBounds are the bounds of the files.
+func (b *Backlog) storeBounds() backlog.Bounds { return backlog.Bounds{Bytes: b.Bytes} }
+
+// policyBounds are the bounds of the decisions; room is how many messages the scheduler holds at once.
+func (b *Backlog) policyBounds(room int) policy.Bounds {
+	bounds := policy.Bounds{
+		Bytes:            b.Bytes,
+		DestinationBytes: b.DestinationBytes,
+		TenantBytes:      b.TenantBytes,
+		Window:           b.Window,
+		Behind:           b.Behind,
+	}.WithDefaults(room)
+	if bounds.DestinationBytes == 0 {
+		bounds.DestinationBytes = b.Bytes
+	}
+	if bounds.TenantBytes == 0 {
+		bounds.TenantBytes = b.Bytes
+	}
+	return bounds
+}
+
+// stored is the backlog store with what the event loop keeps of the messages that could go there.
+type stored struct {
+	store    *backlog.Store
+	mover    *backlog.Mover
+	policy   *policy.Policy
+	lanes    map[backlog.Lane]*list.List // papers in memory, in the order of taking
+	firstSeq uint64                      // numbers below it are of earlier processes
+	wakeAt   time.Time                   // when to look for moves again; zero: with the next news
+	counts   backlogCounts
+	levels   backlogLevels
+}
+
+// openBacklog opens the store, if the order asks for one.
+func (o *owner) openBacklog() error {
+	asked := o.order.Backlog
+	if asked == nil {
+		return nil
+	}
+	decisions, err := policy.New(asked.policyBounds(o.order.Terms.Room))
+	if err != nil {
+		return fmt.Errorf("backlog: %w", err)
+	}
+	folder, err := filepath.Abs(asked.Folder)
+	if err != nil {
+		return fmt.Errorf("backlog: folder: %w", err)
+	}
+	start := time.Now()
+	store, err := backlog.Open(backlog.OS{}, folder, asked.storeBounds())
+	if err != nil {
+		return fmt.Errorf("backlog: %w", err)
+	}
+	o.stored = &stored{
+		store:  store,
+		mover:  backlog.NewMover(backlogLog{o.ledger}, store),
+		policy: decisions,
+		lanes:  map[backlog.Lane]*list.List{},
+	}
+	o.log.Info().Int("messages", store.Messages()).Int64("bytes", store.Bytes()).Dur("took_ms", time.Since(start)).Msg("backlog opened")
+	return nil
+}
+
+// closeBacklog ends the use of the store, before the ledger's folder is free for another process.
+func (o *owner) closeBacklog() {
+	if o.stored == nil {
+		return
+	}
+	if err := o.stored.store.Close(); err != nil {
+		o.log.Error().Err(err).Msg("backlog cannot be closed")
+	}
+}
+
+// backlogLog makes the ledger the log that messages are moved from and to.
+type backlogLog struct{ ledger *ledger.Ledger }
+
+// Restore records a message whole under its number.
+func (l backlogLog) Restore(m *backlog.Message) error { return l.ledger.Restore(entryOf(m)) }
+
+// Forget records that nothing more is owed for a number.
+func (l backlogLog) Forget(seq uint64) error { return l.ledger.Over(seq) }
+
+// laneOf is the lane of a document.
+func laneOf(e *ledger.Entry) backlog.Lane {
+	return backlog.Lane{Destination: e.Dest, Tenant: uint32(e.Tenant)}
+}
+
+func policyLane(l backlog.Lane) policy.Lane {
+	return policy.Lane{Destination: l.Destination, Tenant: l.Tenant}
+}
+
+// messageOf is what the store keeps of a document.
+func messageOf(e *ledger.Entry, taken time.Time) *backlog.Message {
+	return &backlog.Message{
+		Seq:              e.Seq,
+		Lane:             laneOf(e),
+		Key:              e.Key,
+		Type:             e.Type,
+		ID:               e.ID,
+		Body:             e.Body,
+		Taken:            taken.UnixMicro(),
+		Expiry:           e.Expiry,
+		Attempts:         uint32(e.Sent),
+		MayHaveRun:       e.Ran,
+		MayHaveRunZone:   uint32(e.RanZone),
+		DeduplicationKey: e.Mark,
+		Frontend:         e.Front,
+	}
+}
+
+// entryOf is the document that the store kept.
+func entryOf(m *backlog.Message) *ledger.Entry {
+	return &ledger.Entry{
+		Seq:     m.Seq,
+		Key:     m.Key,
+		Dest:    m.Lane.Destination,
+		Tenant:  int(m.Lane.Tenant),
+		Type:    m.Type,
+		ID:      m.ID,
+		Mark:    m.DeduplicationKey,
+		Expiry:  m.Expiry,
+		Sent:    int(m.Attempts),
+		Ran:     m.MayHaveRun,
+		RanZone: int(m.MayHaveRunZone),
+		Body:    m.Body,
+		Front:   m.Frontend,
+	}
+}
+
+// knows tells if a message with a client's id is stored.
+func (s *stored) knows(id string) bool { return s != nil && s.store.Has(id) }
+
+// resolve ends the moves that a kill has cut short and tells the policy what is stored. It gives the numbers of those
+// documents in the ledger that are answered without a call, as older ones of their lane are stored.
+func (o *owner) resolve(owed []*ledger.Entry) (overtaking map[uint64]bool) {
+	if o.stored == nil {
+		return nil
+	}
+	refs := make([]backlog.Ref, len(owed))
+	for i, e := range owed {
+		refs[i] = backlog.NewRef(laneOf(e), e.Seq, e.ID)
+	}
+	before := o.stored.store.Messages()
+	past, err := o.stored.mover.Resolve(refs)
+	if err != nil {
+		o.logBacklogError(err)
+	}
+	overtaking = map[uint64]bool{}
+	for _, ref := range past {
+		overtaking[ref.Seq] = true
+	}
+	o.ledger.SkipTo(o.stored.store.LastSeq())
+	o.stored.firstSeq = o.ledger.Reserve()
+	for _, lane := range o.stored.store.Lanes() {
+		usage := o.stored.store.LaneUsage(lane)
+		o.stored.policy.Stored(policyLane(lane), usage.Messages, usage.Bytes)
+	}
+	o.log.Info().Int("messages", o.stored.store.Messages()).Int("in_both", before-o.stored.store.Messages()).
+		Int("answered_without_call", len(overtaking)).Msg("backlog resolved")
+	return overtaking
+}
+
+// inMemory enters a document in its lane.
+func (o *owner) inMemory(p *paper) {
+	if o.stored == nil {
+		return
+	}
+	o.enterLane(p)
+	o.stored.policy.Held(policyLane(p.lane))
+	o.noteOutage(p.doc.Dest)
+}
+
+// leftMemory takes a document that is over out of its lane.
+func (o *owner) leftMemory(p *paper) {
+	if o.removeFromLane(p) {
+		o.stored.policy.Ended(policyLane(p.lane))
+	}
+}
+
+// removeFromLane tells if the document was in its lane.
+func (o *owner) removeFromLane(p *paper) bool {
+	if p.inLane == nil {
+		return false
+	}
+	lane := o.stored.lanes[p.lane]
+	lane.Remove(p.inLane)
+	p.inLane = nil
+	if lane.Len() == 0 {
+		delete(o.stored.lanes, p.lane)
+	}
+	return true
+}
+
+// noteOutage tells the policy whether a destination answers.
+func (o *owner) noteOutage(d *choice.Destination) {
+	if o.stored != nil {
+		o.stored.policy.Out(d.Door, o.f.Dark(d))
+	}
+}
+
+// toBacklog decides whether a document that is handed in waits in the store, and stores it. done is false for one that
+// goes to memory.
+func (o *owner) toBacklog(a *asked, e *ledger.Entry, left float64) (reply seam.Reply, done bool) {
+	if o.stored == nil {
+		return seam.Reply{}, false
+	}
+	now := time.Now()
+	m := messageOf(e, a.Paper.Came)
+	decision := o.stored.policy.DecideWithin(policyLane(m.Lane), int64(m.Size()), time.Duration(left*float64(time.Second)), now)
+	if decision.Place == policy.Memory {
+		return seam.Reply{}, false
+	}
+	if e.Held && decision.Place == policy.Store { // its caller does not wait for hours
+		decision = o.stored.policy.Refuse(policy.NoBound, int64(m.Size()), now)
+	}
+	if decision.Place == policy.Store {
+		decision = o.store(m, now)
+	}
+	if decision.Place == policy.Refused {
+		return o.refuseForBacklog(decision), true
+	}
+	o.counts.taken++
+	o.stored.counts.stored++
+	if !a.From.Answer(seam.Reply{Word: seam.Taken}) { // not heard: its caller hands it in again under another id
+		o.unstore(m)
+	}
+	return seam.Reply{Word: seam.Taken}, true
+}
+
+// store stores a new message, or tells that the disk has no room for it.
+func (o *owner) store(m *backlog.Message, now time.Time) policy.Decision {
+	m.Seq = o.ledger.Reserve()
+	if err := o.stored.store.Append(m); err != nil {
+		if !errors.Is(err, backlog.ErrFull) {
+			o.logBacklogError(err)
+		}
+		return o.stored.policy.Refuse(policy.DiskBound, int64(m.Size()), now)
+	}
+	o.stored.policy.Stored(policyLane(m.Lane), 1, int64(m.Size()))
+	o.f.Stored(o.dest(m.Lane.Destination))
+	return policy.Decision{Place: policy.Store}
+}
+
+// unstore lets go of a stored message that its caller does not know to be taken on.
+func (o *owner) unstore(m *backlog.Message) {
+	if err := o.stored.store.Release([]backlog.Ref{m.Ref()}); err != nil {
+		o.logBacklogError(err) // it goes out once more; its caller hands it in under another id
+		return
+	}
+	o.stored.policy.Discarded(policyLane(m.Lane), int64(m.Size()))
+}
+
+func (o *owner) refuseForBacklog(d policy.Decision) seam.Reply {
+	o.counts.refused++
+	o.stored.counts.refused++
+	if o.mayLog("backlog refused") {
+		messages, bytes := o.stored.policy.Amount()
+		o.log.Warn().Stringer("bound", d.Bound).Int("messages", messages).Int64("bytes", bytes).Msg("backlog refused")
+	}
+	wait := min(d.RetryAfter.Seconds(), o.order.Terms.ComeBackMost)
+	return seam.Reply{Word: seam.Busy, Wait: min(int(wait*1000), refuseMost)}
+}
+
+// logBacklogError logs that the store cannot be read or written.
+func (o *owner) logBacklogError(err error) {
+	if !o.mayLog("backlog") {
+		return
+	}
+	var damage *backlog.DamageError
+	if errors.As(err, &damage) {
+		o.log.Error().Err(err).Msg("backlog damaged")
+		return
+	}
+	o.log.Error().Err(err).Msg("backlog cannot be written")
+}
--- a/forward/counts.go
+++ b/forward/counts.go
@@ -33,11 +33,12 @@
 
 // levels are the figures that are read when they are asked for.
 func (o *owner) levels(dialer *dial.Dialer) []seam.Level {
-	return []seam.Level{
+	levels := []seam.Level{
 		{Name: "held_documents", Read: func() float64 { return float64(o.held.Load()) }},
 		{Name: "ledger_bytes", Read: func() float64 { return float64(o.onDisk.Load()) }},
 		{Name: "outgoing_connections", Read: func() float64 { return float64(dialer.Open()) }},
 	}
+	return append(levels, o.backlogGauges()...)
 }
 
 // report writes the counts, the first front's with the forwarder's own.
@@ -47,6 +48,9 @@
 		idle += by.Idle()
 	}
 	e := tally(o.counts.write(o.log.Info()).Int("held", len(o.docs)), o.fronts[0].Tally())
+	if o.stored != nil {
+		e = o.stored.counts.write(e).Int("backlog", o.stored.store.Messages())
+	}
 	e.Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).Int("idle_lines", idle).
 		Int64("disk", o.ledger.Used()).Msg("counts")
 	for _, l := range o.fronts[1:] {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,6 +78,10 @@
 	order.askForList()
 	o := newOwner(order, log, x)
 	o.asRead, o.ledger, o.operators, o.rota, o.logTo = asRead, led, operators, rota.New(readOut(order.Folder)), logTo
+	if err := o.openBacklog(); err != nil {
+		return err
+	}
+	defer o.closeBacklog()
 	if err := o.connect(dialer); err != nil {
 		return err
 	}
--- a/forward/messages.go
+++ b/forward/messages.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"container/list"
 	"time"
 
 	"spanflow/choice"
+	"spanflow/internal/backlog"
 	"spanflow/internal/ledger"
 	"spanflow/seam"
 )
@@ -13,7 +15,9 @@
 	seam.Paper
 	doc       *choice.Doc
 	typ       int
-	holder    seam.Holder // whom the final answer is for; nil: the teller
+	lane      backlog.Lane
+	inLane    *list.Element // nil while no backlog store is used
+	holder    seam.Holder   // whom the final answer is for; nil: the teller
 	came      time.Time
 	traced    bool
 	untried   bool // an earlier process took it on, and no call has begun yet
@@ -25,6 +29,7 @@
 	p := &paper{
 		Paper:  seam.Paper{Door: e.Seq, ID: e.ID, Mark: e.Mark, Body: e.Body},
 		typ:    typ,
+		lane:   laneOf(e),
 		came:   time.Now(),
 		traced: o.trace.picks(e.ID, e.Key),
 	}
@@ -59,6 +64,7 @@
 		if p.withdrawn {
 			o.recordDone(p)
 		}
+		o.leftMemory(p)
 		delete(o.docs, p.Door)
 		if o.byID[p.ID] == p {
 			delete(o.byID, p.ID)
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -19,6 +19,7 @@
 	asRead   choice.Terms // as the order has them
 	exchange *Exchange
 	ledger   *ledger.Ledger
+	stored   *stored // nil: messages wait in memory alone
 	f        *choice.Forwarder
 	epoch    time.Time // the module's clock is seconds of the wall clock at the start, and from there on even
 	wakeAt   time.Time // zero: none set
@@ -125,6 +126,7 @@
 		o.wakeAt = time.Time{}
 		o.f.Woken()
 	}
+	o.moveBacklog(start)
 	o.f.Settle()
 	o.flush()
 	end := time.Now()
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -19,15 +19,18 @@
 	}
 	o.listed(&o.order.Known, true)
 	o.emptyTray()
-	for _, e := range o.ledger.Owed() {
-		o.recover(e, now)
+	owed := o.ledger.Owed()
+	overtaking := o.resolve(owed)
+	for _, e := range owed {
+		o.recover(e, now, overtaking[e.Seq])
 	}
 	o.f.Settle()
 	o.flush()
 }
 
-// recover takes up a document that an earlier process owed.
-func (o *owner) recover(e *ledger.Entry, now time.Time) {
+// recover takes up a document that an earlier process owed. One that would overtake stored ones is answered without a
+// call.
+func (o *owner) recover(e *ledger.Entry, now time.Time, overtaking bool) {
 	typ, known := o.types[e.Type]
 	if !known {
 		o.log.Error().Str("id", e.ID).Str("type", e.Type).Msg("recovered document of an unknown type")
@@ -44,7 +47,12 @@
 		o.tell(p, seam.Abandoned, 0)
 	}
 	left := float64(e.Expiry)/1e6 - o.clock(now)
-	o.f.Recover(p.doc, typ, left, past)
+	if overtaking && !past.Answered && !past.Left {
+		o.f.GiveUp(p.doc, typ, left, past)
+	} else {
+		o.f.Recover(p.doc, typ, left, past)
+	}
+	o.inMemory(p)
 	o.counts.recovered++
 	if p.untried = past.Sent == 0 && !past.Answered && !past.Left; p.untried {
 		if o.figures.untried++; left <= 0 {
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -48,6 +48,7 @@
 		case <-o.exchange.bell:
 		case <-timer.C:
 		case <-report.C:
+			o.setBacklogAges()
 			o.report(dialer)
 			continue
 		case <-learn.C:
@@ -78,12 +79,16 @@
 	}
 }
 
-// setTimer has the timer fire when the module is to be woken.
+// setTimer has the timer fire when the module is to be woken or the backlog store looked at.
 func (o *owner) setTimer(timer *time.Timer) {
-	if o.wakeAt.IsZero() {
+	at := o.wakeAt
+	if o.stored != nil && !o.stored.wakeAt.IsZero() && (at.IsZero() || o.stored.wakeAt.Before(at)) {
+		at = o.stored.wakeAt
+	}
+	if at.IsZero() {
 		timer.Stop()
 	} else {
-		timer.Reset(time.Until(o.wakeAt))
+		timer.Reset(time.Until(at))
 	}
 }
 
--- /dev/null
+++ b/internal/backlog/policy/memory.go
@@ -0,0 +1,53 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	memoryShare = 0.9 // of the messages that the scheduler holds at once: beyond it, it begins to give some up for room
+	batch       = 256 // messages that come back in one turn of the event loop
+	expiryBatch = 512 // messages that are answered at the end of their time in one turn of the event loop
+	expiryLead  = 3 * time.Second
+	mostLooked  = 256 // lanes that are looked at for moves in one turn of the event loop
+)
+
+// WithDefaults fills in what is not for operators to set; room is how many messages the scheduler holds at once.
+func (b Bounds) WithDefaults(room int) Bounds {
+	b.Memory = max(1, int(memoryShare*float64(room)))
+	b.Batch = batch
+	b.ExpiryLead = expiryLead
+	return b
+}
+
+// memoryLeft is how many messages more may be in memory.
+func (p *Policy) memoryLeft() int {
+	if p.bounds.Memory == 0 {
+		return math.MaxInt
+	}
+	return max(0, p.bounds.Memory-p.held)
+}
+
+// DecideWithin is Decide for a message with so much time left: one that would have to be answered at once after it is
+// stored is refused.
+func (p *Policy) DecideWithin(lane Lane, bytes int64, left time.Duration, now time.Time) Decision {
+	d := p.Decide(lane, bytes, now)
+	if d.Place == Store && left <= p.bounds.ExpiryLead {
+		return p.Refuse(NoBound, bytes, now)
+	}
+	return d
+}
+
+// Discarded says that a stored message of a lane is gone without having come back.
+func (p *Policy) Discarded(lane Lane, bytes int64) {
+	l := p.lane(lane)
+	p.count(l, -1, -bytes)
+	p.forget(l)
+}
+
+// MoreDue tells if there are lanes for which a move may be due.
+func (p *Policy) MoreDue() bool { return len(p.queue) > 0 }
+
+// ExpiryBatch is how many messages are answered at the end of their time in one turn of the event loop.
+func (p *Policy) ExpiryBatch() int { return expiryBatch }
--- a/internal/backlog/policy/policy.go
+++ b/internal/backlog/policy/policy.go
@@ -25,6 +25,8 @@
 	// Behind is how many messages of a lane stay in memory while its destination serves it and none is stored; more
 	// means that it is far behind.
 	Behind int
+	// Memory is how many messages of all lanes together stay in memory before new ones are stored; 0: no bound.
+	Memory int
 	// Batch is how many messages come back in one turn of the event loop, over all lanes.
 	Batch int
 	// ExpiryLead is how long before the end of its time a stored message comes back to be answered.
@@ -133,6 +135,7 @@
 	destinations map[uint64]*destinationState
 	tenants      map[uint32]int64 // bytes
 	stored       amount
+	held         int          // messages in memory
 	queue        []*laneState // lanes for which a move may be due, each once, served in turn
 	drain        drainRate
 }
@@ -167,7 +170,8 @@
 // Decide tells where a new message goes. The event loop then calls Held or Stored, or Refused ones are forgotten.
 func (p *Policy) Decide(lane Lane, bytes int64, now time.Time) Decision {
 	l := p.lanes[lane]
-	if l == nil || l.stored.messages == 0 && l.held < p.mostHeld(lane) {
+	fits := l == nil || l.stored.messages == 0 && l.held < p.mostHeld(lane)
+	if fits && p.memoryLeft() > 0 {
 		return Decision{Place: Memory}
 	}
 	if bound := p.bound(lane, bytes); bound != NoBound {
@@ -211,6 +215,7 @@
 func (p *Policy) Held(lane Lane) {
 	l := p.lane(lane)
 	l.held++
+	p.held++
 	p.consider(l)
 }
 
@@ -218,6 +223,7 @@
 func (p *Policy) Ended(lane Lane) {
 	l := p.lane(lane)
 	l.held--
+	p.held--
 	p.consider(l)
 	p.forget(l)
 }
@@ -233,6 +239,7 @@
 func (p *Policy) Spilled(lane Lane, bytes int64) {
 	l := p.lane(lane)
 	l.held--
+	p.held--
 	p.count(l, 1, bytes)
 }
 
@@ -240,6 +247,7 @@
 func (p *Policy) Back(lane Lane, bytes int64, now time.Time) {
 	l := p.lane(lane)
 	l.held++
+	p.held++
 	p.count(l, -1, -bytes)
 	p.drain.left(bytes, now)
 }
@@ -264,8 +272,8 @@
 // be tried before it is called again; a lane whose move was not carried out is given again by Unmoved.
 func (p *Policy) Due() []Move {
 	var moves []Move
-	left := p.bounds.Batch
-	for range len(p.queue) {
+	left, memory := p.bounds.Batch, p.memoryLeft()
+	for range min(len(p.queue), mostLooked) {
 		if left == 0 {
 			break
 		}
@@ -278,11 +286,21 @@
 			p.forget(l)
 			continue
 		}
-		if m.Count > left {
-			m.Count = left
+		most := left
+		if m.Kind == BringBack {
+			most = min(left, memory)
+		}
+		if m.Count > most {
+			m.Count = most
 			p.push(l)
 		}
+		if m.Count == 0 { // memory is full: it waits for its turn
+			continue
+		}
 		left -= m.Count
+		if m.Kind == BringBack {
+			memory -= m.Count
+		}
 		moves = append(moves, m)
 	}
 	return moves
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -222,6 +222,37 @@
 	return nil
 }
 
+// Reserve gives the next number in the order of taking to a document that is recorded elsewhere.
+func (l *Ledger) Reserve() uint64 {
+	l.next++
+	return l.next - 1
+}
+
+// SkipTo says that all numbers up to this one are used.
+func (l *Ledger) SkipTo(seq uint64) { l.next = max(l.next, seq+1) }
+
+// Restore records a document whole under the number that it has, as it comes back from where it was recorded meanwhile.
+// What was recorded for the number before counts no more.
+func (l *Ledger) Restore(e *Entry) error {
+	live := l.live + e.Size()
+	if before := l.entries[e.Seq]; before != nil {
+		live -= before.Size()
+	}
+	if live > l.Room() || e.Size() > mostEntry || len(e.Front) > mostFront {
+		return ErrFull
+	}
+	if err := l.write(e); err != nil {
+		return err
+	}
+	l.next = max(l.next, e.Seq+1)
+	l.entries[e.Seq] = e
+	l.live = live
+	return nil
+}
+
+// Entry is what is recorded for a number, nil if nothing is owed for it.
+func (l *Ledger) Entry(seq uint64) *Entry { return l.entries[seq] }
+
 // Out records that a transmission is about to begin.
 func (l *Ledger) Out(seq uint64, at int64, zone int) error {
 	e := l.entries[seq]
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -287,3 +287,38 @@
 	close(end)
 	<-ended
 }
+
+func TestADocumentThatWasElsewhereComesBackUnderItsNumber(t *testing.T) {
+	dir := t.TempDir()
+	l := open(t, dir)
+	a := take(t, l, "a", 3)
+	require.Equal(t, uint64(2), l.Reserve())
+	b := take(t, l, "b", 3)
+	require.Equal(t, uint64(3), b.Seq)
+	require.NoError(t, l.Over(a.Seq)) // it is recorded elsewhere
+	require.NoError(t, l.Restore(&Entry{Seq: a.Seq, ID: "a", Type: "ticket", Sent: 2, Ran: 7, RanZone: 1, Body: []byte("x")}))
+	require.NoError(t, l.Restore(&Entry{Seq: 2, ID: "c", Type: "ticket"}))
+	require.NoError(t, l.Restore(&Entry{Seq: 2, ID: "c", Type: "ticket", Sent: 1}), "twice: the latest counts")
+	l.SkipTo(40)
+	l.Close()
+	l = open(t, dir)
+	defer l.Close()
+	got := l.Owed()
+	require.Len(t, got, 3)
+	require.Equal(t, []any{uint64(1), "a", 2, int64(7)}, []any{got[0].Seq, got[0].ID, got[0].Sent, got[0].Ran})
+	require.Equal(t, []any{uint64(2), "c", 1}, []any{got[1].Seq, got[1].ID, got[1].Sent})
+	require.Equal(t, uint64(4), take(t, l, "d", 3).Seq)
+}
+
+func TestWhatComesBackIsRefusedWithoutRoomAndLeavesWhatIsOwed(t *testing.T) {
+	l := open(t, t.TempDir())
+	defer l.Close()
+	taken := take(t, l, "a", 3)
+	for l.live+5104 < l.Room() {
+		take(t, l, "filling", 5000)
+	}
+	require.ErrorIs(t, l.Restore(&Entry{Seq: 1000, Body: make([]byte, 6000)}), ErrFull)
+	require.ErrorIs(t, l.Restore(&Entry{Seq: 1000, Body: make([]byte, mostEntry)}), ErrFull)
+	require.Nil(t, l.Entry(1000))
+	require.Same(t, taken, l.Entry(taken.Seq))
+}
