--- a/internal/backlog/crash_test.go
+++ b/internal/backlog/crash_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -123,32 +122,49 @@
 func TestFaultAtEveryCall(t *testing.T) {
 	faults := 0
 	for _, leaving := range []damage{nothingDone, halfDone, allDone, shortWrite} {
-		for call := 1; ; call++ {
-			files := newMemFS()
-			files.failAt, files.leaving = call, leaving
-			w := newWorld(files, smallBounds)
-			if err := script(w, 120); err != nil { // at the start: the next one finds all well
-				files.locked = false
-				require.NoError(t, w.start(), "call %d", call)
-			}
-			if files.calls < call {
-				break
-			}
+		for call := 1; faultAt(t, &memFS{failAt: call, leaving: leaving}); call++ {
 			faults++
-			require.NoError(t, w.mover.Retry())
-			require.NoError(t, w.bringBack(testLanes[0], 0)) // what was on the way
-			w.check(t)
-			w.fs = files.reboot()
-			require.NoError(t, w.start(), "call %d", call)
-			w.check(t)
-			require.NoError(t, w.drain())
-			w.check(t)
 		}
 	}
 	require.Greater(t, faults, 800)
 	t.Logf("%d faults", faults)
 }
 
+// Two calls in a row fail: also the one that mends what the first has left.
+func TestTwoFaultsAtEveryCall(t *testing.T) {
+	faults := 0
+	for _, leaving := range []damage{nothingDone, halfDone, shortWrite} {
+		for call := 1; faultAt(t, &memFS{failAt: call, failFor: 1, leaving: leaving}); call += 3 {
+			faults++
+		}
+	}
+	require.Greater(t, faults, 200)
+	t.Logf("%d faults", faults)
+}
+
+// faultAt runs the script with faults; it tells if it was long enough for them to come.
+func faultAt(t *testing.T, files *memFS) bool {
+	files.files = map[string][]byte{}
+	w := newWorld(files, smallBounds)
+	if err := script(w, 120); err != nil { // at the start: the next one finds all well
+		files.failAt, files.locked = 0, false
+		require.NoError(t, w.start())
+	}
+	if files.failAt > 0 && files.calls < files.failAt {
+		return false
+	}
+	files.failAt = 0
+	require.NoError(t, w.mover.Retry())
+	require.NoError(t, w.bringBack(testLanes[0], 0)) // what was on the way
+	w.check(t)
+	w.fs = files.reboot()
+	require.NoError(t, w.start(), "call %d", files.calls)
+	w.check(t)
+	require.NoError(t, w.drain())
+	w.check(t)
+	return true
+}
+
 func TestOpenFilesAreBounded(t *testing.T) {
 	files := newMemFS()
 	w := newWorld(files, smallBounds)
@@ -184,7 +200,67 @@
 	checkStore(t, s)
 	require.Greater(t, refused, 1000)
 	require.Less(t, s.Written(), int64(next)*250*4, "write amplification")
-	t.Log(fmt.Sprintf("%d of %d refused, %d bytes written", refused, next, s.Written()))
+	t.Logf("%d of %d refused, %d bytes written", refused, next, s.Written())
+}
+
+// Messages so small that their releases take a large part of the room, released in an order in which no segment is
+// dead for long: there is room for the releases all the same.
+func TestReleasesHaveRoomInAFullStore(t *testing.T) {
+	files := newMemFS()
+	s, err := Open(files, testDir, smallBounds)
+	require.NoError(t, err)
+	var refs []Ref
+	for seq := uint64(1); ; seq++ {
+		m := &Message{Seq: seq, Lane: Lane{seq % 7, 1}}
+		if err := s.Append(m); err != nil {
+			require.ErrorIs(t, err, ErrFull)
+			break
+		}
+		refs = append(refs, m.Ref())
+	}
+	rand.New(rand.NewPCG(6, 6)).Shuffle(len(refs), func(i, j int) { refs[i], refs[j] = refs[j], refs[i] })
+	for _, ref := range refs {
+		require.NoError(t, s.Release([]Ref{ref}))
+		require.LessOrEqual(t, int64(files.used()), smallBounds.Bytes)
+	}
+	require.Zero(t, s.Messages())
+}
+
+// A few messages that stay for long among many that go do not keep the space of those that went.
+func TestDeadSpaceIsFreed(t *testing.T) {
+	files := newMemFS()
+	bounds := Bounds{Bytes: 64 << 20, SegmentBytes: 1 << 10}
+	s, err := Open(files, testDir, bounds)
+	require.NoError(t, err)
+	for seq := uint64(1); seq <= 20_000; seq++ {
+		m := testMessage(Lane{1, 1}, seq)
+		require.NoError(t, s.Append(m))
+		if before := seq - 1; before%200 != 0 { // not the newest, so that it lies between others
+			require.NoError(t, s.Release([]Ref{testMessage(Lane{1, 1}, before).Ref()}))
+		}
+		require.LessOrEqual(t, s.Used()-bounds.SegmentBytes, 2*s.Bytes()+4*bounds.SegmentBytes)
+		l := s.lanes[Lane{1, 1}]
+		require.LessOrEqual(t, int(l.end-l.begin), 2*l.live()+4*blockSize+1, "nor memory")
+	}
+	require.Equal(t, 100, s.Messages())
+	require.Less(t, s.Written(), int64(20_000*250*2), "write amplification")
+	checkStore(t, s)
+}
+
+// Also once nothing is stored any more the store knows which numbers were used.
+func TestLastNumberOutlastsItsMessage(t *testing.T) {
+	files := newMemFS()
+	s := openStore(t, files, smallBounds)
+	for seq := uint64(1); seq <= 40; seq++ {
+		m := testMessage(testLanes[0], seq)
+		require.NoError(t, s.Append(m))
+		require.NoError(t, s.Release([]Ref{m.Ref()}))
+	}
+	require.Less(t, len(s.segments), 3)
+	require.NoError(t, s.rotate())
+	s.dropDead()
+	require.NoError(t, s.Close())
+	require.Equal(t, uint64(40), openStore(t, files, smallBounds).LastSeq())
 }
 
 func refsOf(ms []*Message) []Ref {
--- a/internal/backlog/fault_test.go
+++ b/internal/backlog/fault_test.go
@@ -32,6 +32,7 @@
 
 	calls    int // so far; those that alter something alone if kill is set
 	failAt   int // the call that fails, from 1; 0: none
+	failFor  int // so many calls behind it fail too
 	kill     bool
 	leaving  damage
 	dead     bool
@@ -60,7 +61,7 @@
 		return allDone, nil
 	}
 	m.calls++
-	if m.calls != m.failAt {
+	if m.failAt == 0 || m.calls < m.failAt || m.calls > m.failAt+m.failFor {
 		return allDone, nil
 	}
 	if m.kill {
--- a/internal/backlog/policy/policy.go
+++ b/internal/backlog/policy/policy.go
@@ -31,27 +31,27 @@
 	ExpiryLead time.Duration
 }
 
-// Check tells what is wrong, by field.
+// Check tells what is wrong, by field, with the names of the configuration.
 func (b *Bounds) Check() error {
 	switch {
 	case b.Bytes <= 0:
-		return fmt.Errorf("Bytes: %d is not above 0", b.Bytes)
+		return fmt.Errorf("bytes: %d is not above 0", b.Bytes)
 	case b.DestinationBytes <= 0 || b.DestinationBytes > b.Bytes:
-		return fmt.Errorf("DestinationBytes: %d is not between 1 and Bytes (%d)", b.DestinationBytes, b.Bytes)
+		return fmt.Errorf("destination_bytes: %d is not between 1 and bytes (%d)", b.DestinationBytes, b.Bytes)
 	case b.TenantBytes <= 0 || b.TenantBytes > b.Bytes:
-		return fmt.Errorf("TenantBytes: %d is not between 1 and Bytes (%d)", b.TenantBytes, b.Bytes)
+		return fmt.Errorf("tenant_bytes: %d is not between 1 and bytes (%d)", b.TenantBytes, b.Bytes)
 	case b.Window < 1:
-		return fmt.Errorf("Window: %d is less than 1", b.Window)
+		return fmt.Errorf("window: %d is less than 1", b.Window)
 	case b.Behind < b.Window:
-		return fmt.Errorf("Behind: %d is less than Window (%d)", b.Behind, b.Window)
+		return fmt.Errorf("behind: %d is less than window (%d)", b.Behind, b.Window)
 	case b.Batch < 1:
-		return fmt.Errorf("Batch: %d is less than 1", b.Batch)
+		return fmt.Errorf("batch: %d is less than 1", b.Batch)
 	case b.ExpiryLead <= 0:
-		return fmt.Errorf("ExpiryLead: %v is not above 0", b.ExpiryLead)
+		return fmt.Errorf("expiry_lead: %v is not above 0", b.ExpiryLead)
 	}
 	for tenant, bytes := range b.Tenants {
 		if bytes <= 0 || bytes > b.Bytes {
-			return fmt.Errorf("Tenants: %d of tenant %d is not between 1 and Bytes (%d)", bytes, tenant, b.Bytes)
+			return fmt.Errorf("tenants: %d of tenant %d is not between 1 and bytes (%d)", bytes, tenant, b.Bytes)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/backlog/policy/policy_test.go
@@ -0,0 +1,299 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func testBounds() Bounds {
+	return Bounds{Bytes: 100_000, DestinationBytes: 40_000, TenantBytes: 60_000, Window: 8, Behind: 20, Batch: 50, ExpiryLead: 10 * time.Second}
+}
+
+func newPolicy(t *testing.T, b Bounds) *Policy {
+	p, err := New(b)
+	require.NoError(t, err)
+	return p
+}
+
+// arrive decides on a message and does what is decided.
+func arrive(p *Policy, lane Lane, bytes int64) Decision {
+	d := p.Decide(lane, bytes, start)
+	switch d.Place {
+	case Memory:
+		p.Held(lane)
+	case Store:
+		p.Stored(lane, 1, bytes)
+	}
+	return d
+}
+
+func TestBoundsAreCheckedByField(t *testing.T) {
+	for field, spoil := range map[string]func(*Bounds){
+		"bytes":             func(b *Bounds) { b.Bytes = 0 },
+		"destination_bytes": func(b *Bounds) { b.DestinationBytes = b.Bytes + 1 },
+		"tenant_bytes":      func(b *Bounds) { b.TenantBytes = 0 },
+		"window":            func(b *Bounds) { b.Window = 0 },
+		"behind":            func(b *Bounds) { b.Behind = b.Window - 1 },
+		"batch":             func(b *Bounds) { b.Batch = 0 },
+		"expiry_lead":       func(b *Bounds) { b.ExpiryLead = 0 },
+		"tenants":           func(b *Bounds) { b.Tenants = map[uint32]int64{3: -1} },
+	} {
+		b := testBounds()
+		spoil(&b)
+		_, err := New(b)
+		require.ErrorContains(t, err, field+":")
+		require.Error(t, newPolicy(t, testBounds()).SetBounds(b))
+	}
+}
+
+func TestServedLaneStaysInMemoryUntilFarBehind(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{1, 1}
+	for range 20 {
+		require.Equal(t, Memory, arrive(p, lane, 100).Place)
+	}
+	require.Equal(t, Store, arrive(p, lane, 100).Place)
+	p.Ended(lane)
+	require.Equal(t, Store, arrive(p, lane, 100).Place, "behind what is stored, though memory has room")
+	require.Equal(t, Memory, arrive(p, Lane{1, 2}, 100).Place, "another tenant's lane is another queue")
+}
+
+func TestOutageSpillsAllButTheWindow(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{1, 1}
+	for range 15 {
+		arrive(p, lane, 100)
+	}
+	require.Empty(t, p.Due())
+	p.Out(1, true)
+	require.Equal(t, []Move{{SpillTail, lane, 7}}, p.Due())
+	for range 7 {
+		p.Spilled(lane, 100)
+	}
+	require.Empty(t, p.Due())
+	require.Equal(t, Store, arrive(p, lane, 100).Place)
+
+	p.Out(2, true)
+	for range 8 {
+		require.Equal(t, Memory, arrive(p, Lane{2, 1}, 100).Place)
+	}
+	require.Equal(t, Store, arrive(p, Lane{2, 1}, 100).Place, "a lane whose destination is out stores beyond the window")
+}
+
+func TestUnmovedSpillIsDueAgain(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{1, 1}
+	for range 15 {
+		arrive(p, lane, 100)
+	}
+	p.Out(1, true)
+	require.Len(t, p.Due(), 1)
+	require.Empty(t, p.Due())
+	p.Unmoved(lane)
+	require.Equal(t, []Move{{SpillTail, lane, 7}}, p.Due())
+}
+
+func TestWindowIsRefilledWhenHalfEmpty(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{1, 1}
+	p.Out(1, true)
+	for range 30 {
+		arrive(p, lane, 100)
+	}
+	require.Empty(t, p.Due(), "the window is full")
+	for range 3 {
+		p.Ended(lane)
+	}
+	require.Empty(t, p.Due(), "more than half of it is left")
+	p.Ended(lane)
+	require.Equal(t, []Move{{BringBack, lane, 4}}, p.Due())
+	for range 4 {
+		p.Back(lane, 100, start)
+	}
+	require.Empty(t, p.Due())
+}
+
+// 200 destinations are back in the same second: lanes come back in turn, a batch in a turn, none waits for another to
+// be whole.
+func TestManyReturnsShareTheBatch(t *testing.T) {
+	bounds := testBounds()
+	bounds.Bytes, bounds.DestinationBytes, bounds.TenantBytes = 1<<30, 1<<30, 1<<30
+	p := newPolicy(t, bounds)
+	const destinations, each = 200, 30
+	for d := range uint64(destinations) {
+		p.Stored(Lane{d, 1}, each, each*100)
+	}
+	served := map[Lane]int{}
+	for turn := 1; turn <= destinations*8/bounds.Batch; turn++ {
+		sum := 0
+		for _, m := range p.Due() {
+			require.Equal(t, BringBack, m.Kind)
+			sum += m.Count
+			served[m.Lane] += m.Count
+			for range m.Count {
+				p.Back(m.Lane, 100, start)
+			}
+		}
+		require.LessOrEqual(t, sum, bounds.Batch)
+	}
+	require.Len(t, served, destinations, "each had its first messages back before any has more than its window")
+	for lane, n := range served {
+		require.Equal(t, bounds.Window, n, "%v", lane)
+	}
+	require.Empty(t, p.Due())
+}
+
+func TestBoundsRefuse(t *testing.T) {
+	p := newPolicy(t, testBounds())
+	fill := func(lane Lane, bytes int64) { p.Stored(lane, 1, bytes) }
+	fill(Lane{1, 1}, 40_000)
+	d := arrive(p, Lane{1, 1}, 100)
+	require.Equal(t, Decision{Refused, DestinationBound, 30 * time.Second}, d)
+	fill(Lane{2, 1}, 19_950)
+	require.Equal(t, TenantBound, arrive(p, Lane{2, 1}, 100).Bound)
+	require.Equal(t, Store, arrive(p, Lane{2, 1}, 50).Place)
+	fill(Lane{3, 2}, 20_000)
+	fill(Lane{4, 2}, 19_950)
+	require.Equal(t, TotalBound, arrive(p, Lane{3, 2}, 100).Bound)
+	require.Equal(t, Memory, arrive(p, Lane{9, 9}, 100).Place, "a lane with room in memory needs none in the store")
+}
+
+// However much one tenant sends, the others' part of the store stays free.
+func TestFloodOfOneTenantLeavesTheOthersPart(t *testing.T) {
+	bounds := testBounds()
+	bounds.DestinationBytes = 100_000
+	bounds.Tenants = map[uint32]int64{7: 20_000}
+	p := newPolicy(t, bounds)
+	rng := rand.New(rand.NewPCG(1, 1))
+	refused := 0
+	for range 5000 {
+		if arrive(p, Lane{rng.Uint64N(5), 1}, 100).Place == Refused {
+			refused++
+		}
+	}
+	require.Greater(t, refused, 4000)
+	require.Equal(t, int64(60_000), p.TenantBytes(1))
+	for range 500 {
+		arrive(p, Lane{1, 7}, 100)
+	}
+	require.Equal(t, int64(20_000), p.TenantBytes(7), "a tenant's own bound")
+	for range 150 {
+		require.NotEqual(t, Refused, arrive(p, Lane{2, 2}, 100).Place, "there is room for another")
+	}
+}
+
+func TestRetryAfterFollowsTheDrain(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{1, 1}
+	p.Stored(lane, 400, 40_000)
+	require.Equal(t, 30*time.Second, p.Decide(lane, 100, start).RetryAfter, "nothing drains")
+	for i := range 200 { // 1,000 bytes a second
+		p.Back(lane, 100, start.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	p.Stored(lane, 200, 20_000)
+	now := start.Add(20 * time.Second)
+	require.Equal(t, time.Second, p.Decide(lane, 100, now).RetryAfter)
+	require.InDelta(t, 5, p.Decide(lane, 5000, now).RetryAfter.Seconds(), 0.5)
+	require.Equal(t, 30*time.Second, p.Decide(lane, 5000, now.Add(time.Hour)).RetryAfter, "it has stopped since")
+}
+
+func TestLoweredBoundsRefuseUntilThereIsRoom(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{1, 1}
+	p.Stored(lane, 300, 30_000)
+	lower := testBounds()
+	lower.Bytes, lower.DestinationBytes, lower.TenantBytes, lower.Window, lower.Behind = 20_000, 20_000, 20_000, 30, 30
+	require.NoError(t, p.SetBounds(lower))
+	require.Equal(t, Refused, arrive(p, lane, 100).Place)
+	messages, bytes := p.Amount()
+	require.Equal(t, 300, messages)
+	require.Equal(t, int64(30_000), bytes)
+	require.Equal(t, []Move{{BringBack, lane, 30}}, p.Due(), "the wider window is filled")
+	for range 101 {
+		p.Back(lane, 100, start)
+	}
+	require.Equal(t, Store, arrive(p, lane, 100).Place)
+}
+
+func TestExpiryLead(t *testing.T) {
+	p := newPolicy(t, testBounds())
+	require.Equal(t, start.Add(10*time.Second), p.ExpiryDue(start))
+}
+
+// Nothing is remembered of lanes and destinations that have gone, and at each moment a lane's messages in memory are
+// within bounds and go before those that are stored.
+func TestRandomLoadKeepsTheRulesAndForgets(t *testing.T) {
+	for seed := range uint64(8) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		p := newPolicy(t, testBounds())
+		type queue struct{ memory, store []int }
+		queues := map[Lane]*queue{}
+		next := 0
+		carryOut := func() {
+			for _, m := range p.Due() {
+				q := queues[m.Lane]
+				require.Positive(t, m.Count)
+				for range m.Count {
+					if m.Kind == SpillTail {
+						last := len(q.memory) - 1
+						q.store = append([]int{q.memory[last]}, q.store...)
+						q.memory = q.memory[:last]
+						p.Spilled(m.Lane, 100)
+						continue
+					}
+					q.memory = append(q.memory, q.store[0])
+					q.store = q.store[1:]
+					p.Back(m.Lane, 100, start)
+				}
+			}
+		}
+		for range 3000 {
+			lane := Lane{rng.Uint64N(6), uint32(rng.IntN(2))}
+			q := queues[lane]
+			if q == nil {
+				q = &queue{}
+				queues[lane] = q
+			}
+			switch rng.IntN(5) {
+			case 0:
+				p.Out(lane.Destination, rng.IntN(2) == 0)
+			case 1:
+				if len(q.memory) > 0 {
+					q.memory = q.memory[1:]
+					p.Ended(lane)
+				}
+			default:
+				next++
+				switch arrive(p, lane, 100).Place {
+				case Memory:
+					require.Empty(t, q.store)
+					q.memory = append(q.memory, next)
+				case Store:
+					q.store = append(q.store, next)
+				}
+			}
+			carryOut()
+			require.LessOrEqual(t, len(q.memory), 20)
+			all := append(append([]int(nil), q.memory...), q.store...)
+			for i := 1; i < len(all); i++ {
+				require.Less(t, all[i-1], all[i])
+			}
+		}
+		for d := range uint64(6) {
+			p.Out(d, false)
+		}
+		for lane, q := range queues {
+			for len(q.memory)+len(q.store) > 0 {
+				carryOut()
+				for len(q.memory) > 0 {
+					q.memory = q.memory[1:]
+					p.Ended(lane)
+				}
+			}
+		}
+		require.Empty(t, p.Due())
+		require.Empty(t, p.lanes)
+		require.Empty(t, p.destinations)
+		require.Empty(t, p.tenants)
+		require.Equal(t, amount{}, p.stored)
+	}
+}
--- a/internal/backlog/store.go
+++ b/internal/backlog/store.go
@@ -47,11 +47,11 @@
 	}
 	switch {
 	case b.SegmentBytes < 2*segmentHeader || b.SegmentBytes > 1<<30:
-		return b, fmt.Errorf("SegmentBytes: %d is not between %d and %d", b.SegmentBytes, 2*segmentHeader, 1<<30)
+		return b, fmt.Errorf("segment_bytes: %d is not between %d and %d", b.SegmentBytes, 2*segmentHeader, 1<<30)
 	case b.Bytes < leastSegments*b.SegmentBytes:
-		return b, fmt.Errorf("Bytes: %d is less than %d segments of %d", b.Bytes, leastSegments, b.SegmentBytes)
+		return b, fmt.Errorf("bytes: %d is less than %d segments of %d", b.Bytes, leastSegments, b.SegmentBytes)
 	case b.OpenFiles < 1:
-		return b, fmt.Errorf("OpenFiles: %d is less than 1", b.OpenFiles)
+		return b, fmt.Errorf("open_files: %d is less than 1", b.OpenFiles)
 	}
 	return b, nil
 }
--- a/internal/backlog/store_test.go
+++ b/internal/backlog/store_test.go
@@ -122,8 +122,8 @@
 }
 
 func TestBoundsAreCheckedByField(t *testing.T) {
-	for field, b := range map[string]Bounds{"Bytes": {Bytes: 1000, SegmentBytes: 1000}, "SegmentBytes": {Bytes: 1 << 40, SegmentBytes: 1 << 31},
-		"OpenFiles": {Bytes: 1 << 20, SegmentBytes: 1024, OpenFiles: -1}} {
+	for field, b := range map[string]Bounds{"bytes": {Bytes: 1000, SegmentBytes: 1000}, "segment_bytes": {Bytes: 1 << 40, SegmentBytes: 1 << 31},
+		"open_files": {Bytes: 1 << 20, SegmentBytes: 1024, OpenFiles: -1}} {
 		_, err := Open(newMemFS(), testDir, b)
 		require.ErrorContains(t, err, field+":")
 	}
--- a/internal/backlog/world_test.go
+++ b/internal/backlog/world_test.go
@@ -25,6 +25,7 @@
 	fs   *memFS
 	file File
 	size int64
+	torn bool // a failed write may have left something
 	owed map[uint64]*Message
 }
 
@@ -62,12 +63,18 @@
 
 func (l *testLog) write(b []byte) error {
 	endRecord(b, 0)
+	if l.torn {
+		if err := l.file.Truncate(l.size); err != nil {
+			return err
+		}
+		l.torn = false
+	}
 	n, err := l.file.Write(b)
 	if err == nil && n < len(b) {
 		err = io.ErrShortWrite
 	}
 	if err != nil {
-		_ = l.file.Truncate(l.size)
+		l.torn = l.file.Truncate(l.size) != nil
 		return err
 	}
 	l.size += int64(n)
