The ledger frees files of processes that wrote little before they fill it

Found by the store's test of a hundred kills with the real ledger: each process begins a file, and room was made only when a file had grown to its part of the space. After some dozens of restarts with less than a part written each, the folder was at its limit with nearly nothing owed: Take was refused for good, and Over failed, so that a message with its end unrecorded came back at the next start. A restart did not help, since the head never grew to its part.

Room is now made too when a record would eat into the reserve. In a process that fills its files this never holds: at each new file twice the reserve is left, and a file is less than one. TestManyShortProcessesDoNotFillTheLedger (120 processes, 30 documents of 1,000 bytes ended in each, 1 MB) failed before with "the ledger is full".

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -321,19 +321,31 @@
 			return err
 		}
 		rec := slices.Clone(b)
-		for range len(l.files) {
-			if l.Used()+int64(len(rec))+2*l.reserve() <= l.limit {
-				break
-			}
-			if err := l.free(); err != nil {
-				return err
-			}
+		if err := l.makeRoom(len(rec), 2*l.reserve()); err != nil {
+			return err
 		}
 		b = rec
+	} else if l.Used()+int64(len(b))+l.reserve() > l.limit { // filled by the files of processes that wrote little
+		rec := slices.Clone(b)
+		_ = l.makeRoom(len(rec), l.reserve()) // put tells if there is none
+		b = rec
 	}
 	return l.put(b)
 }
 
+// makeRoom frees the oldest files until a record of so many bytes has room, and so much is left beside it.
+func (l *Ledger) makeRoom(record int, left int64) error {
+	for range len(l.files) {
+		if l.Used()+int64(record)+left <= l.limit {
+			return nil
+		}
+		if err := l.free(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (l *Ledger) put(b []byte) error {
 	f := &l.files[len(l.files)-1]
 	if blocks(f.size+int64(len(b)))-blocks(f.size)+l.Used() > l.limit {
