Backlog store: a hundred kills of real processes with the real write-ahead log

The log gets Restore (an entry back under its own number), Number and Reserve, which the moves need.

--- /dev/null
+++ b/internal/backlog/move_ledger_test.go
@@ -0,0 +1,283 @@
+package backlog
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/internal/ledger"
+)
+
+const (
+	forwarderDir   = "SPANFLOW_BACKLOG_FORWARDER" // set for the process that the test kills
+	ledgerBytes    = 1 << 20
+	forwarderKills = 100
+)
+
+// ledgerLog is the write-ahead log as the mover needs it.
+type ledgerLog struct{ *ledger.Ledger }
+
+func (l ledgerLog) Restore(m *Message) error { return l.Ledger.Restore(entryOf(m)) }
+func (l ledgerLog) Forget(seq uint64) error  { return l.Over(seq) }
+
+func entryOf(m *Message) *ledger.Entry {
+	return &ledger.Entry{Seq: m.Seq, Key: m.Key, Dest: m.Lane.Destination, Tenant: int(m.Lane.Tenant), Type: m.Type, ID: m.ID,
+		Mark: m.DeduplicationKey, Expiry: m.Expiry, Sent: int(m.Attempts), Ran: m.MayHaveRun, RanZone: int(m.MayHaveRunZone),
+		Body: m.Body, Front: m.Frontend, Held: m.CallerWaits}
+}
+
+func messageOf(e *ledger.Entry) *Message {
+	return &Message{Seq: e.Seq, Key: e.Key, Lane: Lane{e.Dest, uint32(e.Tenant)}, Type: e.Type, ID: e.ID, DeduplicationKey: e.Mark,
+		Expiry: e.Expiry, Attempts: uint32(e.Sent), MayHaveRun: e.Ran, MayHaveRunZone: uint32(e.RanZone), Body: e.Body,
+		Frontend: e.Front, CallerWaits: e.Held}
+}
+
+// ledgerMessage is a test message with what the log keeps.
+func ledgerMessage(lane Lane, seq uint64) *Message {
+	m := testMessage(lane, seq)
+	m.Taken, m.DeduplicationEnd, m.ID = 0, 0, fmt.Sprintf("client-%016x", rand.Uint64())
+	return m
+}
+
+// forwarder takes messages on, moves them between the real write-ahead log and the store, and ends them in order.
+type forwarder struct {
+	log   *ledger.Ledger
+	store *Store
+	mover *Mover
+	held  map[Lane][]*Message
+	over  []uint64 // found overtaking older ones that are stored
+	out   io.Writer
+}
+
+func startForwarder(dir string, out io.Writer) (*forwarder, error) {
+	f := &forwarder{held: map[Lane][]*Message{}, out: out}
+	var err error
+	if f.log, err = ledger.Open(dir, ledgerBytes); err != nil {
+		return nil, err
+	}
+	if f.store, err = Open(OS{}, filepath.Join(dir, "backlog"), killBounds); err != nil {
+		return nil, err
+	}
+	f.log.Reserve(f.store.LastSeq())
+	f.mover = NewMover(ledgerLog{f.log}, f.store)
+	var owed []Ref
+	for _, e := range f.log.Owed() {
+		m := messageOf(e)
+		owed = append(owed, m.Ref())
+		f.held[m.Lane] = append(f.held[m.Lane], m)
+	}
+	overtaking, err := f.mover.Resolve(owed)
+	for _, ref := range overtaking {
+		f.over = append(f.over, ref.Seq)
+	}
+	return f, err
+}
+
+func (f *forwarder) close() error { return errors.Join(f.store.Close(), f.log.Close()) }
+
+// operate does one operation drawn at random and says what clients and destinations hear: "+" a message is owed, "?" it
+// is about to have its effect, "!" that is recorded.
+func (f *forwarder) operate(rng *rand.Rand) error {
+	lane := testLanes[rng.IntN(len(testLanes))]
+	switch rng.IntN(10) {
+	case 0, 1, 2, 3, 4:
+		return f.take(lane)
+	case 5:
+		held := f.held[lane]
+		if window := rng.IntN(6); len(held) > window {
+			moved, err := f.mover.Spill(held[window:])
+			f.held[lane] = held[:len(held)-moved]
+			return err
+		}
+	case 6, 7:
+		batch, err := f.mover.BringBack(lane, 1+rng.IntN(8))
+		for _, m := range batch.Messages {
+			f.held[m.Lane] = append(f.held[m.Lane], m)
+		}
+		return err
+	default:
+		return f.end(lane, 1+rng.IntN(8))
+	}
+	return nil
+}
+
+func (f *forwarder) take(lane Lane) error {
+	var m *Message
+	if f.store.Stored(lane) > 0 {
+		m = ledgerMessage(lane, f.log.Number())
+		if err := f.store.Append(m); err != nil {
+			return err
+		}
+	} else {
+		m = ledgerMessage(lane, 0)
+		e := entryOf(m)
+		if err := f.log.Take(e); err != nil {
+			return err
+		}
+		m.Seq = e.Seq
+		f.held[lane] = append(f.held[lane], m)
+	}
+	fmt.Fprintln(f.out, "+", m.Seq, lane.Destination, lane.Tenant)
+	return nil
+}
+
+func (f *forwarder) end(lane Lane, n int) error {
+	for ; n > 0 && len(f.held[lane]) > 0; n-- {
+		m := f.held[lane][0]
+		fmt.Fprintln(f.out, "?", m.Seq, lane.Destination, lane.Tenant)
+		if err := f.log.Over(m.Seq); err != nil {
+			return fmt.Errorf("over: %v", err)
+		}
+		fmt.Fprintln(f.out, "!", m.Seq, lane.Destination, lane.Tenant)
+		f.held[lane] = f.held[lane][1:]
+	}
+	return nil
+}
+
+// forwardForever is the process that is killed.
+func forwardForever(dir string) error {
+	f, err := startForwarder(dir, os.Stdout)
+	if err != nil {
+		return err
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), 1))
+	for {
+		if err := f.operate(rng); err != nil && !errors.Is(err, ErrFull) && !errors.Is(err, ledger.ErrFull) {
+			return err
+		}
+	}
+}
+
+// told is what clients and destinations of a forwarder have heard over all its processes.
+type told struct {
+	owed   map[uint64]Lane
+	ended  map[Lane][]uint64
+	ending map[uint64]Lane
+}
+
+func (w *told) hear(line string) {
+	var word string
+	var seq, destination uint64
+	var tenant uint32
+	if n, _ := fmt.Sscan(line, &word, &seq, &destination, &tenant); n < 4 {
+		return // cut by the kill
+	}
+	lane := Lane{destination, tenant}
+	switch word {
+	case "+":
+		w.owed[seq] = lane
+	case "?":
+		w.ending[seq] = lane
+	case "!":
+		w.effect(seq, lane)
+	}
+}
+
+func (w *told) effect(seq uint64, lane Lane) {
+	delete(w.owed, seq)
+	delete(w.ending, seq)
+	w.ended[lane] = append(w.ended[lane], seq)
+}
+
+// compare holds what a fresh process finds against what was told.
+func (w *told) compare(t *testing.T, f *forwarder) {
+	require.Empty(t, f.over)
+	places := map[uint64]int{}
+	lanes := map[uint64]Lane{}
+	note := func(m *Message) {
+		places[m.Seq]++
+		lanes[m.Seq] = m.Lane
+		want := ledgerMessage(m.Lane, m.Seq)
+		if m.DeduplicationKey == "k0" { // taken into the log, before its number was known
+			want = ledgerMessage(m.Lane, 0)
+			want.Seq = m.Seq
+		}
+		want.ID = m.ID
+		require.Equal(t, want, m)
+	}
+	for lane, held := range f.held {
+		slices.SortFunc(held, func(a, b *Message) int { return cmp.Compare(a.Seq, b.Seq) })
+		for _, m := range held {
+			note(m)
+		}
+		first, err := f.store.Head(lane, 1)
+		require.NoError(t, err)
+		if len(first) > 0 && len(held) > 0 {
+			require.Less(t, held[len(held)-1].Seq, first[0].Seq, "memory goes before the store")
+		}
+	}
+	for _, lane := range f.store.Lanes() {
+		ms, err := f.store.Head(lane, f.store.Stored(lane))
+		require.NoError(t, err)
+		for _, m := range ms {
+			note(m)
+		}
+	}
+	for seq, lane := range w.ending { // not heard whether it is recorded
+		if places[seq] == 0 {
+			w.effect(seq, lane)
+		}
+	}
+	clear(w.ending)
+	for seq := range w.owed {
+		require.Equal(t, 1, places[seq], "message %d", seq)
+	}
+	for seq, n := range places {
+		require.Equal(t, 1, n)
+		w.owed[seq] = lanes[seq] // also one whose client was not told any more
+	}
+	for lane, seqs := range w.ended {
+		require.True(t, slices.IsSorted(seqs), "order of %v", lane)
+		for _, seq := range seqs {
+			require.Zero(t, places[seq], "message %d would have its effect twice, held %v stored %v", seq, slices.ContainsFunc(f.held[lane], func(m *Message) bool { return m.Seq == seq }), f.store.Contains(lane, seq))
+		}
+	}
+}
+
+// Real processes with the real write-ahead log, killed by SIGKILL at random under load.
+func TestHundredKillsLoseAndRepeatNothing(t *testing.T) {
+	dir := t.TempDir()
+	w := told{owed: map[uint64]Lane{}, ended: map[Lane][]uint64{}, ending: map[uint64]Lane{}}
+	for range forwarderKills {
+		child := exec.Command(os.Args[0])
+		child.Env = append(os.Environ(), forwarderDir+"="+dir)
+		var faults strings.Builder
+		child.Stderr = &faults
+		out, err := child.StdoutPipe()
+		require.NoError(t, err)
+		require.NoError(t, child.Start())
+		lines := bufio.NewScanner(out)
+		for most := 1 + rand.IntN(600); most > 0 && lines.Scan(); most-- { // by what it did, not by the clock
+			w.hear(lines.Text())
+		}
+		require.NoError(t, child.Process.Kill())
+		for lines.Scan() {
+			w.hear(lines.Text())
+		}
+		_ = child.Wait()
+		require.Empty(t, faults.String())
+
+		f, err := startForwarder(dir, io.Discard)
+		require.NoError(t, err)
+		checkStore(t, f.store)
+		w.compare(t, f)
+		require.NoError(t, f.close())
+	}
+	ended := 0
+	for _, seqs := range w.ended {
+		ended += len(seqs)
+	}
+	require.Greater(t, ended, 3000)
+	t.Logf("%d kills, %d messages ended, %d owed", forwarderKills, ended, len(w.owed))
+}
--- a/internal/backlog/sigkill_test.go
+++ b/internal/backlog/sigkill_test.go
@@ -16,11 +16,11 @@
 
 var killBounds = Bounds{Bytes: 4 << 20, SegmentBytes: 64 << 10}
 
-// TestMain is the process that is killed, if it is told a folder.
+// TestMain is one of the processes that are killed, if it is told a folder.
 func TestMain(m *testing.M) {
-	if dir := os.Getenv(childDir); dir != "" {
-		if err := storeForever(dir); err != nil {
-			fmt.Fprintln(os.Stderr, err)
+	for name, run := range map[string]func(dir string) error{childDir: storeForever, forwarderDir: forwardForever} {
+		if dir := os.Getenv(name); dir != "" {
+			fmt.Fprintln(os.Stderr, run(dir))
 			os.Exit(1)
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -222,6 +222,34 @@
 	return nil
 }
 
+// Restore records an entry that has a number already, with its history: one that comes back from the backlog store. It
+// may be recorded; the latest record counts. Next numbers are greater.
+func (l *Ledger) Restore(e *Entry) error {
+	before := 0
+	if old := l.entries[e.Seq]; old != nil {
+		before = old.Size()
+	}
+	if l.live-before+e.Size() > l.Room() || e.Size() > mostEntry || len(e.Front) > mostFront {
+		return ErrFull
+	}
+	if err := l.write(e); err != nil {
+		return err
+	}
+	l.entries[e.Seq] = e
+	l.live += e.Size() - before
+	l.Reserve(e.Seq)
+	return nil
+}
+
+// Reserve makes sure that numbers given from now on are greater than one.
+func (l *Ledger) Reserve(seq uint64) { l.next = max(l.next, seq+1) }
+
+// Number gives the next number to a message that goes to the backlog store and not here.
+func (l *Ledger) Number() uint64 {
+	l.next++
+	return l.next - 1
+}
+
 // Out records that a transmission is about to begin.
 func (l *Ledger) Out(seq uint64, at int64, zone int) error {
 	e := l.entries[seq]
