--- a/forward/backlog.go
+++ b/forward/backlog.go
@@ -174,8 +174,8 @@
 	for _, ref := range past {
 		overtaking[ref.Seq] = true
 	}
-	o.ledger.SkipTo(o.stored.store.LastSeq())
-	o.stored.firstSeq = o.ledger.Reserve()
+	o.ledger.Reserve(o.stored.store.LastSeq())
+	o.stored.firstSeq = o.ledger.Number()
 	for _, lane := range o.stored.store.Lanes() {
 		usage := o.stored.store.LaneUsage(lane)
 		o.stored.policy.Stored(policyLane(lane), usage.Messages, usage.Bytes)
@@ -254,7 +254,7 @@
 
 // store stores a new message, or tells that the disk has no room for it.
 func (o *owner) store(m *backlog.Message, now time.Time) policy.Decision {
-	m.Seq = o.ledger.Reserve()
+	m.Seq = o.ledger.Number()
 	if err := o.stored.store.Append(m); err != nil {
 		if !errors.Is(err, backlog.ErrFull) {
 			o.logBacklogError(err)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -222,34 +222,34 @@
 	return nil
 }
 
-// Reserve gives the next number in the order of taking to a document that is recorded elsewhere.
-func (l *Ledger) Reserve() uint64 {
-	l.next++
-	return l.next - 1
-}
-
-// SkipTo says that all numbers up to this one are used.
-func (l *Ledger) SkipTo(seq uint64) { l.next = max(l.next, seq+1) }
-
-// Restore records a document whole under the number that it has, as it comes back from where it was recorded meanwhile.
-// What was recorded for the number before counts no more.
+// Restore records an entry that has a number already, with its history: one that comes back from the backlog store. It
+// may be recorded; the latest record counts. Next numbers are greater.
 func (l *Ledger) Restore(e *Entry) error {
-	live := l.live + e.Size()
-	if before := l.entries[e.Seq]; before != nil {
-		live -= before.Size()
+	before := 0
+	if old := l.entries[e.Seq]; old != nil {
+		before = old.Size()
 	}
-	if live > l.Room() || e.Size() > mostEntry || len(e.Front) > mostFront {
+	if l.live-before+e.Size() > l.Room() || e.Size() > mostEntry || len(e.Front) > mostFront {
 		return ErrFull
 	}
 	if err := l.write(e); err != nil {
 		return err
 	}
-	l.next = max(l.next, e.Seq+1)
 	l.entries[e.Seq] = e
-	l.live = live
+	l.live += e.Size() - before
+	l.Reserve(e.Seq)
 	return nil
 }
 
+// Reserve makes sure that numbers given from now on are greater than one.
+func (l *Ledger) Reserve(seq uint64) { l.next = max(l.next, seq+1) }
+
+// Number gives the next number to a message that goes to the backlog store and not here.
+func (l *Ledger) Number() uint64 {
+	l.next++
+	return l.next - 1
+}
+
 // Entry is what is recorded for a number, nil if nothing is owed for it.
 func (l *Ledger) Entry(seq uint64) *Entry { return l.entries[seq] }
 
@@ -352,19 +352,31 @@
 			return err
 		}
 		rec := slices.Clone(b)
-		for range len(l.files) {
-			if l.Used()+int64(len(rec))+2*l.reserve() <= l.limit {
-				break
-			}
-			if err := l.free(); err != nil {
-				return err
-			}
+		if err := l.makeRoom(len(rec), 2*l.reserve()); err != nil {
+			return err
 		}
 		b = rec
+	} else if l.Used()+int64(len(b))+l.reserve() > l.limit { // filled by the files of processes that wrote little
+		rec := slices.Clone(b)
+		_ = l.makeRoom(len(rec), l.reserve()) // put tells if there is none
+		b = rec
 	}
 	return l.put(b)
 }
 
+// makeRoom frees the oldest files until a record of so many bytes has room, and so much is left beside it.
+func (l *Ledger) makeRoom(record int, left int64) error {
+	for range len(l.files) {
+		if l.Used()+int64(record)+left <= l.limit {
+			return nil
+		}
+		if err := l.free(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (l *Ledger) put(b []byte) error {
 	f := &l.files[len(l.files)-1]
 	if blocks(f.size+int64(len(b)))-blocks(f.size)+l.Used() > l.limit {
