outlet: an answer that lies in the socket ends its call, also when its time is over

A forwarder held by SIGSTOP for 10 s with four calls out, each answered meanwhile, gave calls up whose answers lay in their sockets: after a standstill time-outs and sockets are due at the same moment, and the time-out often came first. A deduplicated or idempotent message was then sent a second time; one that must run at most once would be told failed though its destination had taken it.

giveUp now reads what the socket has before it ends a call (Line.Unread); what was read before and is on its way to the trunk is waited for.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -227,6 +227,26 @@
 	return errors.Is(err, syscall.EAGAIN)
 }
 
+// Unread reads what has come on the line and was not told yet, for a watcher that is about to end the line. It returns 0 if
+// nothing has come. pending says that something was read before and is on its way to the watcher by Data: nothing is read.
+func (l *Line) Unread(buffer []byte) (n int, pending bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.over || l.conn == nil {
+		return 0, false
+	}
+	l.reading.Lock()
+	defer l.reading.Unlock()
+	if l.unheard {
+		return 0, true
+	}
+	n, err := l.conn.Read(buffer)
+	if err != nil {
+		return 0, false
+	}
+	return n, false
+}
+
 // Sent tells if the socket took the last byte of all that was to be written. On a line that stands this may be so a moment
 // later; to act on its not being so, Cut the line.
 func (l *Line) Sent() bool {
--- a/internal/outlet/outlet.go
+++ b/internal/outlet/outlet.go
@@ -11,7 +11,11 @@
 	"spanflow/seam"
 )
 
-const mostAnswer = 64 << 10
+const (
+	mostAnswer   = 64 << 10
+	unreadBuffer = 4 << 10          // bytes read at once from a connection whose call is about to be given up
+	handover     = time.Millisecond // in which what was read reaches the trunk
+)
 
 // Terms are the outlet's bounds.
 type Terms struct {
@@ -196,9 +200,14 @@
 
 // giveUp ends a call whose time is over, or a connection that was idle for too long.
 func (t *trunk) giveUp(turn int) {
+	t.outlet.mu.Lock()
+	defer t.outlet.mu.Unlock()
+	t.timeOver(turn)
+}
+
+// timeOver is giveUp with the lock held.
+func (t *trunk) timeOver(turn int) {
 	o := t.outlet
-	o.mu.Lock()
-	defer o.mu.Unlock()
 	if t.turn != turn {
 		return
 	}
@@ -207,6 +216,9 @@
 		t.line.Close()
 		return
 	}
+	if !t.unsent && t.answered(turn) {
+		return
+	}
 	end, why, sent := seam.GivenUp, "", t.line.Cut()
 	switch {
 	case t.unsent || !sent:
@@ -217,6 +229,26 @@
 	t.finish(t.cut(end), why)
 }
 
+// answered takes the answer that has come but was not read yet, and tells if the call has ended by it or is about to.
+// Guards against a call being given up with its answer in the socket: after a process has stood still its timers and its
+// sockets are due at the same moment. It costs a read of the socket for each call that is given up. The lock is held.
+func (t *trunk) answered(turn int) bool {
+	buffer := make([]byte, unreadBuffer)
+	for {
+		n, pending := t.line.Unread(buffer)
+		switch {
+		case pending:
+			t.timer = time.AfterFunc(handover, func() { t.giveUp(turn) })
+			return true
+		case n == 0:
+			return false
+		}
+		if t.feed(buffer[:n]); t.turn != turn {
+			return true
+		}
+	}
+}
+
 // Data takes what came from the target.
 func (t *trunk) Data(b []byte) {
 	o := t.outlet
@@ -232,6 +264,11 @@
 		t.change()
 		return
 	}
+	t.feed(b)
+}
+
+// feed takes a piece of the answer to the call; the lock is held.
+func (t *trunk) feed(b []byte) {
 	used, whole, err := t.reader.Feed(b, &t.answer)
 	switch {
 	case err != nil:
--- a/internal/outlet/outlet_test.go
+++ b/internal/outlet/outlet_test.go
@@ -123,6 +123,52 @@
 	s.ends(seam.Failed)
 }
 
+// waiting is the connection that carries a call with such a body, and the number of that call; the outlet's lock is held.
+func (s *scene) waiting(body string) (*trunk, int) {
+	for t := range s.rising {
+		if string(t.call.Papers[0].Body) == body {
+			return t, t.turn
+		}
+	}
+	s.t.Fatalf("no call with the body %q", body)
+	panic("unreachable")
+}
+
+const emptyAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// The network's one goroutine stands at the lock with another call's answer, so that this one's stays in the socket while
+// its time-out comes, as after a standstill of the process.
+func TestAnAnswerInTheSocketEndsTheCallWhoseTimeIsOver(t *testing.T) {
+	s := newScene(t)
+	s.send(time.Minute, "other")
+	other := s.accepts()
+	s.send(time.Minute, "late")
+	late := s.accepts()
+	s.mu.Lock()
+	other.Write([]byte(emptyAnswer))
+	standin.AwaitAtLock(t, "outlet.(*trunk).Data(")
+	late.Write([]byte(emptyAnswer))
+	trunk, turn := s.waiting("late")
+	trunk.timeOver(turn)
+	s.mu.Unlock()
+	s.ends(seam.Took)
+	s.ends(seam.Took)
+}
+
+func TestAnAnswerOnItsWayToTheOutletEndsTheCallWhoseTimeIsOver(t *testing.T) {
+	s := newScene(t)
+	s.send(time.Minute, "late")
+	late := s.accepts()
+	s.mu.Lock()
+	trunk, turn := s.waiting("late")
+	late.Write([]byte(emptyAnswer))
+	standin.AwaitAtLock(t, "outlet.(*trunk).Data(")
+	trunk.timeOver(turn)
+	require.NotNil(t, trunk.call, "its answer is told by Data")
+	s.mu.Unlock()
+	s.ends(seam.Took)
+}
+
 func TestBrokenConnectionsAreToldApartByWhetherTheCallWasWrittenWhole(t *testing.T) {
 	s := newScene(t)
 	s.send(time.Minute, "b")
