lab/sim: a standstill that meets a restart loses no ends of calls any more

The laboratory found a rule broken that sockets don't show: one forwarder, four slots, four destinations, 30 messages a second, a stall from second 10 for 10 s.

Cause, in node.go: do() kept what came while the forwarder was down and stalled (time-outs of the former process), and asked for one thaw for the process of then. thaw() passed over it since another process had begun; what waited was never empty again, so no other thaw was asked for, and every end, time-out and wake-up of the stall was lost. The process also began within the standstill.

do() now drops what comes while there is no process; a process that is started in a standstill begins at its end (rise). A message's answer is due only after that, as after any restart. Both tests and TestKeptFindingsHold were seen to fail without the change.

--- a/lab/sim/befall.go
+++ b/lab/sim/befall.go
@@ -16,8 +16,7 @@
 		case "stall":
 			d.At(at, func() {
 				for _, n := range d.some(t.Share) {
-					n.stalled = max(n.stalled, end)
-					d.log.Stood(n.number, end)
+					n.standStill(end)
 				}
 			})
 		case "restart":
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -133,16 +133,25 @@
 	}
 }
 
-// do does something in the process as it is now. While it stands still all that comes waits; then it takes it all before
-// it decides once, as the forwarder's owner takes what lies in the Exchange.
+// standStill holds the forwarder, whichever process it has, until a moment.
+func (n *node) standStill(until float64) {
+	n.stalled = max(n.stalled, until)
+	n.day.log.Stood(n.number, until)
+}
+
+// stands tells that the forwarder stands still.
+func (n *node) stands() bool { return n.day.Now() < n.stalled }
+
+// do does something in the process as it is now; without a process nobody hears of it. While it stands still all that
+// comes waits; then it takes it all before it decides once, as the forwarder's owner takes what lies in the Exchange.
 func (n *node) do(what func()) {
-	if n.day.Now() < n.stalled {
+	switch {
+	case !n.up:
+	case n.stands():
 		if n.waiting = append(n.waiting, what); len(n.waiting) == 1 {
 			n.thaw(n.life)
 		}
-		return
-	}
-	if n.up {
+	default:
 		what()
 	}
 }
@@ -151,8 +160,8 @@
 func (n *node) thaw(life int) {
 	n.day.At(n.stalled, func() {
 		switch {
-		case n.life != life || !n.up:
-		case n.day.Now() < n.stalled: // it was told to stand still for longer
+		case n.life != life: // that process is gone, with what waited
+		case n.stands(): // it was told to stand still for longer
 			n.thaw(life)
 		default:
 			waiting := n.waiting
@@ -356,7 +365,17 @@
 	for _, dest := range d.dests {
 		dest.Forget(n.number)
 	}
-	d.After(downFor, func() { n.start() })
+	d.After(downFor, n.rise)
+}
+
+// rise starts the process after a kill. One that is started while the forwarder stands still begins when that is over.
+func (n *node) rise() {
+	if n.stands() {
+		n.day.log.Stood(n.number, n.stalled+rises)
+		n.day.At(n.stalled, n.rise)
+		return
+	}
+	n.start()
 }
 
 // Transmit, Reject, Abandon, Recall, CloseIdle, Release, Wake, Watch and Log make a node a choice.Host.
--- /dev/null
+++ b/lab/sim/stall_test.go
@@ -0,0 +1,56 @@
+package sim
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/internal/config"
+	"spanflow/lab/scene"
+)
+
+// standstill is the kept scene in which the forwarder, with four slots, stands still for ten seconds while it restarts.
+func standstill(t *testing.T) *scene.Scene { return kept(t, "stands-still-while-it-restarts") }
+
+// A forwarder that is killed shortly before, at the beginning of, within or at the end of a standstill loses no end of a
+// call: its slots are free again and every message is answered.
+func TestNoEndOfACallIsLostWhenAStandstillMeetsARestart(t *testing.T) {
+	for _, killedAt := range []config.Span{9.3, 9.5, 9.9, 10, 12, 19, 19.9, 20} {
+		for seed := range uint64(5) {
+			s := standstill(t)
+			for i := range s.Troubles {
+				if s.Troubles[i].Kind == "restart" {
+					s.Troubles[i].At = killedAt
+				}
+			}
+			r := Play(s, seed, Module)
+			require.Empty(t, r.Breaches, "killed at %s, seed %d", killedAt, seed)
+			last := r.Seconds[len(r.Seconds)-1]
+			require.Zero(t, last.Out, "slots are taken at the end of the day: killed at %s, seed %d", killedAt, seed)
+			require.Zero(t, last.Held, "killed at %s, seed %d", killedAt, seed)
+			require.Greater(t, r.G, 0.4, "killed at %s, seed %d", killedAt, seed)
+		}
+	}
+}
+
+// startsInStandstill counts the processes that begin within a standstill; seconds from the beginning of the day.
+type startsInStandstill struct {
+	from, until float64
+	count       int
+}
+
+func (c *startsInStandstill) make(terms choice.Terms, seed uint64, now float64, host choice.Host) Policy {
+	if now > begins+c.from && now < begins+c.until {
+		c.count++
+	}
+	return Module(terms, seed, now, host)
+}
+
+// A standstill is the forwarder's, not one process's: no process begins in it, whatever comes first.
+func TestAProcessStartedInAStandstillBeginsAtItsEnd(t *testing.T) {
+	c := &startsInStandstill{from: 10, until: 20}
+	r := Play(standstill(t), 1, c.make)
+	require.Zero(t, c.count)
+	require.Greater(t, r.Late, 100, "the standstill is seen")
+}
