lab/sim: a real standstill is the forwarder's, whichever process it has

Of two standstills that overlap, the first one's SIGCONT ended both; two kills within 0.8 s started two processes on one folder, of which the first was never stopped; a start that failed was passed over.

--- a/lab/sim/real.go
+++ b/lab/sim/real.go
@@ -40,6 +40,7 @@
 	disc    *standin.Discovery
 	doors   map[*partner.Target]*door
 	nodes   []*process
+	failed  error // of a forwarder that could not be started again
 	wg      sync.WaitGroup
 	ctx     context.Context
 }
@@ -130,7 +131,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.result.sum(d.log)
-	return d.result, nil
+	return d.result, d.failed
 }
 
 type realRecorder struct {
--- a/lab/sim/real_faults.go
+++ b/lab/sim/real_faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"syscall"
 
 	"spanflow/internal/standin"
 	"spanflow/lab/partner"
@@ -33,19 +32,13 @@
 		case "reap", "list":
 		case "stall":
 			d.After(at, func() {
-				for i, p := range d.nodes[:n] {
-					d.log.Stood(i, d.Now()+lasts)
-					p.cmd.Process.Signal(syscall.SIGSTOP)
-					d.After(lasts, func() { p.cmd.Process.Signal(syscall.SIGCONT) })
+				for _, p := range d.nodes[:n] {
+					p.standStill(d.Now() + lasts)
 				}
 			})
 		case "restart":
 			for i, p := range d.nodes[:n] {
-				d.After(at+lasts*float64(i)/float64(n), func() {
-					p.cmd.Process.Kill()
-					d.log.Restarted(i, d.Now()+downFor+rises)
-					d.After(downFor, func() { p.start() })
-				})
+				d.After(at+lasts*float64(i)/float64(n), p.kill)
 			}
 		case "drain", "move":
 			d.After(at, func() {
--- a/lab/sim/real_process.go
+++ b/lab/sim/real_process.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -17,6 +18,7 @@
 // process is one forwarder.
 type process struct {
 	day    *realDay
+	number int
 	name   string
 	listen string
 	config string
@@ -25,11 +27,16 @@
 	cmd    *exec.Cmd
 	ended  chan struct{}
 	conns  chan net.Conn
+
+	// Under the day's lock:
+	heldUntil float64 // it stands still until this moment of the day
+	killed    bool    // its process was killed and no other has begun
+	over      bool    // the day has ended: no other begins
 }
 
 // process makes a forwarder's configuration.
 func (d *realDay) process(n int) (*process, error) {
-	p := &process{day: d, name: fmt.Sprint("n", n), conns: make(chan net.Conn, 16)}
+	p := &process{day: d, number: n, name: fmt.Sprint("n", n), conns: make(chan net.Conn, 16)}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -113,9 +120,60 @@
 	return fmt.Errorf("forwarder %s does not answer; its log is %s", p.name, p.log.Name())
 }
 
+// standStill holds the forwarder, whichever process it has, until a moment; the day's lock is held.
+func (p *process) standStill(until float64) {
+	p.heldUntil = max(p.heldUntil, until)
+	p.day.log.Stood(p.number, until)
+	if !p.killed {
+		p.cmd.Process.Signal(syscall.SIGSTOP)
+		p.goOn()
+	}
+}
+
+// goOn ends the standstill once no other lasts longer; the day's lock is held.
+func (p *process) goOn() {
+	if left := p.heldUntil - p.day.Now(); left > 0 {
+		p.day.After(left, p.goOn)
+	} else if !p.killed {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+// kill ends the process; another begins a little later. The day's lock is held.
+func (p *process) kill() {
+	if p.killed {
+		return
+	}
+	p.killed = true
+	p.cmd.Process.Kill()
+	p.day.log.Restarted(p.number, p.day.Now()+downFor+rises)
+	p.day.After(downFor, p.rise)
+}
+
+// rise begins another process after a kill, at the end of a standstill if there is one. The day's lock is held.
+func (p *process) rise() {
+	left := p.heldUntil - p.day.Now()
+	switch {
+	case p.over:
+	case left > 0:
+		p.day.log.Stood(p.number, p.heldUntil+rises)
+		p.day.After(left, p.rise)
+	default:
+		if err := p.start(); err != nil {
+			p.day.failed = errors.Join(p.day.failed, fmt.Errorf("forwarder %s does not start again: %w", p.name, err))
+			return
+		}
+		p.killed = false
+	}
+}
+
+// stop ends the process for good.
 func (p *process) stop() {
-	p.cmd.Process.Signal(syscall.SIGCONT)
+	p.day.mu.Lock()
+	p.over = true
+	ended := p.ended
 	p.cmd.Process.Kill()
-	<-p.ended
+	p.day.mu.Unlock()
+	<-ended
 	p.log.Close()
 }
--- /dev/null
+++ b/lab/sim/real_stall_test.go
@@ -0,0 +1,126 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/lab/audit"
+)
+
+// sleeper is a process of a day without a scene; its program writes down that it was started and does nothing.
+func sleeper(t *testing.T) *process {
+	program := filepath.Join(t.TempDir(), "sleeper")
+	require.NoError(t, os.WriteFile(program, []byte("#!/bin/sh\necho started >> \"$0.starts\"\nexec sleep 60\n"), 0o700))
+	d := &realDay{Real: Real{Program: program}, epoch: time.Now()}
+	d.log = audit.New(d, func(int) bool { return false }, 0)
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	require.NoError(t, err)
+	p := &process{day: d, log: log}
+	require.NoError(t, p.start())
+	t.Cleanup(p.stop)
+	return p
+}
+
+// state is the letter of a process's state: T for one that is held, empty for one that is gone.
+func state(pid int) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return ""
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return rest[:1]
+}
+
+// present is the process that there is and its state, as of one moment of the day.
+func (p *process) present() (pid int, is string, now float64) {
+	p.day.mu.Lock()
+	defer p.day.mu.Unlock()
+	return p.cmd.Process.Pid, state(p.cmd.Process.Pid), p.day.Now()
+}
+
+// starts is how many processes have begun.
+func (p *process) starts() int {
+	text, _ := os.ReadFile(p.day.Program + ".starts")
+	return strings.Count(string(text), "\n")
+}
+
+const patience = 10 * time.Second
+
+func TestAShorterStandstillDoesNotEndALongerOne(t *testing.T) {
+	p := sleeper(t)
+	p.day.mu.Lock()
+	until := p.day.Now() + 0.5
+	p.standStill(until)
+	p.standStill(p.day.Now() + 0.1)
+	p.day.mu.Unlock()
+	require.Eventually(t, func() bool { _, is, _ := p.present(); return is == "T" }, patience, time.Millisecond)
+	for {
+		_, is, now := p.present()
+		if now >= until {
+			break
+		}
+		require.Equal(t, "T", is, "%.2f s before the end", until-now)
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { _, is, _ := p.present(); return is != "T" }, patience, time.Millisecond)
+}
+
+// Whatever comes first: the process that follows a kill begins at the end of the standstill, and there is but one.
+func TestAProcessThatFollowsAKillBeginsAtTheEndOfAStandstill(t *testing.T) {
+	for _, killFirst := range []bool{true, false} {
+		p := sleeper(t)
+		require.Eventually(t, func() bool { return p.starts() == 1 }, patience, time.Millisecond)
+		first, _, _ := p.present()
+		p.day.mu.Lock()
+		until := p.day.Now() + downFor + 0.5
+		if killFirst {
+			p.kill()
+		}
+		p.standStill(until)
+		p.kill() // one that is down is not killed once more
+		p.kill()
+		p.day.mu.Unlock()
+		for {
+			pid, _, now := p.present()
+			if now >= until {
+				break
+			}
+			require.Equal(t, first, pid, "another process began %.2f s before the end of the standstill", until-now)
+			time.Sleep(5 * time.Millisecond)
+		}
+		require.Eventually(t, func() bool { return p.starts() == 2 }, patience, time.Millisecond)
+		time.Sleep(200 * time.Millisecond) // the other kills' processes would begin at the same moment
+		require.Equal(t, 2, p.starts())
+		pid, is, _ := p.present()
+		require.NotEqual(t, first, pid)
+		require.NotEqual(t, "T", is)
+	}
+}
+
+// The kept standstill, shorter, on real sockets: it is seen there as on the simulated clock, and no rule is broken.
+func TestAStandstillThatMeetsARestartOnRealSockets(t *testing.T) {
+	t.Parallel()
+	program := filepath.Join(t.TempDir(), "spanflow")
+	out, err := exec.Command("go", "build", "-o", program, "spanflow/cmd/spanflow").CombinedOutput()
+	require.NoError(t, err, string(out))
+	s := standstill(t)
+	s.Length, s.Drain = 8, 10
+	s.Types[0].Agreed, s.Types[0].Life = 1.5, 8
+	s.Troubles[0].At, s.Troubles[1].At, s.Troubles[1].For = 1.5, 2, 4
+	r, err := Real{Program: program, Folder: t.TempDir(), Memory: 64, Sockets: 256}.Play(context.Background(), s, 1)
+	require.NoError(t, err)
+	require.Empty(t, r.Breaches)
+	twin := Play(s, 1, Module)
+	require.Equal(t, twin.Documents, r.Documents, "the same load")
+	require.Greater(t, twin.Late, twin.Documents/5)
+	require.Greater(t, r.Late, r.Documents/5, "the standstill is seen")
+	t.Logf("on sockets %.3f with %d late, simulated %.3f with %d late", r.G, r.Late, twin.G, twin.Late)
+}
