--- a/lab/scene/scene.go
+++ b/lab/scene/scene.go
@@ -124,7 +124,7 @@
 	"silent": "nothing comes in or goes out", "slow": "service takes `by` times as long", "err": "a share of calls ends with an error",
 	"reset": "a share of connections breaks", "lose": "a share of answers gets lost after running", "spoil": "a share of answers cannot be read",
 	"reap": "idle connections go dead unseen", "cut": "the limit is a share of what it was", "drain": "targets drain and leave, then come back as others",
-	"stall": "a share of forwarders stands still", "restart": "a share of forwarders is killed and starts again, in a wave",
+	"stall": "a share of forwarders stands still, whichever process each has", "restart": "a share of forwarders is killed and starts again, in a wave",
 	"list": "the list does not come", "move": "targets leave and come back at other addresses"}
 
 var perCall = []string{"err", "reset", "lose", "spoil"}
