Notices: tests script the timers and hold their connections

Need: TestANoticeAtExpiryOnADeadConnectionIsInTime failed once on a busy machine with EOF in place of no answer. Checked: a probe that ran the garbage collector while the test waited gave that EOF at once. Cause: the scripted peer let go of the connection it had accepted (directory_test.go, accept() with its result unused); the collector closes such a connection, and the directory hears its end before its own wait is over. Ruled out as the cause of this EOF: a late answer of the test, which gives a further 'no answer', and then a test that hangs; that was possible too and is closed with it.

The clock itself is judged by one new test of its own, from below only, and by the three tests of silent watches as before.

Nothing of the program's behaviour changes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,11 +45,14 @@
 	watched bool         // the list was asked for: not where only notices go
 	stopped bool
 	lost    int // calls with notices in a row that were not answered in time
+
+	// afterFunc starts every timer; tests put one in its place that fires at their word.
+	afterFunc func(time.Duration, func()) *time.Timer
 }
 
 // New has no connections yet.
 func New(d *dial.Dialer, addr string, connect time.Duration, desk Desk) *Directory {
-	return &Directory{dialer: d, addr: addr, connect: connect, desk: desk}
+	return &Directory{dialer: d, addr: addr, connect: connect, desk: desk, afterFunc: time.AfterFunc}
 }
 
 // Stop ends all connections and starts none.
@@ -126,7 +129,7 @@
 	}
 	w.turn++
 	turn := w.turn
-	w.timer = time.AfterFunc(within, func() { w.silent(turn) })
+	w.timer = w.dir.afterFunc(within, func() { w.silent(turn) })
 }
 
 func (w *watch) silent(turn int) {
@@ -307,7 +310,7 @@
 	r.line.Write(http1.End(http1.Begin(nil, "POST", "/v1/notices", d.addr), body))
 	r.turn++
 	turn := r.turn
-	r.timer = time.AfterFunc(noticeIn<<min(d.lost, noticeMost), func() { r.silent(turn) })
+	r.timer = d.afterFunc(noticeIn<<min(d.lost, noticeMost), func() { r.silent(turn) })
 }
 
 // silent makes a call that is not answered again at once, on a new connection. Guards against a final answer told right
@@ -337,7 +340,7 @@
 		d.desk.NoticesLost(why)
 	}
 	r.drop()
-	time.AfterFunc(againIn, func() {
+	d.afterFunc(againIn, func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.report()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -14,10 +14,11 @@
 )
 
 type desk struct {
-	lists chan *seam.List
-	ended chan string
-	lost  chan string
-	told  chan []uint64
+	lists  chan *seam.List
+	ended  chan string
+	lost   chan string
+	told   chan []uint64
+	timers chan scriptedTimer // that the directory started, in their order
 }
 
 func (d *desk) Listed(l *seam.List) { d.lists <- l }
@@ -30,18 +31,59 @@
 func (d *desk) NoticesLost(why string) { d.lost <- why }
 func (d *desk) Told(doors []uint64)    { d.told <- doors }
 
+// scriptedTimer is a timer of the directory that fires at a test's word and at no time of its own.
+type scriptedTimer struct {
+	wait time.Duration
+	fire func()
+}
+
+// afterFunc takes the place of time.AfterFunc.
+func (d *desk) afterFunc(wait time.Duration, fire func()) *time.Timer {
+	d.timers <- scriptedTimer{wait, fire}
+	unused := time.NewTimer(time.Hour)
+	unused.Stop()
+	return unused
+}
+
+const patience = 15 * time.Second // a bound on what would otherwise hang; nothing is judged by it
+
+// next waits for what has to come.
+func next[T any](t *testing.T, from <-chan T) T {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(patience):
+		require.FailNow(t, "nothing came")
+		panic("unreachable")
+	}
+}
+
+// scene is a directory, its desk, and a peer that accepts its next connection and reads what it asks. The timers are
+// scripted: a pause of the machine changes nothing.
 func scene(t *testing.T) (*Directory, *desk, func() (net.Conn, string)) {
 	ln, err := net.Listen("tcp", "127.5.0.1:0")
 	require.NoError(t, err)
 	dialer, err := dial.New("test", 8)
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close(); dialer.Stop() })
-	k := &desk{make(chan *seam.List, 9), make(chan string, 9), make(chan string, 9), make(chan []uint64, 9)}
+	k := &desk{make(chan *seam.List, 9), make(chan string, 9), make(chan string, 9), make(chan []uint64, 9), make(chan scriptedTimer, 99)}
 	d := New(dialer, ln.Addr().String(), time.Second, k)
+	d.afterFunc = k.afterFunc
 	t.Cleanup(d.Stop)
+	// A connection that a test lets go of is closed by the garbage collector, and the directory hears its end in place of
+	// silence: all are held until the test is over.
+	var accepted []net.Conn
+	t.Cleanup(func() {
+		for _, c := range accepted {
+			c.Close()
+		}
+	})
 	return d, k, func() (net.Conn, string) {
+		require.NoError(t, ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience)))
 		c, err := ln.Accept()
 		require.NoError(t, err)
+		accepted = append(accepted, c)
 		b := make([]byte, 4000)
 		n, err := c.Read(b)
 		require.NoError(t, err)
@@ -82,31 +124,46 @@
 	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Returned, AfterMs: 500})
 	c, said := accept()
 	require.Contains(t, said, `{"id":"a","state":"returned","after_ms":500}`+"\n")
+	require.Equal(t, noticeIn, next(t, k.timers).wait)
 	d.Notify(seam.Final{Door: 2, ID: "b", Outcome: seam.Abandoned}) // while a call is out
 	c.Close()
-	<-k.lost
+	next(t, k.lost)
+	again := next(t, k.timers)
+	require.Equal(t, againIn, again.wait)
+	again.fire()
 	c, said = accept()
 	require.Contains(t, said, `{"id":"a","state":"returned","after_ms":500}`+"\n"+`{"id":"b","state":"failed"}`+"\n")
 	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
-	require.Equal(t, []uint64{1, 2}, <-k.told)
+	require.Equal(t, []uint64{1, 2}, next(t, k.told))
 }
 
 func TestANoticeOnASilentConnectionIsSentOnANewOne(t *testing.T) {
 	d, k, accept := scene(t)
 	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
 	accept() // and no word
-	require.Equal(t, "no answer", <-k.lost)
+	next(t, k.timers).fire()
+	require.Equal(t, "no answer", next(t, k.lost))
 	c, _ := accept()
 	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
-	require.Equal(t, []uint64{1}, <-k.told)
+	require.Equal(t, []uint64{1}, next(t, k.told))
+}
+
+func TestTheClockEndsTheWaitForANoticesAnswer(t *testing.T) {
+	d, k, _ := scene(t) // nobody accepts, and so nobody answers
+	d.afterFunc = time.AfterFunc
+	begun := time.Now()
+	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
+	require.Equal(t, "no answer", next(t, k.lost))
+	require.GreaterOrEqual(t, time.Since(begun), noticeIn)
 }
 
 func TestASilentWatchEnds(t *testing.T) {
 	d, k, accept := scene(t)
+	d.afterFunc = time.AfterFunc
 	d.Watch(1)
 	c, _ := accept()
 	c.Write([]byte(open + "1\r\n\n\r\n"))
-	require.Equal(t, "silent, having told", <-k.ended)
+	require.Equal(t, "silent, having told", next(t, k.ended))
 }
 
 func TestWhereOnlyNoticesGoTheListIsNotAskedForAfterAMove(t *testing.T) {
@@ -136,6 +193,7 @@
 
 func TestAWatchOnWhichBytesTrickleAndNoLineComesIsSilent(t *testing.T) {
 	d, k, accept := scene(t)
+	d.afterFunc = time.AfterFunc
 	d.Watch(1)
 	c, _ := accept()
 	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":1,\"all\":true,\"targets\":[]}\n{"))
@@ -205,14 +263,20 @@
 	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Abandoned})
 	for i := range 3 { // each is waited for longer: the way may be a long one
 		accept()
-		require.Equal(t, "no answer", <-k.lost)
+		timer := next(t, k.timers)
+		require.Equal(t, noticeIn<<i, timer.wait)
+		timer.fire()
+		require.Equal(t, "no answer", next(t, k.lost))
 		d.mu.Lock()
-		require.Equal(t, i+1, d.lost)
+		lost := d.lost
 		d.mu.Unlock()
+		require.Equal(t, i+1, lost)
 	}
-	c, _ := accept()
+	c, said := accept() // begun by the last timer itself: no other has fired
+	require.Contains(t, said, `"a"`)
 	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
-	require.Equal(t, []uint64{1}, <-k.told)
+	require.Equal(t, []uint64{1}, next(t, k.told))
+	require.Empty(t, k.lost)
 }
 
 func TestAVersionOlderThanWhatIsHeldEndsTheWatchUnheard(t *testing.T) {
@@ -238,9 +302,10 @@
 
 func TestAWatchThatIsSilentFromTheStartEnds(t *testing.T) {
 	d, k, accept := scene(t)
+	d.afterFunc = time.AfterFunc
 	d.Watch(1)
 	accept()
-	require.Equal(t, "silent", <-k.ended)
+	require.Equal(t, "silent", next(t, k.ended))
 }
 
 // What the old watch's reader had in hand when the list was asked for anew is told by nobody: the new one brings it.
@@ -267,7 +332,8 @@
 	d, k, accept := scene(t)
 	d.Notify(seam.Final{Door: 1, ID: "a", Outcome: seam.Returned})
 	old, _ := accept()
-	require.Equal(t, "no answer", <-k.lost)
+	next(t, k.timers).fire()
+	require.Equal(t, "no answer", next(t, k.lost))
 	c, said := accept()
 	require.Contains(t, said, `{"id":"a","state":"returned"}`)
 	d.Notify(seam.Final{Door: 2, ID: "b", Outcome: seam.Returned})
