Capacity: fit lines to curves, and keep results in a file

A straight line is fitted by least squares of the relative errors; a curve that no line fits is said to bend or not to be straight, and its value at a size beyond that is an error. Results are merged by role and quantity.

--- /dev/null
+++ b/lab/capacity/fit_test.go
@@ -0,0 +1,109 @@
+package capacity
+
+import (
+	"math"
+	"math/rand/v2"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var sizes = []float64{100, 300, 1000, 3000, 10_000}
+
+// curve makes points of a function, each moved by up to a share of its value.
+func curve(noise float64, value func(x float64) float64) []Point {
+	random := rand.New(rand.NewPCG(1, 2))
+	var points []Point
+	for _, x := range sizes {
+		points = append(points, Point{Size: x, Value: value(x) * (1 + noise*(2*random.Float64()-1))})
+	}
+	return points
+}
+
+func TestFitTellsTheShapeOfMadeCurves(t *testing.T) {
+	knee := func(x float64) float64 { return 5 + x/100 + 3*math.Max(0, x-1000) }
+	for name, c := range map[string]struct {
+		points []Point
+		want   Shape
+	}{
+		"flat":                {curve(0, func(float64) float64 { return 7 }), Flat},
+		"flat, noise":         {curve(0.1, func(float64) float64 { return 7 }), Flat},
+		"zero":                {curve(0, func(float64) float64 { return 0 }), Flat},
+		"linear":              {curve(0, func(x float64) float64 { return 2 * x }), Linear},
+		"linear from above 0": {curve(0, func(x float64) float64 { return 500 + 2*x }), Linear},
+		"linear, noise":       {curve(0.1, func(x float64) float64 { return 50 + 2*x }), Linear},
+		"falling":             {curve(0, func(x float64) float64 { return 30_000 - 2*x }), Linear},
+		"quadratic":           {curve(0, func(x float64) float64 { return x * x }), NotStraight},
+		"quadratic, noise":    {curve(0.1, func(x float64) float64 { return x * x }), NotStraight},
+		"root":                {curve(0, math.Sqrt), NotStraight},
+		"wild":                {curve(0.9, func(x float64) float64 { return x }), NotStraight},
+		"knee":                {curve(0, knee), Bends},
+		"flat, then steep":    {curve(0, func(x float64) float64 { return math.Max(1, x/1000) }), Bends},
+		"then flat":           {curve(0, func(x float64) float64 { return math.Min(x, 1000) }), Bends},
+	} {
+		require.Equal(t, c.want, FitLine(c.points).Shape, "%s: %+v", name, FitLine(c.points))
+	}
+}
+
+func TestFitFindsInterceptSlopeAndResidual(t *testing.T) {
+	exact := FitLine(curve(0, func(x float64) float64 { return 500 + 2*x }))
+	require.InDelta(t, 500, exact.Intercept, 1e-6)
+	require.InDelta(t, 2, exact.Slope, 1e-9)
+	require.InDelta(t, 0, exact.Residual, 1e-9)
+	noisy := FitLine(curve(0.1, func(x float64) float64 { return 500 + 2*x }))
+	require.InDelta(t, 2, noisy.Slope, 0.2)
+	require.Greater(t, noisy.Residual, 0.01)
+	require.Less(t, noisy.Residual, 0.1)
+	flat := FitLine(curve(0, func(float64) float64 { return 7 }))
+	require.InDelta(t, 7, flat.Intercept, 1e-9)
+	require.Zero(t, flat.Slope)
+}
+
+func TestFitFindsWhereACurveBends(t *testing.T) {
+	fit := FitLine(curve(0, func(x float64) float64 { return 5 + x/100 + 3*math.Max(0, x-1000) }))
+	require.Equal(t, 1000.0, fit.BendAt)
+	require.InDelta(t, 0.01, fit.Slope, 1e-9)
+	require.Zero(t, FitLine(curve(0, func(x float64) float64 { return x })).BendAt)
+}
+
+func TestTooFewSizesTellNoShape(t *testing.T) {
+	line := curve(0, func(x float64) float64 { return x })
+	require.Equal(t, NotStraight, FitLine(nil).Shape)
+	require.Equal(t, NotStraight, FitLine(line[:3]).Shape)
+	require.Equal(t, NotStraight, FitLine([]Point{{1, 1}, {2, 2}, {3, 3}, {4, 4}}).Shape)
+	require.Equal(t, NotStraight, FitLine([]Point{{1, 1}, {1, 2}, {1, 3}, {1, 4}}).Shape)
+}
+
+func TestACurveIsNotDrawnOutBeyondWhatItHolds(t *testing.T) {
+	c := Curve{Points: curve(0, func(x float64) float64 { return 500 + 2*x })}
+	c.Fit = FitLine(c.Points)
+	value, err := c.At(1e6)
+	require.NoError(t, err)
+	require.InDelta(t, 2_000_500, value, 1)
+	c.Points = curve(0, func(x float64) float64 { return 5 + x/100 + 3*math.Max(0, x-1000) })
+	c.Fit = FitLine(c.Points)
+	value, err = c.At(500)
+	require.NoError(t, err)
+	require.InDelta(t, 10, value, 1e-6)
+	_, err = c.At(2000)
+	require.ErrorIs(t, err, ErrNotStraight)
+	c.Fit = FitLine(curve(0, func(x float64) float64 { return x * x }))
+	_, err = c.At(500)
+	require.ErrorIs(t, err, ErrNotStraight)
+}
+
+func TestResultsAreMergedByRoleAndQuantity(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "capacity", "measured.json")
+	require.NoError(t, MergeInto(path, "8 cores", "2026-12-01", []Curve{{Role: "a", Quantity: "x", Unit: "s"}, {Role: "a", Quantity: "y"}}))
+	r, err := ReadResults(path)
+	require.NoError(t, err)
+	r.Fleets = []FleetTrial{{Scenario: "change"}}
+	require.NoError(t, r.Write(path))
+	require.NoError(t, MergeInto(path, "9 cores", "2026-12-02", []Curve{{Role: "a", Quantity: "x", Unit: "ms"}, {Role: "b", Quantity: "x"}}))
+	r, err = ReadResults(path)
+	require.NoError(t, err)
+	require.Equal(t, "2026-12-02", r.Date)
+	require.Len(t, r.Fleets, 1)
+	require.Equal(t, []Curve{{Role: "a", Quantity: "x", Unit: "ms"}, {Role: "a", Quantity: "y"}, {Role: "b", Quantity: "x"}}, r.Curves)
+}
