--- /dev/null
+++ b/lab/capacity/measure/down.go
@@ -0,0 +1,129 @@
+package measure
+
+import (
+	_ "embed"
+	"fmt"
+	"math"
+
+	"spanflow/choice"
+	"spanflow/lab/scene"
+	"spanflow/lab/sim"
+)
+
+var (
+	vainCalls    = quantity{"calls to a destination that is down for a minute", "forwarders", "calls"}
+	returnCalls  = quantity{"calls in the first second of its return", "forwarders", "calls"}
+	returnBudget = quantity{"budget of the first second of its return", "forwarders", "calls"}
+)
+
+// downScene is a day of one destination that refuses connections for a minute.
+//
+//go:embed down.toml
+var downScene []byte
+
+const (
+	outageDays   = 5 // of which the mean is taken
+	quickDays    = 2
+	returnSecond = 1.0 // seconds from the return
+)
+
+// measureDownDestination plays a destination that is down for a minute before fleets of several sizes, all of which
+// serve it, simulated with the real scheduler.
+func measureDownDestination(t *trial) error {
+	return t.sweep("simulated days", 1, quadratically, sizes(t.Largest), t.outage)
+}
+
+func (t *trial) outage(forwarders int) error {
+	day, err := scene.Parse("down.toml", downScene)
+	if err != nil {
+		return err
+	}
+	day.Dispatch.Forwarders = forwarders
+	vain, returning := 0, 0
+	days := uint64(outageDays)
+	if t.quick {
+		days = quickDays
+	}
+	for n := range days {
+		if err := t.ctx.Err(); err != nil {
+			return err
+		}
+		count := &outageCount{from: float64(day.Troubles[0].At), to: float64(day.Troubles[0].At + day.Troubles[0].For)}
+		result := sim.Play(day, t.Seed+n, count.policy)
+		if result.Taken == 0 {
+			return fmt.Errorf("no message was taken on with %d forwarders", forwarders)
+		}
+		vain, returning = vain+count.vain, returning+count.returning
+	}
+	size := float64(forwarders)
+	t.record(vainCalls, size, float64(vain)/float64(days))
+	t.record(returnCalls, size, float64(returning)/float64(days))
+	t.record(returnBudget, size, budget(allowedCalls(day)))
+	return nil
+}
+
+// allowedCalls is how many calls a destination of the scene that has just returned stands in a second.
+func allowedCalls(day *scene.Scene) float64 {
+	p := &day.Partners[0]
+	capacity := float64(p.Places*p.Targets) / float64(p.Mean)
+	if p.Rate > 0 {
+		capacity = math.Min(capacity, p.Rate)
+	}
+	return day.Dispatch.FallMultiple * day.Dispatch.ColdFrom * capacity * returnSecond
+}
+
+// budget is the number of calls beyond which a returning destination falls over that stands so many: one and a bit
+// more for chance, as the operators' pages state it.
+func budget(allowed float64) float64 { return allowed + 2*math.Sqrt(allowed) + 2 }
+
+// outageCount counts the calls of all forwarders in an outage and just after it.
+type outageCount struct {
+	from, to  float64 // of the outage, in seconds from the day's beginning
+	begins    float64 // of the day, on the simulated clock
+	vain      int
+	returning int
+}
+
+// policy is the scheduler, with its calls counted.
+func (o *outageCount) policy(terms choice.Terms, seed uint64, now float64, to choice.Host) sim.Policy {
+	if o.begins == 0 {
+		o.begins = now // the first forwarder starts with the day
+	}
+	counting := &countingHost{Host: to, count: o, now: now}
+	return &countedScheduler{Forwarder: choice.New(terms, seed, now, counting), host: counting}
+}
+
+// sent counts a call.
+func (o *outageCount) sent(now float64) {
+	switch at := now - o.begins; {
+	case at >= o.from && at < o.to:
+		o.vain++
+	case at >= o.to && at < o.to+returnSecond:
+		o.returning++
+	}
+}
+
+// countedScheduler is a scheduler whose host knows the time.
+type countedScheduler struct {
+	*choice.Forwarder
+	host *countingHost
+}
+
+// Clock tells both the time.
+func (c *countedScheduler) Clock(now float64) {
+	c.host.now = now
+	c.Forwarder.Clock(now)
+}
+
+// countingHost passes on what the scheduler decides, and counts calls.
+type countingHost struct {
+	choice.Host
+	count *outageCount
+	now   float64
+}
+
+// Transmit counts a call; the scene's destinations take one message in each.
+func (h *countingHost) Transmit(d *choice.Doc, t *choice.Target, timeout float64) {
+	h.count.sent(h.now)
+	h.Host.Transmit(d, t, timeout)
+}
--- /dev/null
+++ b/lab/capacity/measure/known.go
@@ -0,0 +1,107 @@
+package measure
+
+import (
+	"math"
+
+	"spanflow/choice"
+)
+
+var (
+	knownMemory   = quantity{"memory in the scheduler", "destinations", "bytes"}
+	knownChange   = quantity{"processor time of a list change", "destinations", "s"}
+	knownList     = quantity{"processor time of a whole list", "destinations", "s"}
+	knownStart    = quantity{"processor time of the scheduler's first start", "destinations", "s"}
+	forwarderRSS  = quantity{"memory of the forwarder", "destinations", "bytes"}
+	forwarderBoot = quantity{"time until a started forwarder knows all", "destinations", "s"}
+	forwarderCPU  = quantity{"processor time until a started forwarder knows all", "destinations", "s"}
+)
+
+const listChanges = 2000 // of which the mean is taken
+
+// measureKnownDestination measures what a destination costs that is in the list and has no messages.
+func measureKnownDestination(t *trial) error {
+	if err := t.sweep("the scheduler", 0.3, linearly, sizes(t.Largest), t.knownInScheduler); err != nil {
+		return err
+	}
+	return t.sweep("the forwarder", 0.7, linearly, sizes(t.Largest), t.knownInForwarder)
+}
+
+func (t *trial) knownInScheduler(size int) error {
+	before := t.heap()
+	start, err := t.best(func() (float64, error) {
+		t.heap()
+		start := processorTime()
+		newScheduler(usualRoom, t.Seed).know(size)
+		return processorTime() - start, nil
+	})
+	if err != nil {
+		return err
+	}
+	t.record(knownStart, float64(size), start)
+	s := newScheduler(usualRoom, t.Seed)
+	lines := s.know(size)
+	whole, err := t.best(func() (float64, error) { return s.wholeList(lines), nil })
+	if err != nil {
+		return err
+	}
+	t.record(knownList, float64(size), whole)
+	lines = nil // it is the caller's and not the scheduler's
+	t.record(knownMemory, float64(size), t.heap()-before)
+	change, err := t.best(func() (float64, error) { return s.changes(), nil })
+	if err != nil {
+		return err
+	}
+	t.record(knownChange, float64(size), change)
+	return nil
+}
+
+// wholeList is the processor time of a whole list that changes nothing, told in one turn.
+func (s *scheduler) wholeList(lines []choice.Listing) float64 {
+	s.pass(1)
+	start := processorTime()
+	s.List(true, lines)
+	s.Settle()
+	return processorTime() - start
+}
+
+// changes is the processor time of a change of the list: a destination's target is replaced.
+func (s *scheduler) changes() float64 {
+	start := processorTime()
+	for i := range listChanges {
+		s.pass(0.01)
+		n := i * len(s.destinations) / listChanges
+		gone, fresh := s.targets[n], &choice.Target{Door: uint64(n)}
+		s.targets[n] = fresh
+		s.List(false, []choice.Listing{{Target: gone, Dest: s.destinations[n], Standing: choice.Gone},
+			{Target: fresh, Dest: s.destinations[n], Standing: choice.Ready}})
+		s.Settle()
+	}
+	return (processorTime() - start) / listChanges
+}
+
+func (t *trial) knownInForwarder(size int) error {
+	var memory int64
+	cpu := math.Inf(1)
+	took, err := t.best(func() (float64, error) {
+		p, server, err := t.startListed(&configuration{destinations: size})
+		if err != nil {
+			return 0, err
+		}
+		defer server.close()
+		defer p.kill()
+		used, err := processorTimeOf(p.pid())
+		if err != nil {
+			return 0, err
+		}
+		cpu = math.Min(cpu, used)
+		memory, err = t.memoryOf(p)
+		return p.readyAfter.Seconds(), err
+	})
+	if err != nil {
+		return err
+	}
+	t.record(forwarderBoot, float64(size), took)
+	t.record(forwarderCPU, float64(size), cpu)
+	t.record(forwarderRSS, float64(size), float64(memory))
+	return nil
+}
--- /dev/null
+++ b/lab/capacity/measure/machine.go
@@ -0,0 +1,94 @@
+package measure
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// processorTime is the processor time of this process in seconds, in user and system mode.
+func processorTime() float64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+}
+
+// processorTimeOf is the processor time in seconds of the threads that another process has now.
+func processorTimeOf(pid int) (float64, error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(threads) == 0 {
+		return 0, fmt.Errorf("no processor time of process %d: %w", pid, err)
+	}
+	sum := time.Duration(0)
+	for _, path := range threads {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		ran, _, _ := strings.Cut(string(text), " ")
+		n, err := strconv.ParseInt(ran, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("%s: %w", path, err)
+		}
+		sum += time.Duration(n)
+	}
+	return sum.Seconds(), nil
+}
+
+// residentBytes is the memory that a process has in the machine's.
+func residentBytes(pid int) (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("statm of process %d has no second field", pid)
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()), err
+}
+
+// openDescriptors is how many descriptors a process has open.
+func openDescriptors(pid int) (int, error) {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return len(all), err
+}
+
+// machineMemory is the machine's memory in bytes, 0 if it is not told.
+func machineMemory() int64 {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	total, _, _ := strings.Cut(string(text), "\n")
+	fields := strings.Fields(total)
+	if len(fields) < 2 {
+		return 0
+	}
+	kB, _ := strconv.ParseInt(fields[1], 10, 64)
+	return kB << 10
+}
+
+// Machine describes the machine: cores, memory and processor model, without a name by which it could be found.
+func Machine() string {
+	model := "unknown processor"
+	if text, err := os.ReadFile("/proc/cpuinfo"); err == nil {
+		for lines := bufio.NewScanner(bytes.NewReader(text)); lines.Scan(); {
+			if name, value, ok := strings.Cut(lines.Text(), ":"); ok && strings.TrimSpace(name) == "model name" {
+				model = strings.TrimSpace(value)
+				break
+			}
+		}
+	}
+	return fmt.Sprintf("%d cores, %d GiB, %s, %s", runtime.NumCPU(), machineMemory()>>30, model, runtime.Version())
+}
--- /dev/null
+++ b/lab/capacity/measure/path.go
@@ -0,0 +1,208 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"spanflow/lab/load"
+)
+
+var (
+	pathCPU       = quantity{"processor time in a second", "messages a second", "s"}
+	pathBodyCPU   = quantity{"processor time of a message", "bytes of body", "s"}
+	pathBytesIn   = quantity{"bytes between client and forwarder for a message", "bytes of body", "bytes"}
+	pathBytesOut  = quantity{"bytes between forwarder and target for a message", "bytes of body", "bytes"}
+	pathBodySizes = []int{100, 300, 1000, 3000, 10_000, 30_000}
+)
+
+const (
+	pathTargets     = 8
+	pathClients     = 32
+	pathSeconds     = 2.0 // that each rate is kept for
+	quickSeconds    = 0.3
+	pathDisk        = 512_000_000
+	pathBody        = 400  // bytes, while rates are measured
+	pathRate        = 300  // messages a second, while bodies are measured
+	pathShare       = 0.98 // of the messages that have to be delivered
+	answerWithin    = 5 * time.Second
+	deliveredWithin = 10 * time.Second
+)
+
+// measureMessagePath measures a message's way through the built forwarder: from a client, by the write-ahead log, to a
+// target that answers at once.
+func measureMessagePath(t *trial) error {
+	err := t.sweep("rates", 0.5, equally, sizes(t.Largest), func(rate int) error { return t.path(rate, pathBody, t.recordRate) })
+	if err != nil {
+		return err
+	}
+	return t.sweep("bodies", 0.5, equally, pathBodySizes, func(body int) error { return t.path(pathRate, body, t.recordBody) })
+}
+
+// traffic is what went through a forwarder in a time.
+type traffic struct {
+	body      int     // bytes
+	delivered float64 // messages
+	seconds   float64
+	cpu       float64 // seconds of the forwarder's processor time
+	in, out   float64 // bytes between clients and forwarder, and between forwarder and targets
+}
+
+func (t *trial) recordRate(w traffic) {
+	t.record(pathCPU, w.delivered/w.seconds, w.cpu/w.seconds)
+}
+
+func (t *trial) recordBody(w traffic) {
+	t.record(pathBodyCPU, float64(w.body), w.cpu/w.delivered)
+	t.record(pathBytesIn, float64(w.body), w.in/w.delivered)
+	t.record(pathBytesOut, float64(w.body), w.out/w.delivered)
+}
+
+// path starts a forwarder, loads it a few times and records the time that took the least processor time.
+func (t *trial) path(rate, body int, record func(traffic)) error {
+	targets, err := newTargets(pathTargets)
+	if err != nil {
+		return err
+	}
+	defer targets.close()
+	p, err := t.start(&configuration{destinations: pathTargets, targets: targets.addresses, disk: pathDisk})
+	if err != nil {
+		return err
+	}
+	defer p.kill()
+	var least traffic
+	_, err = t.best(func() (float64, error) {
+		w, err := t.load(p, targets, rate, body)
+		if err != nil {
+			return 0, err
+		}
+		if each := w.cpu / w.delivered; least.delivered == 0 || each < least.cpu/least.delivered {
+			least = w
+		}
+		return w.cpu, nil
+	})
+	if err == nil {
+		record(least)
+	}
+	return err
+}
+
+// load sends messages at a rate for a while and waits until they are delivered.
+func (t *trial) load(p *process, targets *targets, rate, body int) (w traffic, err error) {
+	var in atomic.Int64
+	run := load.Run{Addr: p.listen, Connections: pathClients, Timeout: answerWithin, Life: 60, Bytes: body,
+		Prefix: fmt.Sprintf("%x-", time.Now().UnixNano()),
+		Dial: func() (net.Conn, error) {
+			c, err := net.DialTimeout("tcp", p.listen, answerWithin)
+			return &countedConn{c, &in}, err
+		}}
+	lasts := pathSeconds
+	if t.quick {
+		lasts = quickSeconds
+	}
+	random := rand.New(rand.NewPCG(t.Seed, 1))
+	source := &load.Drawn{Arrivals: load.Even(load.Shape{{Rate: float64(rate)}}, lasts), Dice: random, Dest: load.Zipf(pathTargets, 0),
+		Types: []string{heldType}}
+	for i := range pathTargets {
+		source.Dests = append(source.Dests, uint64(i+1))
+	}
+	cpu, err := processorTimeOf(p.pid())
+	if err != nil {
+		return w, err
+	}
+	calls, out, began := targets.calls.Load(), targets.bytes.Load(), time.Now()
+	report, err := run.Do(t.ctx, source)
+	if err != nil {
+		return w, err
+	}
+	taken := int64(report.Answers["ok"])
+	for late := time.Now().Add(deliveredWithin); targets.calls.Load()-calls < taken && time.Now().Before(late); {
+		if err := t.pause(lookEvery); err != nil {
+			return w, err
+		}
+	}
+	w = traffic{body: body, delivered: float64(targets.calls.Load() - calls), seconds: time.Since(began).Seconds(),
+		in: float64(in.Load()), out: float64(targets.bytes.Load() - out)}
+	after, err := processorTimeOf(p.pid())
+	w.cpu = after - cpu
+	if err == nil && w.delivered < pathShare*float64(report.Sent) {
+		err = fmt.Errorf("of %d messages at %d a second %.0f were delivered; answers %v", report.Sent, rate, w.delivered, report.Answers)
+	}
+	return w, err
+}
+
+// targets answer each call at once.
+type targets struct {
+	addresses []string
+	servers   []*http.Server
+	calls     atomic.Int64
+	bytes     atomic.Int64 // in both directions
+}
+
+func newTargets(number int) (*targets, error) {
+	t := &targets{}
+	for range number {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.close()
+			return nil, err
+		}
+		s := &http.Server{Handler: http.HandlerFunc(t.answer)}
+		t.addresses, t.servers = append(t.addresses, l.Addr().String()), append(t.servers, s)
+		go s.Serve(countedListener{l, &t.bytes})
+	}
+	return t, nil
+}
+
+func (t *targets) answer(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	t.calls.Add(1)
+}
+
+func (t *targets) close() {
+	for _, s := range t.servers {
+		s.Close()
+	}
+}
+
+// countedListener counts the bytes of its connections.
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept waits for the next connection.
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{c, l.bytes}, nil
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what comes.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what goes.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/lab/capacity/measure/restart.go
@@ -0,0 +1,135 @@
+package measure
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"spanflow/choice"
+	"spanflow/internal/ledger"
+)
+
+var (
+	openTime        = quantity{"time to open the write-ahead log", "messages owed", "s"}
+	openMemory      = quantity{"memory in the write-ahead log after opening", "messages owed", "bytes"}
+	recoverUntried  = quantity{"processor time to the scheduler's readiness, none tried", "messages owed", "s"}
+	recoverTried    = quantity{"processor time to the scheduler's readiness, all tried once", "messages owed", "s"}
+	readyAfter      = quantity{"time to the forwarder's readiness", "messages owed", "s"}
+	readyWithMemory = quantity{"memory of the forwarder when ready", "messages owed", "bytes"}
+)
+
+// measureRestart measures how long a restart takes by the number of messages that are owed.
+func measureRestart(t *trial) error {
+	for _, s := range []struct {
+		what    string
+		share   float64
+		growth  float64
+		measure func(size int) error
+	}{
+		{"the write-ahead log", 0.2, linearly, t.openLog},
+		{"the scheduler, none tried", 0.2, quadratically, func(size int) error { return t.recover(size, recoverUntried, choice.Past{}) }},
+		{"the scheduler, all tried once", 0.2, quadratically, func(size int) error { return t.recover(size, recoverTried, choice.Past{Sent: 1}) }},
+		{"the forwarder", 0.4, linearly, t.restartForwarder},
+	} {
+		if err := t.sweep(s.what, s.share, s.growth, sizes(t.Largest), s.measure); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *trial) openLog(size int) error {
+	folder, err := t.filled(size)
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	opened, memory := 0.0, 0.0
+	opened, err = t.best(func() (float64, error) {
+		before, start := t.heap(), time.Now()
+		log, err := ledger.Open(folder, logLimit(size))
+		took := time.Since(start).Seconds()
+		if err != nil {
+			return 0, err
+		}
+		defer log.Close()
+		memory = t.heap() - before
+		if owed := len(log.Owed()); owed != size {
+			return 0, fmt.Errorf("the log gave %d of %d messages", owed, size)
+		}
+		return took, nil
+	})
+	if err != nil {
+		return err
+	}
+	t.record(openTime, float64(size), opened)
+	t.record(openMemory, float64(size), memory)
+	return nil
+}
+
+// filled is a new folder with a log of so many messages that no process has open.
+func (t *trial) filled(size int) (folder string, err error) {
+	folder, err = os.MkdirTemp(t.Folder, "log")
+	if err != nil {
+		return "", err
+	}
+	log, err := t.fill(folder, size)
+	if err == nil {
+		err = log.Close()
+	}
+	if err != nil {
+		os.RemoveAll(folder)
+	}
+	return folder, err
+}
+
+// recover measures from the scheduler's start until it has settled all that an earlier process owed. The destination's
+// wait outlasts the start, so that all of it stays held.
+func (t *trial) recover(size int, q quantity, past choice.Past) error {
+	took, err := t.best(func() (float64, error) {
+		t.heap()
+		start := processorTime()
+		s := newScheduler(2*size+100, t.Seed)
+		s.know(2)
+		s.Close(s.targets[1], s.now+toldWait)
+		for i := range size {
+			s.Recover(&choice.Doc{Door: uint64(i), Dest: s.destinations[1], Size: typicalSize}, 0, messageLife, past)
+		}
+		s.Settle()
+		took := processorTime() - start
+		if s.host.ended > 0 || len(s.host.out) > 0 {
+			return 0, fmt.Errorf("of %d messages %d were given up and %d sent, within a wait", size, s.host.ended, len(s.host.out))
+		}
+		t.heap()
+		return took, nil
+	})
+	if err == nil {
+		t.record(q, float64(size), took)
+	}
+	return err
+}
+
+func (t *trial) restartForwarder(size int) error {
+	folder, err := t.filled(size)
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	c := &configuration{destinations: 2, unlisted: heldDestination, folder: folder, disk: logLimit(size)}
+	var memory int64
+	took, err := t.best(func() (float64, error) {
+		p, err := t.start(c)
+		if err != nil {
+			return 0, err
+		}
+		defer p.kill()
+		memory, err = t.memoryOf(p)
+		return p.readyAfter.Seconds(), err
+	})
+	if err != nil {
+		return err
+	}
+	t.record(readyAfter, float64(size), took)
+	t.record(readyWithMemory, float64(size), float64(memory))
+	return nil
+}
--- /dev/null
+++ b/lab/command/capacity_test.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/internal/shell"
+	"spanflow/lab/capacity"
+)
+
+// spanlab runs a command line.
+func spanlab(t *testing.T, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = Main(t.Context(), args, &o, &e)
+	return code, o.String(), e.String()
+}
+
+func TestAnUnknownRoleIsAWrongCommandLine(t *testing.T) {
+	code, _, said := spanlab(t, "capacity", "measure", "restrat")
+	require.Equal(t, shell.Usage, code)
+	require.Contains(t, said, `unknown role "restrat"; the nearest is "restart"`)
+}
+
+func TestBoundsOfAMeasurementAreChecked(t *testing.T) {
+	for _, c := range []struct{ flag, value, want string }{
+		{"--memory", "much", "--memory"}, {"--memory", "900TB", "--memory"}, {"--lasts", "0s", "--lasts"}, {"--largest", "-1", "--largest"}} {
+		code, _, said := spanlab(t, "capacity", "measure", "down-destination", c.flag, c.value)
+		require.Equal(t, shell.Failed, code)
+		require.Contains(t, said, c.want)
+	}
+}
+
+func TestMeasuredCurvesArePrintedAndMerged(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "measured.json")
+	code, out, said := spanlab(t, "capacity", "measure", "down-destination", "--largest", "10", "--json", "--into", path)
+	require.Equal(t, shell.Fine, code, said)
+	require.Contains(t, said, "forwarders")
+	var printed []capacity.Curve
+	require.NoError(t, json.Unmarshal([]byte(out), &printed))
+	kept, err := capacity.ReadResults(path)
+	require.NoError(t, err)
+	require.Equal(t, printed, kept.Curves)
+	require.NotEmpty(t, kept.Machine)
+	code, out, said = spanlab(t, "capacity", "measure", "down-destination", "--largest", "10", "-q", "--into", path)
+	require.Equal(t, shell.Fine, code, said)
+	require.Empty(t, said)
+	require.Contains(t, out, "RESIDUAL")
+	again, err := capacity.ReadResults(path)
+	require.NoError(t, err)
+	require.Equal(t, kept.Curves, again.Curves, "the same seed gives the same counts, in the same places")
+}
