--- a/lab/capacity/measure/measure_test.go
+++ b/lab/capacity/measure/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -13,6 +14,7 @@
 
 	"spanflow/choice"
 	"spanflow/lab/capacity"
+	"spanflow/seam"
 )
 
 // Small versions of the measurements. They judge shapes, bytes and counts, never a time. Where processor time is judged
@@ -183,6 +185,22 @@
 	require.Greater(t, m.of(t, forwarderRSS).Points[0].Value, 1e7)
 }
 
+func TestALongListIsToldInPartsOfWhichTheFirstIsWhole(t *testing.T) {
+	d, err := newDiscoveryServer(2*linesAtOnce + 1)
+	require.NoError(t, err)
+	defer d.close()
+	require.Len(t, d.objects, 3)
+	known := 0
+	for i, o := range d.objects {
+		var list seam.List
+		require.NoError(t, json.Unmarshal(o, &list))
+		require.Equal(t, i == 0, list.All)
+		require.EqualValues(t, i+1, list.Rev)
+		known += len(list.Targets)
+	}
+	require.Equal(t, 2*linesAtOnce+1, known)
+}
+
 func TestAnUnknownRoleIsAnErrorThatNamesTheNearest(t *testing.T) {
 	_, err := Find("held-mesage")
 	require.EqualError(t, err, `unknown role "held-mesage"; the nearest is "held-message"`)
