Capacity: draining messages; one-turn costs are measured without garbage collection

Taking 3,000 to 300,000 in one turn came out as not straight since the collector ran at the larger sizes only. A message that drains of many held is a quantity of its own, and a curve has a value between measured sizes.

--- a/lab/capacity/fit.go
+++ b/lab/capacity/fit.go
@@ -60,6 +60,17 @@
 	return c.Fit.Intercept + c.Fit.Slope*size, nil
 }
 
+// Between is the curve's value at a size between measured ones, drawn straight from the one below to the one above,
+// whatever the curve's shape. It is an error to ask for a size that is smaller or larger than all that were measured.
+func (c *Curve) Between(size float64) (float64, error) {
+	for i := 1; i < len(c.Points); i++ {
+		if a, b := c.Points[i-1], c.Points[i]; size >= a.Size && size <= b.Size && a.Size < b.Size {
+			return a.Value + (b.Value-a.Value)*(size-a.Size)/(b.Size-a.Size), nil
+		}
+	}
+	return 0, fmt.Errorf("%s, %s: %g %s are not between measured sizes", c.Role, c.Quantity, size, c.SizeUnit)
+}
+
 // bestLine is a level line if that fits all points, else the best sloping one. Its shape is NotStraight if neither fits.
 func bestLine(points []Point) Fit {
 	if len(points) == 0 {
--- a/lab/capacity/fit_test.go
+++ b/lab/capacity/fit_test.go
@@ -93,6 +93,21 @@
 	require.ErrorIs(t, err, ErrNotStraight)
 }
 
+func TestBetweenMeasuredSizesAnyCurveHasAValue(t *testing.T) {
+	c := Curve{Points: []Point{{1, 10}, {10, 100}, {100, 10}}}
+	for size, want := range map[float64]float64{1: 10, 5.5: 55, 10: 100, 55: 55, 100: 10} {
+		value, err := c.Between(size)
+		require.NoError(t, err)
+		require.InDelta(t, want, value, 1e-9)
+	}
+	for _, size := range []float64{0.9, 101} {
+		_, err := c.Between(size)
+		require.Error(t, err)
+	}
+	_, err := (&Curve{}).Between(1)
+	require.Error(t, err)
+}
+
 func TestResultsAreMergedByRoleAndQuantity(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "capacity", "measured.json")
 	require.NoError(t, MergeInto(path, "8 cores", "2026-12-01", []Curve{{Role: "a", Quantity: "x", Unit: "s"}, {Role: "a", Quantity: "y"}}))
--- a/lab/capacity/measure/held.go
+++ b/lab/capacity/measure/held.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"time"
 
+	"spanflow/choice"
 	"spanflow/internal/ledger"
 )
 
@@ -14,24 +16,29 @@
 	heldTake    = quantity{"processor time of taking all in one turn", "messages held", "s"}
 	heldFresh   = quantity{"processor time of a fresh message beside them", "messages held", "s"}
 	heldGivenUp = quantity{"processor time of giving all up in one turn", "messages held", "s"}
+	heldDrained = quantity{"processor time of each message that drains of them", "messages held", "s"}
 	logMemory   = quantity{"memory in the write-ahead log", "messages held", "bytes"}
 	logDisk     = quantity{"bytes on disk", "messages held", "bytes"}
 	logTake     = quantity{"processor time of writing all to the log", "messages held", "s"}
 )
 
 const (
-	bodyBytes   = 300  // of a message
-	freshMost   = 2000 // fresh messages of which the mean is taken, at most
-	freshLeast  = 16
-	freshEnough = 0.1 // seconds of processor time after which the mean is taken
+	bodyBytes    = 300  // of a message
+	freshMost    = 2000 // fresh messages of which the mean is taken, at most
+	freshLeast   = 16
+	drainedShare = 0.05 // of the messages held that drain while they are measured, at most
+	freshEnough  = 0.1  // seconds of processor time after which the mean is taken
 )
 
 // measureHeldMessage measures what a message costs that is held for a destination which told a wait.
 func measureHeldMessage(t *trial) error {
-	if err := t.sweep("the write-ahead log", 0.2, linearly, sizes(t.Largest), t.heldInLog); err != nil {
+	if err := t.sweep("the write-ahead log", 0.15, linearly, sizes(t.Largest), t.heldInLog); err != nil {
 		return err
 	}
-	return t.sweep("the scheduler", 0.8, quadratically, sizes(t.Largest), t.heldInScheduler)
+	if err := t.sweep("a drain", 0.15, quadratically, sizes(t.Largest), t.drain); err != nil {
+		return err
+	}
+	return t.sweep("the scheduler", 0.7, quadratically, sizes(t.Largest), t.heldInScheduler)
 }
 
 func (t *trial) heldInScheduler(size int) error {
@@ -50,7 +57,12 @@
 	t.record(heldTake, float64(size), taken)
 	t.record(heldMemory, float64(size), t.heap()-before)
 	busy := s.destinations[0]
-	fresh, err := t.best(func() (float64, error) { return t.fresh(s, func() { s.deliver(busy) }) })
+	fresh, err := t.best(func() (float64, error) {
+		return t.fresh(func() bool {
+			s.deliver(busy)
+			return true
+		})
+	})
 	if err != nil {
 		return err
 	}
@@ -65,9 +77,7 @@
 			s, _ = t.hold(size)
 		}
 		s.pass(messageLife + 1)
-		start := processorTime()
-		s.Settle()
-		took := processorTime() - start
+		took := withoutCollection(s.Settle)
 		if s.host.ended < size {
 			return 0, fmt.Errorf("%d of %d messages were given up at their time", s.host.ended, size)
 		}
@@ -85,24 +95,74 @@
 	s := newScheduler(2*size+100, t.Seed)
 	s.know(2)
 	s.shut(s.destinations[1])
-	start := processorTime()
-	for i := range size {
-		s.take(s.destinations[1], i)
+	took := withoutCollection(func() {
+		for i := range size {
+			s.take(s.destinations[1], i)
+		}
+		s.Settle()
+	})
+	return s, took
+}
+
+// fresh is the mean processor time in seconds of a message's decisions; deliver makes them, and tells if there was one.
+func (t *trial) fresh(deliver func() bool) (float64, error) {
+	n := 0
+	took := withoutCollection(func() {
+		start := processorTime()
+		for t.ctx.Err() == nil && (n < freshLeast || n < freshMost && processorTime()-start < freshEnough) && deliver() {
+			n++
+		}
+	})
+	if n == 0 {
+		return 0, errors.Join(errors.New("no message was delivered"), t.ctx.Err())
 	}
-	s.Settle()
-	return s, processorTime() - start
+	return took / float64(n), t.ctx.Err()
 }
 
-// fresh is the mean processor time of a fresh message's decisions.
-func (t *trial) fresh(s *scheduler, deliver func()) (float64, error) {
-	start, n := processorTime(), 0
-	for ; n < freshLeast || n < freshMost && processorTime()-start < freshEnough; n++ {
-		if err := t.ctx.Err(); err != nil {
-			return 0, err
+// drain measures the decisions of a message that goes out once its destination takes calls again, one for each that
+// has ended.
+func (t *trial) drain(size int) error {
+	each, err := t.best(func() (float64, error) {
+		t.heap()
+		s := newScheduler(2*size+100, t.Seed)
+		s.know(1)
+		s.Close(s.targets[0], s.now+toldWait)
+		for i := range size {
+			s.take(s.destinations[0], i)
+		}
+		s.Settle()
+		if len(s.host.out) > 0 {
+			return 0, fmt.Errorf("%d messages were sent within a wait", len(s.host.out))
 		}
-		deliver()
+		s.pass(toldWait + 1)
+		s.Settle()
+		// So few that about as many are held at the end, and further ones go out at each end.
+		most := min(size-len(s.host.out), max(freshLeast, int(drainedShare*float64(size))))
+		each, err := t.fresh(func() bool { return s.endFirst(&most) })
+		if err == nil && s.host.ended > 0 {
+			err = fmt.Errorf("%d messages were given up while they drained", s.host.ended)
+		}
+		return each, err
+	})
+	if err == nil {
+		t.record(heldDrained, float64(size), each)
+	}
+	return err
+}
+
+// endFirst ends the call that has been out for longest, after which another goes out, and counts down how many there
+// are yet. It tells if there was one.
+func (s *scheduler) endFirst(left *int) bool {
+	if *left <= 0 || len(s.host.out) == 0 {
+		return false
 	}
-	return (processorTime() - start) / float64(n), nil
+	*left--
+	d := s.host.out[0]
+	s.host.out = s.host.out[1:]
+	s.pass(0.001)
+	s.Ended(d, choice.Ending{Outcome: choice.Delivered, Over: true, Took: callTook})
+	s.Settle()
+	return true
 }
 
 func (t *trial) heldInLog(size int) error {
--- a/lab/capacity/measure/known.go
+++ b/lab/capacity/measure/known.go
@@ -30,9 +30,7 @@
 	before := t.heap()
 	start, err := t.best(func() (float64, error) {
 		t.heap()
-		start := processorTime()
-		newScheduler(usualRoom, t.Seed).know(size)
-		return processorTime() - start, nil
+		return withoutCollection(func() { newScheduler(usualRoom, t.Seed).know(size) }), nil
 	})
 	if err != nil {
 		return err
@@ -58,25 +56,29 @@
 // wholeList is the processor time of a whole list that changes nothing, told in one turn.
 func (s *scheduler) wholeList(lines []choice.Listing) float64 {
 	s.pass(1)
-	start := processorTime()
-	s.List(true, lines)
-	s.Settle()
-	return processorTime() - start
+	return withoutCollection(func() {
+		s.List(true, lines)
+		s.Settle()
+	})
 }
 
 // changes is the processor time of a change of the list: a destination's target is replaced.
 func (s *scheduler) changes() float64 {
-	start := processorTime()
-	for i := range listChanges {
-		s.pass(0.01)
-		n := i * len(s.destinations) / listChanges
-		gone, fresh := s.targets[n], &choice.Target{Door: uint64(n)}
-		s.targets[n] = fresh
-		s.List(false, []choice.Listing{{Target: gone, Dest: s.destinations[n], Standing: choice.Gone},
-			{Target: fresh, Dest: s.destinations[n], Standing: choice.Ready}})
-		s.Settle()
-	}
-	return (processorTime() - start) / listChanges
+	return withoutCollection(func() {
+		for i := range listChanges {
+			s.replace(i * len(s.destinations) / listChanges)
+		}
+	}) / listChanges
+}
+
+// replace tells that a destination's target has gone and another has come.
+func (s *scheduler) replace(n int) {
+	s.pass(0.01)
+	gone, fresh := s.targets[n], &choice.Target{Door: uint64(n)}
+	s.targets[n] = fresh
+	s.List(false, []choice.Listing{{Target: gone, Dest: s.destinations[n], Standing: choice.Gone},
+		{Target: fresh, Dest: s.destinations[n], Standing: choice.Ready}})
+	s.Settle()
 }
 
 func (t *trial) knownInForwarder(size int) error {
--- a/lab/capacity/measure/machine.go
+++ b/lab/capacity/measure/machine.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -22,6 +23,15 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
 }
 
+// withoutCollection is the processor time in seconds of what is done, with garbage collection put off meanwhile. What
+// that adds depends on how the heap grew before, and would make equal work cost more at some sizes than at others.
+func withoutCollection(do func()) float64 {
+	defer debug.SetGCPercent(debug.SetGCPercent(-1))
+	start := processorTime()
+	do()
+	return processorTime() - start
+}
+
 // processorTimeOf is the processor time in seconds of the threads that another process has now.
 func processorTimeOf(pid int) (float64, error) {
 	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
--- a/lab/capacity/measure/measure.go
+++ b/lab/capacity/measure/measure.go
@@ -206,7 +206,7 @@
 // How often a measurement is tried: a short one suffers more from what else goes on on the machine.
 const (
 	fewTries  = 3
-	mostTries = 100
+	mostTries = 1000
 	longTries = 3 * time.Second        // after so long there is no further try
 	tryAtMost = 300 * time.Millisecond // after so long there are no more than a few
 )
--- a/lab/capacity/measure/restart.go
+++ b/lab/capacity/measure/restart.go
@@ -88,15 +88,8 @@
 func (t *trial) recover(size int, q quantity, past choice.Past) error {
 	took, err := t.best(func() (float64, error) {
 		t.heap()
-		start := processorTime()
-		s := newScheduler(2*size+100, t.Seed)
-		s.know(2)
-		s.Close(s.targets[1], s.now+toldWait)
-		for i := range size {
-			s.Recover(&choice.Doc{Door: uint64(i), Dest: s.destinations[1], Size: typicalSize}, 0, messageLife, past)
-		}
-		s.Settle()
-		took := processorTime() - start
+		var s *scheduler
+		took := withoutCollection(func() { s = recovered(2*size+100, size, past, t.Seed) })
 		if s.host.ended > 0 || len(s.host.out) > 0 {
 			return 0, fmt.Errorf("of %d messages %d were given up and %d sent, within a wait", size, s.host.ended, len(s.host.out))
 		}
@@ -109,6 +102,18 @@
 	return err
 }
 
+// recovered starts a scheduler with what an earlier process owed to a destination that told a wait.
+func recovered(capacity, size int, past choice.Past, seed uint64) *scheduler {
+	s := newScheduler(capacity, seed)
+	s.know(2)
+	s.Close(s.targets[1], s.now+toldWait)
+	for i := range size {
+		s.Recover(&choice.Doc{Door: uint64(i), Dest: s.destinations[1], Size: typicalSize}, 0, messageLife, past)
+	}
+	s.Settle()
+	return s
+}
+
 func (t *trial) restartForwarder(size int) error {
 	folder, err := t.filled(size)
 	if err != nil {
