Hollow forwarders: list changes in a fleet, many forwarders in a process

Change: forward.Follow runs the owner with the real discovery client, hand-over and module, without fronts, ledger and calls; lab/capacity/hollow has a stand-in for discovery that tells changes as the published protocol does, processes that answer JSON lines, six scenarios, bounds on memory and time; 'spanlab capacity hollow'. dial counts bytes; the directory's bound on one object can be set by who embeds it (the default stays 4 MiB). Result: tests of order, counts and the end of all processes pass; no figures yet.

--- a/forward/config.go
+++ b/forward/config.go
@@ -29,6 +29,7 @@
 	DiskMB    int
 	Cores     float64
 	Known     seam.List // the list as last known
+	ListBytes int       // of one object of discovery's watch at most; 0: the usual
 	Terms     choice.Terms
 	Names     terms.Names
 
--- /dev/null
+++ b/forward/follow.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"spanflow/choice"
+	"spanflow/internal/dial"
+	"spanflow/internal/rota"
+)
+
+// Follower is what Follow works with beside an order.
+type Follower struct {
+	Dialer  *dial.Dialer // opens the connection to discovery; the caller stops it
+	LogTo   io.Writer
+	InForce func(rev int64) // called by the event loop once the module was told a version of the list and has settled
+}
+
+// Follow keeps discovery's list in force as Run does, by the same client, hand-over and module, until ctx ends. It has
+// no fronts, no ledger and no calls to targets: the laboratory runs many in one process. Of the order it needs the
+// discovery, the seed, the settings and the known list.
+func Follow(ctx context.Context, order *Order, by Follower) error {
+	own := *order
+	order = &own
+	order.askForList()
+	o := newOwner(order, order.Log.to(by.LogTo, order.Name), newExchange())
+	o.rota = rota.New(nil)
+	if err := o.connect(by.Dialer); err != nil {
+		return err
+	}
+	defer o.source.Stop()
+	o.f = choice.New(order.Terms, order.Seed, o.clock(o.epoch), o)
+	o.listed(&order.Known, true)
+	o.f.Settle()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if o.wakeAt.IsZero() {
+			timer.Stop()
+		} else {
+			timer.Reset(time.Until(o.wakeAt))
+		}
+		select {
+		case <-o.exchange.bell:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		heard, rev := o.heard, o.rev
+		o.turn()
+		if o.rev != rev || o.heard != heard {
+			by.InForce(o.rev)
+		}
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -102,15 +102,9 @@
 	}
 	defer dialer.Stop()
 	order.Terms.Keep, order.Terms.Confirmed = led.Room(), true
-	order.Terms.Agent = !order.Terms.AskList && order.Discovery != ""
-	order.Terms.AskList = true // whatever discovery is like, its list comes by a watch that is asked for
-	o := &owner{operators: operators, rota: rota.New(readOut(order.Folder)), order: order, asRead: asRead, log: log, exchange: x, ledger: led, epoch: time.Now(),
-		docs: map[uint64]*paper{}, byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{}, types: map[string]int{},
-		dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{}, trace: newTrace(order.Log), meter: noMeter{}, logTo: logTo,
-		said: map[string]time.Time{}}
-	for i, name := range order.Names.Types {
-		o.types[name] = i
-	}
+	order.askForList()
+	o := newOwner(order, log, x)
+	o.asRead, o.ledger, o.operators, o.rota, o.logTo = asRead, led, operators, rota.New(readOut(order.Folder)), logTo
 	if err := o.connect(dialer); err != nil {
 		return err
 	}
@@ -174,6 +168,24 @@
 	return nil
 }
 
+// askForList tells the module that the list comes by a watch that is asked for, whatever discovery is like.
+func (o *Order) askForList() {
+	o.Terms.Agent = !o.Terms.AskList && o.Discovery != ""
+	o.Terms.AskList = true
+}
+
+// newOwner has heard of nothing yet. Its ledger, operators and rota are the caller's to set.
+func newOwner(order *Order, log zerolog.Logger, x *Exchange) *owner {
+	o := &owner{order: order, asRead: order.Terms, log: log, exchange: x, epoch: time.Now(), docs: map[uint64]*paper{},
+		byID: map[string]*paper{}, past: newRecent(), targets: map[uint64]*target{}, byUID: map[string]*target{},
+		types: map[string]int{}, dests: map[uint64]*choice.Destination{}, unknown: map[string]bool{},
+		trace: newTrace(order.Log), meter: noMeter{}, said: map[string]time.Time{}}
+	for i, name := range order.Names.Types {
+		o.types[name] = i
+	}
+	return o
+}
+
 // connect makes the outlets, the list's source and the teller that the order asks for.
 func (o *owner) connect(dialer *dial.Dialer) error {
 	order, x := o.order, o.exchange
@@ -205,6 +217,7 @@
 	}
 	if order.Discovery != "" {
 		d := directory.New(dialer, order.Discovery, connect, x)
+		d.MostLine = order.ListBytes
 		o.source, o.moves = d, d
 		if order.toldNotices == "" {
 			o.teller = d
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -43,6 +43,8 @@
 	most   int64
 	open   atomic.Int64
 	Peak   atomic.Int64
+
+	Received, Sent atomic.Int64 // bytes that the sockets of all its lines have read and taken
 }
 
 // Line is one connection.
@@ -75,6 +77,7 @@
 	d.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
 		if l, ok := c.Session().(*Line); ok {
 			l.written.Add(int64(n))
+			d.Sent.Add(int64(n))
 		}
 	})
 	d.engine.OnClose(func(c *nbio.Conn, err error) {
@@ -143,6 +146,7 @@
 			n, err = c.Read(buffer)
 		}
 		l.unheard = n > 0
+		l.dialer.Received.Add(int64(max(0, n)))
 		l.reading.Unlock()
 		if n == 0 && err == nil {
 			err = io.EOF
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	mostLine    = 4 << 20                // of a watch, in bytes
+	mostLine    = 4 << 20                // of a watch, in bytes, unless Directory.MostLine says otherwise
 	blankEvery  = 2 * time.Second        // an empty line comes so often while nothing changes
 	mostNotices = 512                    // in one call
 	answerIn    = 2 * time.Second        // a watch that has not begun so long after its connection is over
@@ -34,6 +34,9 @@
 
 // Directory holds the connections to discovery.
 type Directory struct {
+	// MostLine bounds one object of a watch, in bytes; 0: 4 MiB. Set before the first Watch.
+	MostLine int
+
 	dialer  *dial.Dialer
 	addr    string
 	connect time.Duration
@@ -83,6 +86,13 @@
 	}
 }
 
+func (d *Directory) mostLine() int {
+	if d.MostLine > 0 {
+		return d.MostLine
+	}
+	return mostLine
+}
+
 // watch is one connection with an open answer.
 type watch struct {
 	dir    *Directory
@@ -190,7 +200,7 @@
 	}
 	for len(piece) > 0 {
 		n, whole := w.scan(piece)
-		if w.rest = append(w.rest, piece[:n]...); len(w.rest) > mostLine {
+		if w.rest = append(w.rest, piece[:n]...); len(w.rest) > w.dir.mostLine() {
 			return errors.New("a line of the list is over the limit")
 		}
 		piece = piece[n:]
--- /dev/null
+++ b/lab/capacity/hollow/gate.go
@@ -0,0 +1,102 @@
+package hollow
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// traffic counts bytes of application data, without the headers of TCP and IP.
+type traffic struct {
+	received, sent atomic.Int64
+}
+
+// gate is the way between discovery and the forwarders of one zone. While it is cut, connections stay open and say
+// nothing; once it is back, all connections of before are reset.
+type gate struct {
+	traffic *traffic
+	mu      sync.Mutex
+	passing chan struct{} // closed while data passes
+	open    map[*gatedConn]struct{}
+}
+
+func newGate(t *traffic) *gate {
+	g := &gate{traffic: t, passing: make(chan struct{}), open: map[*gatedConn]struct{}{}}
+	close(g.passing)
+	return g
+}
+
+// cut lets nothing through any more. It must not be cut already.
+func (g *gate) cut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.passing = make(chan struct{})
+}
+
+// restore ends a cut.
+func (g *gate) restore() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.open {
+		c.reset()
+	}
+	close(g.passing)
+}
+
+func (g *gate) passes() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.passing
+}
+
+// gatedListener accepts connections that come through a gate.
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	gated := &gatedConn{Conn: c, gate: l.gate}
+	l.gate.mu.Lock()
+	l.gate.open[gated] = struct{}{}
+	l.gate.mu.Unlock()
+	return gated, nil
+}
+
+// gatedConn is a connection through a gate.
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.gate.traffic.received.Add(int64(n))
+	return n, err
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	<-c.gate.passes()
+	n, err := c.Conn.Write(b)
+	c.gate.traffic.sent.Add(int64(n))
+	return n, err
+}
+
+func (c *gatedConn) Close() error {
+	c.gate.mu.Lock()
+	delete(c.gate.open, c)
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// reset ends the connection as one whose other side was away.
+func (c *gatedConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Conn.Close()
+}
--- /dev/null
+++ b/lab/capacity/hollow/hollow_test.go
@@ -0,0 +1,282 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/lab/capacity"
+)
+
+// The test binary is also the program of the processes that trials start, and of a coordinator that is killed. The
+// word behind the role marks the processes of one test.
+const (
+	processWord     = "hollow-test-process"
+	coordinatorWord = "hollow-test-coordinator"
+	patience        = 20 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	if len(os.Args) > 2 {
+		switch os.Args[1] {
+		case processWord:
+			if err := Serve(context.Background(), Role(os.Args[3]), os.Stdin, os.Stdout); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+			os.Exit(0)
+		case coordinatorWord:
+			config := smallConfig(os.Args[2], Idle)
+			config.Lasts = time.Minute
+			Run(context.Background(), config)
+			os.Exit(0)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func smallConfig(marker string, scenarios ...Scenario) Config {
+	return Config{Scenarios: scenarios, Forwarders: 6, Processes: 2, Destinations: 50, Changes: 3, Lasts: 500 * time.Millisecond,
+		Seed: 1, Program: []string{os.Args[0], processWord, marker}}
+}
+
+// marker is a word that no other test has.
+func marker(t *testing.T) string {
+	return filepath.Base(t.TempDir()) + strings.ReplaceAll(t.Name(), "/", "-")
+}
+
+// running is the processes with a word in their command lines.
+func running(t *testing.T, word string) (pids []string) {
+	t.Helper()
+	paths, err := filepath.Glob("/proc/[0-9]*/cmdline")
+	require.NoError(t, err)
+	for _, path := range paths {
+		if text, err := os.ReadFile(path); err == nil && strings.Contains(string(text), word) {
+			pids = append(pids, strings.Split(path, "/")[2])
+		}
+	}
+	return pids
+}
+
+func TestEveryForwarderHasEveryChangeInForce(t *testing.T) {
+	changes := map[Scenario]int{Idle: 0, Change: 3, Restart: 1, Outage: 1, Zone: 1, Whole: 1}
+	for _, scenario := range Scenarios {
+		t.Run(string(scenario), func(t *testing.T) {
+			t.Parallel()
+			word := marker(t)
+			trials, err := Run(t.Context(), smallConfig(word, scenario))
+			require.NoError(t, err)
+			require.Len(t, trials, 1)
+			trial := trials[0]
+			require.Equal(t, titles[scenario], trial.Scenario)
+			require.Equal(t, 6, trial.Forwarders)
+			require.Equal(t, 50, trial.Destinations)
+			require.Equal(t, changes[scenario], trial.Changes)
+			require.Zero(t, trial.Missed)
+			require.Positive(t, trial.ForwarderMemory)
+			require.Empty(t, running(t, word), "processes left behind")
+			if scenario == Idle {
+				return
+			}
+			require.Positive(t, trial.InForce50)
+			require.GreaterOrEqual(t, trial.InForce99, trial.InForce50)
+			require.GreaterOrEqual(t, trial.InForceLast, trial.InForce99)
+			require.Positive(t, trial.ServerBytes)
+		})
+	}
+}
+
+func TestChangesAreToldByWhatChanged(t *testing.T) {
+	t.Parallel()
+	small, large := smallConfig(marker(t), Change), smallConfig(marker(t), Change)
+	small.Destinations, large.Destinations = 50, 2000
+	for _, config := range []Config{small, large} {
+		trials, err := Run(t.Context(), config)
+		require.NoError(t, err)
+		entryBytes := 200.0
+		require.Less(t, trials[0].ForwarderBytesPerChange, 2*entryBytes, "with %d destinations", config.Destinations)
+	}
+}
+
+func TestAListOverTheLimitIsMissed(t *testing.T) {
+	t.Parallel()
+	f := startTestFleet(t, func(c *Config) { c.ListBytes = 1000 })
+	_, err := f.launch(false)
+	require.NoError(t, err)
+	// Each asks once and is refused by its own limit; the first end of each watch is all that is waited for.
+	var heard outcome
+	for deadline := time.Now().Add(patience); len(heard.endings) == 0 && time.Now().Before(deadline); {
+		heard, err = f.await(100 * time.Millisecond)
+		require.NoError(t, err)
+	}
+	require.Contains(t, heard.endings, "a line of the list is over the limit")
+	require.Equal(t, 6, count(heard.inForce, 0))
+}
+
+func startTestFleet(t *testing.T, change func(*Config)) *fleet {
+	t.Helper()
+	config := smallConfig(marker(t))
+	change(&config)
+	require.NoError(t, config.check())
+	f, err := newFleet(t.Context(), config, fleetSize{forwarders: config.Forwarders, processes: config.Processes, memoryLimit: unlimited})
+	require.NoError(t, err)
+	t.Cleanup(f.end)
+	return f
+}
+
+func TestARestartedForwarderCountsAsMissingUntilItHearsAgain(t *testing.T) {
+	t.Parallel()
+	f := startTestFleet(t, func(*Config) {})
+	_, err := f.launch(true)
+	require.NoError(t, err)
+	heard, err := f.await(patience)
+	require.NoError(t, err)
+	require.Zero(t, count(heard.inForce, 0))
+	_, err = f.setReach(reachDown, 0)
+	require.NoError(t, err)
+	_, err = f.askAll(func(int) request { return request{Restart: &restartRequest{EveryNth: 3}} })
+	require.NoError(t, err)
+	heard, err = f.await(100 * time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, 2, count(heard.inForce, 0), "a third of six")
+	_, err = f.setReach(reachUp, 0)
+	require.NoError(t, err)
+	heard, err = f.await(patience)
+	require.NoError(t, err)
+	require.Zero(t, count(heard.inForce, 0))
+}
+
+func TestProcessesEndWithAnInterruptedRun(t *testing.T) {
+	t.Parallel()
+	word := marker(t)
+	config := smallConfig(word, Idle)
+	config.Lasts = 30 * time.Second
+	ctx, cancel := context.WithCancel(t.Context())
+	config.Progress = func(line string) {
+		if strings.Contains(line, "idle for") {
+			require.Len(t, running(t, word), 3, "discovery and two workers")
+			cancel()
+		}
+	}
+	_, err := Run(ctx, config)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Empty(t, running(t, word))
+}
+
+func TestProcessesEndAfterAFailure(t *testing.T) {
+	t.Parallel()
+	word := marker(t)
+	config := smallConfig(word, Idle)
+	config.MemoryBytes = 1 << 20
+	_, err := Run(t.Context(), config)
+	require.ErrorContains(t, err, "memory")
+	require.Empty(t, running(t, word))
+}
+
+func TestProcessesEndWhenOneOfThemDies(t *testing.T) {
+	t.Parallel()
+	f := startTestFleet(t, func(*Config) {})
+	require.NoError(t, f.workers[0].command.Process.Kill())
+	_, err := f.launch(true)
+	require.ErrorContains(t, err, "worker 1")
+	f.end()
+	require.Empty(t, running(t, f.config.Program[2]))
+}
+
+func TestProcessesEndWhenTheirCoordinatorIsKilled(t *testing.T) {
+	t.Parallel()
+	word := marker(t)
+	coordinator := exec.Command(os.Args[0], coordinatorWord, word)
+	require.NoError(t, coordinator.Start())
+	all := 4 // with discovery and two workers
+	require.Eventually(t, func() bool { return len(running(t, word)) == all }, patience, 10*time.Millisecond)
+	require.NoError(t, coordinator.Process.Kill())
+	coordinator.Wait()
+	require.Eventually(t, func() bool { return len(running(t, word)) == 0 }, patience, 10*time.Millisecond)
+}
+
+func TestMemoryOverTheBoundEndsAllProcesses(t *testing.T) {
+	t.Parallel()
+	f := startTestFleet(t, func(c *Config) { c.MemoryBytes = 1 << 20 })
+	select {
+	case <-f.ctx.Done():
+	case <-time.After(patience):
+		t.Fatal("the processes go on")
+	}
+	require.ErrorContains(t, f.reason(nil), "1 MB are allowed")
+}
+
+func TestUnusableConfigurationNamesTheField(t *testing.T) {
+	for field, spoil := range map[string]func(*Config){
+		"forwarders":   func(c *Config) { c.Forwarders = 0 },
+		"processes":    func(c *Config) { c.Processes = 7 },
+		"destinations": func(c *Config) { c.Destinations = mostDestinations + 1 },
+		"changes":      func(c *Config) { c.Changes = 0 },
+		"scenario":     func(c *Config) { c.Scenarios = []Scenario{"flood"} },
+		"lasts":        func(c *Config) { c.Lasts = 0 },
+		"list limit":   func(c *Config) { c.ListBytes = -1 },
+		"memory":       func(c *Config) { c.MemoryBytes = machineMemory() },
+		"program":      func(c *Config) { c.Program = nil },
+	} {
+		config := smallConfig("none", Idle)
+		spoil(&config)
+		_, err := Run(t.Context(), config)
+		require.ErrorContains(t, err, field+": ", field)
+	}
+}
+
+func TestFleetIsFittedIntoMemory(t *testing.T) {
+	config := Config{Forwarders: 500, Processes: 4, MemoryBytes: 1000 << 20}
+	size, err := fitFleet(config, footprint{server: 100 << 20, worker: 25 << 20, forwarder: 1 << 20})
+	require.NoError(t, err)
+	require.Equal(t, 500, size.forwarders)
+	require.Equal(t, 4, size.processes)
+	require.Equal(t, int64(225<<20), size.memoryLimit)
+	require.Empty(t, size.note)
+
+	size, err = fitFleet(config, footprint{server: 100 << 20, worker: 25 << 20, forwarder: 300 << 20})
+	require.NoError(t, err)
+	require.Equal(t, 2, size.forwarders, "of 345 MB in 800 MB")
+	require.Equal(t, 2, size.processes)
+	require.Contains(t, size.note, "2 forwarders in place of 500")
+
+	_, err = fitFleet(config, footprint{server: 100 << 20, worker: 25 << 20, forwarder: 900 << 20})
+	require.ErrorContains(t, err, "memory: ")
+}
+
+func TestPercentilesCountThoseThatMissed(t *testing.T) {
+	sorted := []time.Duration{time.Second, 2 * time.Second, 3 * time.Second}
+	require.Equal(t, 2.0, percentile(sorted, 3, 0.5))
+	require.Equal(t, 3.0, percentile(sorted, 3, 0.99))
+	require.Equal(t, 2.0, percentile(sorted, 4, 0.5))
+	require.Zero(t, percentile(sorted, 4, 0.99), "the fourth never had it")
+	require.Zero(t, percentile(nil, 0, 0.5))
+}
+
+func TestTrialsTakeThePlaceOfThoseOfTheSameSize(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "measured.json")
+	trial := func(scenario string, destinations int, last float64) capacity.FleetTrial {
+		return capacity.FleetTrial{Scenario: scenario, Forwarders: 6, Destinations: destinations, InForceLast: last}
+	}
+	require.NoError(t, Keep(path, []capacity.FleetTrial{trial("change", 50, 1), trial("idle", 50, 0)}))
+	before, err := readResults(path)
+	require.NoError(t, err)
+	before.Curves = []capacity.Curve{{Role: "held message"}}
+	require.NoError(t, writeResults(path, before))
+	require.NoError(t, Keep(path, []capacity.FleetTrial{trial("change", 500, 3), trial("change", 50, 2)}))
+	after, err := readResults(path)
+	require.NoError(t, err)
+	require.Equal(t, []capacity.FleetTrial{trial("change", 50, 2), trial("idle", 50, 0), trial("change", 500, 3)}, after.Fleets)
+	require.Equal(t, before.Curves, after.Curves)
+	require.NotEmpty(t, after.Machine)
+
+	require.NoError(t, os.WriteFile(path, []byte(`{"fleets":`), 0o644))
+	require.ErrorContains(t, Keep(path, nil), "measured.json")
+}
--- /dev/null
+++ b/lab/capacity/hollow/list.go
@@ -0,0 +1,68 @@
+package hollow
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"spanflow/seam"
+)
+
+const (
+	zoneCount       = 6 // of a fleet: two regions with three zones each
+	firstRevision   = 1 // of the list that a fleet starts with
+	destinationKind = "partner"
+	uidMultiplier   = 2654435761 // odd, so that different numbers get different ids
+)
+
+// entry is one target of the list, in discovery's published form.
+type entry struct {
+	UID          string  `json:"uid"`
+	Endpoint     string  `json:"endpoint"`
+	Zone         string  `json:"az"`
+	Kind         string  `json:"model"`
+	Destination  int     `json:"pod_group"`
+	State        string  `json:"state"`
+	CapacityHint float64 `json:"capacity_hint"`
+	BootMs       int64   `json:"boot_ms"`
+}
+
+// The states of a target.
+const (
+	stateActive  = "active"
+	stateLeaving = "leaving"
+)
+
+// object is one line of a watch, or the whole list.
+type object struct {
+	Revision int64   `json:"rev"`
+	All      bool    `json:"all"`
+	Targets  []entry `json:"targets"`
+}
+
+func (o object) encode() ([]byte, error) {
+	text, err := json.Marshal(o)
+	return append(text, '\n'), err
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone+1) }
+
+// makeList is a list with one target for each destination. Nothing calls their endpoints.
+func makeList(destinations int) []entry {
+	list := make([]entry, destinations)
+	for i := range list {
+		list[i] = entry{UID: fmt.Sprintf("s-%08x", uint32(i*uidMultiplier)), Zone: zoneName(i % zoneCount),
+			Endpoint: fmt.Sprintf("127.%d.%d.%d:8080", 1+i>>16, i>>8&255, i&255), Kind: destinationKind,
+			Destination: i + 1, State: stateActive, CapacityHint: 1}
+	}
+	return list
+}
+
+// knownList is the list of the first revision as a forwarder that has been told it knows it.
+func knownList(destinations int) seam.List {
+	list := seam.List{Rev: firstRevision, All: true}
+	for _, e := range makeList(destinations) {
+		list.Targets = append(list.Targets, seam.Target{UID: e.UID, Endpoint: e.Endpoint, Zone: e.Zone, Kind: e.Kind,
+			Dest: uint64(e.Destination), State: e.State, Rate: e.CapacityHint})
+	}
+	return list
+}
--- /dev/null
+++ b/lab/capacity/hollow/trial.go
@@ -0,0 +1,343 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"spanflow/lab/capacity"
+)
+
+const (
+	settleShare  = 10                     // the fleet is left alone for one part in so many of Config.Lasts before anything is measured
+	betweenTimes = 250 * time.Millisecond // between two changes
+	mostEndings  = 3                      // reasons for ended watches that a note names
+)
+
+// titles name the scenarios in results.
+var titles = map[Scenario]string{Idle: "idle", Change: "change", Restart: "restart of a third", Outage: "discovery away",
+	Zone: "zone cut off", Whole: "whole list"}
+
+// trial is one scenario with one fleet.
+type trial struct {
+	config   Config
+	scenario Scenario
+	fleet    *fleet
+	revision int64 // the latest
+	delays   []time.Duration
+	missed   int
+	endings  map[string]int
+	late     int
+	notes    []string
+	result   capacity.FleetTrial
+}
+
+func (t *trial) run() error {
+	t.revision, t.endings = firstRevision, map[string]int{}
+	t.result = capacity.FleetTrial{Scenario: titles[t.scenario], Forwarders: t.fleet.size.forwarders, Destinations: t.config.Destinations}
+	if t.fleet.size.note != "" {
+		t.notes = append(t.notes, t.fleet.size.note)
+	}
+	if t.scenario == Whole {
+		return t.runWhole()
+	}
+	if _, err := t.fleet.launch(true); err != nil {
+		return err
+	}
+	started, err := t.fleet.await(inForceWithin)
+	if err != nil {
+		return err
+	}
+	if slices.Contains(started.inForce, 0) {
+		return fmt.Errorf("%d forwarders did not hear of discovery within %s", count(started.inForce, 0), inForceWithin)
+	}
+	if err := t.pause(t.config.Lasts / settleShare); err != nil {
+		return err
+	}
+	if err := t.measureIdle(); err != nil {
+		return err
+	}
+	if t.scenario != Idle {
+		if err := t.measureEvent(); err != nil {
+			return err
+		}
+	}
+	return t.finish()
+}
+
+// runWhole starts all forwarders without a list, and measures the idle window behind that.
+func (t *trial) runWhole() error {
+	before, err := t.fleet.snapshot()
+	if err != nil {
+		return err
+	}
+	began, err := t.fleet.launch(false)
+	if err != nil {
+		return err
+	}
+	if err := t.hear(func(int) int64 { return began }); err != nil {
+		return err
+	}
+	after, err := t.fleet.snapshot()
+	if err != nil {
+		return err
+	}
+	t.result.Changes = 1
+	if t.missed == 0 { // else all go on asking, and there is no idle window
+		if err := t.pause(t.config.Lasts / settleShare); err != nil {
+			return err
+		}
+		if err := t.measureIdle(); err != nil {
+			return err
+		}
+	}
+	t.account(before, after)
+	return t.finish()
+}
+
+// measureIdle measures a window in which nothing happens.
+func (t *trial) measureIdle() error {
+	t.config.tell("%s: idle for %s", t.scenario, t.config.Lasts)
+	before, err := t.fleet.snapshot()
+	if err != nil {
+		return err
+	}
+	if err := t.pause(t.config.Lasts); err != nil {
+		return err
+	}
+	after, err := t.fleet.snapshot()
+	if err != nil {
+		return err
+	}
+	seconds := after.at.Sub(before.at).Seconds()
+	used, n := after.workers.minus(before.workers), float64(t.result.Forwarders)
+	t.result.ForwarderIdleBytes, t.result.ForwarderIdleCPU = used.bytes()/seconds/n, used.CPU/seconds/n
+	if t.scenario == Idle {
+		server := after.server.minus(before.server)
+		t.result.ServerBytes, t.result.ServerCPU = server.bytes(), server.CPU
+		t.notes = append(t.notes, fmt.Sprintf("server figures of %.0f s", seconds))
+	}
+	return nil
+}
+
+// measureEvent measures what the scenario does.
+func (t *trial) measureEvent() error {
+	before, err := t.fleet.snapshot()
+	if err != nil {
+		return err
+	}
+	events := map[Scenario]func() error{Change: t.change, Restart: t.restart, Outage: t.outage, Zone: t.cutOff}
+	if err := events[t.scenario](); err != nil {
+		return err
+	}
+	after, err := t.fleet.snapshot()
+	if err != nil {
+		return err
+	}
+	t.account(before, after)
+	return nil
+}
+
+// account works out the cost of the changes between two moments. What the same time would have cost when idle is
+// taken off the forwarders' part.
+func (t *trial) account(before, after snapshot) {
+	used, server := after.workers.minus(before.workers), after.server.minus(before.server)
+	n, changes, seconds := float64(t.result.Forwarders), float64(t.result.Changes), after.at.Sub(before.at).Seconds()
+	t.result.ForwarderBytesPerChange = max(0, used.bytes()/n-t.result.ForwarderIdleBytes*seconds) / changes
+	t.result.ForwarderCPUPerChange = max(0, used.CPU/n-t.result.ForwarderIdleCPU*seconds) / changes
+	t.result.ServerBytes, t.result.ServerCPU = server.bytes(), server.CPU
+	t.notes = append(t.notes, fmt.Sprintf("server and machine figures of %.1f s, machine %.0f%% busy, forwarders' processes %.1f s of CPU",
+		seconds, 100*busyShare(before.machine, after.machine), used.CPU))
+}
+
+// publish makes a change that all forwarders are expected to hear of, and tells its moment.
+func (t *trial) publish() (at int64, err error) {
+	t.revision++
+	t.result.Changes++
+	return t.fleet.publish()
+}
+
+// hear waits until all forwarders have the latest revision in force. since tells from when on each could hear of it.
+func (t *trial) hear(since func(forwarder int) int64) error {
+	heard, err := t.fleet.await(inForceWithin)
+	if err != nil {
+		return err
+	}
+	for forwarder, at := range heard.inForce {
+		if at == 0 {
+			t.missed++
+			continue
+		}
+		t.delays = append(t.delays, time.Duration(at-since(forwarder)))
+	}
+	t.late += heard.late
+	for why, n := range heard.endings {
+		t.endings[why] += n
+	}
+	return nil
+}
+
+func (t *trial) change() error {
+	for range t.config.Changes {
+		if err := t.fleet.expect(t.revision + 1); err != nil {
+			return err
+		}
+		at, err := t.publish()
+		if err != nil {
+			return err
+		}
+		if err := t.hear(func(int) int64 { return at }); err != nil {
+			return err
+		}
+		if err := t.pause(betweenTimes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart restarts a third and then makes a change, while they start.
+func (t *trial) restart() error {
+	if err := t.fleet.expect(t.revision + 1); err != nil {
+		return err
+	}
+	_, err := t.fleet.askAll(func(int) request { return request{Restart: &restartRequest{EveryNth: restartEveryNth}} })
+	if err != nil {
+		return err
+	}
+	at, err := t.publish()
+	if err != nil {
+		return err
+	}
+	return t.hear(func(int) int64 { return at })
+}
+
+// outage takes discovery away, makes a change meanwhile, and counts from when discovery is back.
+func (t *trial) outage() error {
+	if err := t.fleet.expect(t.revision + 1); err != nil {
+		return err
+	}
+	if _, err := t.fleet.setReach(reachDown, 0); err != nil {
+		return err
+	}
+	if err := t.pause(t.config.Lasts / 2); err != nil {
+		return err
+	}
+	if _, err := t.publish(); err != nil {
+		return err
+	}
+	if err := t.pause(t.config.Lasts / 2); err != nil {
+		return err
+	}
+	back, err := t.fleet.setReach(reachUp, 0)
+	if err != nil {
+		return err
+	}
+	t.notes = append(t.notes, fmt.Sprintf("away for %s; times from its return", t.config.Lasts))
+	return t.hear(func(int) int64 { return back })
+}
+
+// cutOff cuts a zone off and makes a change. Times count from the change, in the zone from when it is back.
+func (t *trial) cutOff() error {
+	if err := t.fleet.expect(t.revision + 1); err != nil {
+		return err
+	}
+	if _, err := t.fleet.setReach(reachCut, cutZone); err != nil {
+		return err
+	}
+	published, err := t.publish()
+	if err != nil {
+		return err
+	}
+	if err := t.pause(t.config.Lasts); err != nil {
+		return err
+	}
+	back, err := t.fleet.setReach(reachRestored, cutZone)
+	if err != nil {
+		return err
+	}
+	t.notes = append(t.notes, fmt.Sprintf("%d forwarders cut off for %s; their times from its end", t.inZone(cutZone), t.config.Lasts))
+	return t.hear(func(forwarder int) int64 {
+		if forwarder%zoneCount == cutZone {
+			return back
+		}
+		return published
+	})
+}
+
+func (t *trial) inZone(zone int) int { return (t.result.Forwarders - zone + zoneCount - 1) / zoneCount }
+
+// finish fills in what is known at the end.
+func (t *trial) finish() error {
+	memory, err := t.fleet.memory()
+	if err != nil {
+		return err
+	}
+	n := float64(t.result.Forwarders)
+	t.result.ForwarderMemory = float64(memory.Live) / n
+	t.notes = append(t.notes, fmt.Sprintf("resident memory per forwarder %.2f MB, at most %.2f MB", float64(memory.Resident)/n/(1<<20),
+		float64(max(memory.Peak, memory.Resident))/n/(1<<20)))
+	if t.result.Changes > 0 {
+		t.summarise()
+	}
+	t.result.Note = strings.Join(t.notes, "; ")
+	return nil
+}
+
+// summarise fills in the times.
+func (t *trial) summarise() {
+	slices.Sort(t.delays)
+	all := len(t.delays) + t.missed
+	t.result.Missed = t.missed
+	t.result.InForce50, t.result.InForce99 = percentile(t.delays, all, 0.5), percentile(t.delays, all, 0.99)
+	if len(t.delays) > 0 {
+		t.result.InForceLast = t.delays[len(t.delays)-1].Seconds()
+	}
+	over := t.missed
+	for _, d := range t.delays {
+		if d > Target {
+			over++
+		}
+	}
+	if over > 0 {
+		t.notes = append(t.notes, fmt.Sprintf("NOT IN TIME: %d of %d had it after more than %s or not within %s", over, all, Target, inForceWithin))
+	}
+	if t.late > 0 {
+		t.notes = append(t.notes, fmt.Sprintf("%d late turns", t.late))
+	}
+	reasons := slices.SortedFunc(maps.Keys(t.endings), func(a, b string) int { return t.endings[b] - t.endings[a] })
+	for _, why := range reasons[:min(len(reasons), mostEndings)] {
+		t.notes = append(t.notes, fmt.Sprintf("watches ended %d times: %s", t.endings[why], why))
+	}
+}
+
+// percentile is the time in seconds within which a share of all had something, by nearest rank; 0 if so many did not.
+func percentile(sorted []time.Duration, all int, share float64) float64 {
+	rank := int(math.Ceil(share * float64(all)))
+	if rank < 1 || rank > len(sorted) {
+		return 0
+	}
+	return sorted[rank-1].Seconds()
+}
+
+func (t *trial) pause(d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-t.fleet.ctx.Done():
+		return context.Cause(t.fleet.ctx)
+	}
+}
+
+func count(times []int64, value int64) (n int) {
+	for _, at := range times {
+		if at == value {
+			n++
+		}
+	}
+	return n
+}
