--- /dev/null
+++ b/forward/follow_test.go
@@ -0,0 +1,43 @@
+package forward_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/forward"
+	"spanflow/internal/dial"
+	"spanflow/internal/standin"
+)
+
+// A follower tells each version once it is in force, also the one that it knew, once discovery has confirmed it.
+func TestAFollowerTellsWhatIsInForce(t *testing.T) {
+	entry := standin.Entry{UID: "t1", Endpoint: "127.0.0.1:1", Zone: "a", Kind: "k", Dest: 1, State: "active"}
+	discovery, err := standin.NewDiscovery("", entry)
+	require.NoError(t, err)
+	order, err := forward.ReadOrder(fmt.Appendf(nil, benchOrder, discovery.Addr, t.TempDir(), discovery.Known()),
+		func(string) string { return "" })
+	require.NoError(t, err)
+	dialer, err := dial.New("test", 4)
+	require.NoError(t, err)
+	defer dialer.Stop()
+	ctx, cancel := context.WithCancel(t.Context())
+	inForce, ended := make(chan int64, 9), make(chan error, 1)
+	logged := standin.NewLog()
+	go func() {
+		ended <- forward.Follow(ctx, order, forward.Follower{Dialer: dialer, LogTo: logged, InForce: func(rev int64) { inForce <- rev }})
+	}()
+	require.EqualValues(t, order.Known.Rev, <-inForce)
+	entry.State = "leaving"
+	discovery.Set(entry)
+	var list struct{ Rev int64 }
+	require.NoError(t, json.Unmarshal(discovery.Known(), &list))
+	require.Greater(t, list.Rev, order.Known.Rev)
+	require.Equal(t, list.Rev, <-inForce)
+	cancel()
+	require.NoError(t, <-ended)
+	require.Zero(t, dialer.Open(), "the watch is left open")
+}
