--- a/lab/capacity/hollow/trial.go
+++ b/lab/capacity/hollow/trial.go
@@ -42,6 +42,9 @@
 	if t.fleet.size.note != "" {
 		t.notes = append(t.notes, t.fleet.size.note)
 	}
+	if t.config.ListBytes > 0 {
+		t.notes = append(t.notes, fmt.Sprintf("an object of a watch may have %d MB, against the forwarder's own limit", t.config.ListBytes>>20))
+	}
 	if t.scenario == Whole {
 		return t.runWhole()
 	}
@@ -148,7 +151,11 @@
 	used, server := after.workers.minus(before.workers), after.server.minus(before.server)
 	n, changes, seconds := float64(t.result.Forwarders), float64(t.result.Changes), after.at.Sub(before.at).Seconds()
 	t.result.ForwarderBytesPerChange = max(0, used.bytes()/n-t.result.ForwarderIdleBytes*seconds) / changes
-	t.result.ForwarderCPUPerChange = max(0, used.CPU/n-t.result.ForwarderIdleCPU*seconds) / changes
+	if cpu := used.CPU/n - t.result.ForwarderIdleCPU*seconds; cpu > 0 {
+		t.result.ForwarderCPUPerChange = cpu / changes
+	} else {
+		t.notes = append(t.notes, "the forwarders took no more CPU than in the idle window")
+	}
 	t.result.ServerBytes, t.result.ServerCPU = server.bytes(), server.CPU
 	t.notes = append(t.notes, fmt.Sprintf("server and machine figures of %.1f s, machine %.0f%% busy, forwarders' processes %.1f s of CPU",
 		seconds, 100*busyShare(before.machine, after.machine), used.CPU))
--- a/lab/capacity/hollow/worker.go
+++ b/lab/capacity/hollow/worker.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"time"
 
@@ -309,6 +310,9 @@
 	case "late":
 		w.late++
 	case "watch ended":
+		if strings.HasPrefix(said.Why, "dial ") { // the address differs from zone to zone
+			_, said.Why, _ = strings.Cut(said.Why, ": ")
+		}
 		if _, known := w.endings[said.Why]; !known && len(w.endings) >= mostReasons {
 			said.Why = otherReasons
 		}
