--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -104,6 +104,7 @@
 	quoted bool   // within a string
 	slash  bool   // behind a backslash in it
 	looked bool   // its first line can be the beginning of one
+	sought int    // so many bytes of it were searched for the end of that line
 	timer  *time.Timer
 	turn   int   // counts the times it was waited for, so that a late timer is known as one
 	told   bool  // a line has come
@@ -221,7 +222,7 @@
 			w.rev = l.Rev
 			w.dir.desk.Listed(l)
 		}
-		w.rest, w.told, w.looked = w.rest[:0], true, false
+		w.rest, w.told, w.looked, w.sought = w.rest[:0], true, false, 0
 		w.await(blankEvery + blankEvery/2) // only now: guards against a link on which bytes trickle and no line comes
 	}
 	return nil
@@ -229,13 +230,17 @@
 
 // cut tells, once for each object, if the first line of one that goes on below cannot be the beginning of any.
 func (w *watch) cut() error {
-	end := bytes.IndexByte(w.rest, '\n')
-	if w.looked || end < 0 {
+	if w.looked {
+		return nil
+	}
+	end := bytes.IndexByte(w.rest[w.sought:], '\n')
+	if end < 0 {
+		w.sought = len(w.rest)
 		return nil
 	}
 	w.looked = true
 	var any json.RawMessage
-	if err := json.NewDecoder(bytes.NewReader(w.rest[:end])).Decode(&any); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if err := json.NewDecoder(bytes.NewReader(w.rest[:w.sought+end])).Decode(&any); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return fmt.Errorf("a line of the list cannot be read: %w", err)
 	}
 	return nil
