--- a/lab/command/capacity_hollow.go
+++ b/lab/command/capacity_hollow.go
@@ -79,6 +79,9 @@
 	if s.json {
 		return shell.Print(s.out, trials)
 	}
+	if len(trials) == 0 {
+		return nil
+	}
 	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "SCENARIO\tFORWARDERS\tDESTINATIONS\tCHANGES\tP50\tP99\tLAST\tMISSED\tBYTES/CHANGE\tCPU/CHANGE\tIDLE BYTES/S\tIDLE CPU\tMEMORY\tSERVER BYTES\tSERVER CPU")
 	for _, r := range trials {
