--- a/lab/capacity/hollow/hollow_test.go
+++ b/lab/capacity/hollow/hollow_test.go
@@ -48,9 +48,9 @@
 		Seed: 1, Program: []string{os.Args[0], processWord, marker}}
 }
 
-// marker is a word that no other test has.
+// marker is a word that no other test has, nor another run of it.
 func marker(t *testing.T) string {
-	return filepath.Base(t.TempDir()) + strings.ReplaceAll(t.Name(), "/", "-")
+	return fmt.Sprintf("%s-%d-", strings.ReplaceAll(t.Name(), "/", "-"), os.Getpid())
 }
 
 // running is the processes with a word in their command lines.
