--- a/forward/connect.go
+++ b/forward/connect.go
@@ -65,6 +65,7 @@
 	order, x := o.order, o.exchange
 	if order.Discovery != "" {
 		d := directory.New(dialer, order.Discovery, connect, x)
+		d.MostLine = order.ListBytes
 		o.source, o.moves = d, d
 		if order.toldNotices == "" {
 			o.teller = d
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	mostLine    = 4 << 20                // of a watch, in bytes
+	mostLine    = 4 << 20                // of a watch, in bytes, unless Directory.MostLine says otherwise
 	blankEvery  = 2 * time.Second        // an empty line comes so often while nothing changes
 	mostNotices = 512                    // in one call
 	answerIn    = 2 * time.Second        // a watch that has not begun so long after its connection is over
@@ -34,6 +34,9 @@
 
 // Directory holds the connections to discovery.
 type Directory struct {
+	// MostLine bounds one object of a watch, in bytes; 0: 4 MiB. Set before the first Watch.
+	MostLine int
+
 	dialer  *dial.Dialer
 	addr    string
 	connect time.Duration
@@ -86,6 +89,13 @@
 	}
 }
 
+func (d *Directory) mostLine() int {
+	if d.MostLine > 0 {
+		return d.MostLine
+	}
+	return mostLine
+}
+
 // watch is one connection with an open answer.
 type watch struct {
 	dir    *Directory
@@ -97,6 +107,7 @@
 	quoted bool   // within a string
 	slash  bool   // behind a backslash in it
 	looked bool   // its first line can be the beginning of one
+	sought int    // so many bytes of it were searched for the end of that line
 	timer  *time.Timer
 	turn   int   // counts the times it was waited for, so that a late timer is known as one
 	told   bool  // a line has come
@@ -193,7 +204,7 @@
 	}
 	for len(piece) > 0 {
 		n, whole := w.scan(piece)
-		if w.rest = append(w.rest, piece[:n]...); len(w.rest) > mostLine {
+		if w.rest = append(w.rest, piece[:n]...); len(w.rest) > w.dir.mostLine() {
 			return errors.New("a line of the list is over the limit")
 		}
 		piece = piece[n:]
@@ -214,7 +225,7 @@
 			w.rev = l.Rev
 			w.dir.desk.Listed(l)
 		}
-		w.rest, w.told, w.looked = w.rest[:0], true, false
+		w.rest, w.told, w.looked, w.sought = w.rest[:0], true, false, 0
 		w.await(blankEvery + blankEvery/2) // only now: guards against a link on which bytes trickle and no line comes
 	}
 	return nil
@@ -222,13 +233,17 @@
 
 // cut tells, once for each object, if the first line of one that goes on below cannot be the beginning of any.
 func (w *watch) cut() error {
-	end := bytes.IndexByte(w.rest, '\n')
-	if w.looked || end < 0 {
+	if w.looked {
+		return nil
+	}
+	end := bytes.IndexByte(w.rest[w.sought:], '\n')
+	if end < 0 {
+		w.sought = len(w.rest)
 		return nil
 	}
 	w.looked = true
 	var any json.RawMessage
-	if err := json.NewDecoder(bytes.NewReader(w.rest[:end])).Decode(&any); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if err := json.NewDecoder(bytes.NewReader(w.rest[:w.sought+end])).Decode(&any); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) {
 		return fmt.Errorf("a line of the list cannot be read: %w", err)
 	}
 	return nil
