config: section [backlog], off without a folder

A forwarder's order may tell a backlog store; the operators' file had no place for it.

The folder, the bounds on bytes, the window and the bound from which a destination is far behind are checked by field, against each other and against dispatch.room, the descriptors and the memory; the folder is neither the ledger's nor within or around it, links followed. Reload takes up the bounds; the folder waits for a start. Without a folder the order has no store and the other fields have a note. Tests hold the bounds against those that the store and its policy take.

--- a/forward/reread.go
+++ b/forward/reread.go
@@ -43,6 +43,9 @@
 		return o.SeedDrawn
 	}},
 	{"state", []string{"ledger.folder"}, AtStart, func(o *Order) any { return o.Folder }},
+	{"backlog", []string{"backlog.disk", "backlog.destination", "backlog.tenant", "backlog.window", "backlog.behind"}, AtOnce,
+		func(o *Order) any { return o.Backlog.bounds() }},
+	{"backlog_folder", []string{"backlog.folder"}, AtStart, func(o *Order) any { return o.Backlog.folder() }},
 	{"limits", []string{"limits", "ledger.disk"}, AtStart, func(o *Order) any {
 		return [4]float64{float64(o.MemoryMB), float64(o.Sockets), float64(o.DiskMB), o.Cores}
 	}},
@@ -51,6 +54,24 @@
 	}},
 }
 
+// folder is where the store is; empty: there is none.
+func (b *Backlog) folder() string {
+	if b == nil {
+		return ""
+	}
+	return b.Folder
+}
+
+// bounds is the order but for the folder: what a running forwarder takes up. Without a store there are none.
+func (b *Backlog) bounds() Backlog {
+	if b == nil {
+		return Backlog{}
+	}
+	bounds := *b
+	bounds.Folder = ""
+	return bounds
+}
+
 // when tells when a change of the part is taken up, in an order at hand.
 func (p *Part) when(o *Order) Change {
 	if p.Name != "discovery" && !o.Movable {
--- /dev/null
+++ b/internal/config/backlog_test.go
@@ -0,0 +1,247 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/forward"
+	"spanflow/internal/backlog"
+	"spanflow/internal/backlog/policy"
+)
+
+const stored = `[backlog]
+folder = "stored"
+disk = "64MB"
+destination = "16MB"
+tenant = "32MB"
+window = 32
+behind = 500
+`
+
+// notes are what is worth a word about a text in which nothing is wrong.
+func notes(t *testing.T, text string) string {
+	l, err := Load(file(t, text), nil, nil)
+	require.NoError(t, err)
+	wrong, notes := l.Check()
+	require.Empty(t, wrong)
+	return notes.Error()
+}
+
+func TestWithoutAFolderThereIsNoBacklogStore(t *testing.T) {
+	o, err := Order(file(t, whole), nil, nil)
+	require.NoError(t, err)
+	require.Nil(t, o.Backlog)
+	require.NotContains(t, notes(t, whole), "backlog")
+	unused := strings.Replace(stored, "folder = \"stored\"\n", "", 1)
+	o, err = Order(file(t, whole+unused), nil, nil)
+	require.NoError(t, err)
+	require.Nil(t, o.Backlog)
+	for _, name := range []string{"disk", "destination", "tenant", "window", "behind"} {
+		require.Contains(t, notes(t, whole+unused), "backlog."+name+": has no use, as backlog.folder is empty")
+	}
+	tight := strings.Replace(whole, "[limits]", "[dispatch]\nroom = 10\n[limits]\ndescriptors = 64", 1)
+	require.NotContains(t, notes(t, tight), "backlog", "the defaults are held against nothing")
+}
+
+func TestAnOrderTellsTheBacklogStore(t *testing.T) {
+	path := file(t, whole+stored)
+	o, err := Order(path, nil, nil)
+	require.NoError(t, err)
+	folder := filepath.Join(filepath.Dir(path), "stored")
+	require.Equal(t, &forward.Backlog{Folder: folder, Bytes: 64e6, DestinationBytes: 16e6, TenantBytes: 32e6, Window: 32, Behind: 500}, o.Backlog)
+	require.NoDirExists(t, folder, "who opens the store makes it")
+	next, err := o.Reread()
+	require.NoError(t, err)
+	require.Equal(t, o.Backlog, next.Backlog)
+
+	o, err = Order(file(t, whole+"[backlog]\nfolder = \"/var/none/stored\"\n"), nil, nil)
+	require.NoError(t, err)
+	require.Equal(t, &forward.Backlog{Folder: "/var/none/stored", Bytes: 256e6, Window: 64, Behind: 1000}, o.Backlog, "the defaults")
+}
+
+func TestWhatIsWrongWithTheBacklogStoreIsNamedByField(t *testing.T) {
+	for _, c := range []struct{ old, new, says string }{
+		{`folder = "stored"`, `folder = "c.toml"`, "c.toml:23: backlog.folder: c.toml is not a folder"},
+		{`folder = "stored"`, `folder = "state"`, "c.toml:23: backlog.folder: "},
+		{`folder = "stored"`, `folder = "./state/../state"`, "is ledger.folder too"},
+		{`folder = "stored"`, `folder = "state/stored"`, "lies within ledger.folder"},
+		{`folder = "stored"`, `folder = "."`, "backlog.folder: ledger.folder, "},
+		{`folder = "stored"`, `folder = 7`, "c.toml:23: backlog.folder"},
+		{`disk = "64MB"`, `disk = "64"`, `c.toml:24: backlog.disk: "64" is not a size with its unit`},
+		{`disk = "64MB"`, `disk = "2MB"`, "c.toml:24: backlog.disk: 2MB is under the least, 2MiB"},
+		{`disk = "64MB"`, `dsk = "64MB"`, "c.toml:24: backlog.dsk: unknown key; disk may be meant"},
+		{`destination = "16MB"`, `destination = "65MB"`, "c.toml:25: backlog.destination: 65MB is over backlog.disk, 64MB"},
+		{`tenant = "32MB"`, `tenant = "1GB"`, "c.toml:26: backlog.tenant: 1GB is over backlog.disk, 64MB"},
+		{`window = 32`, `window = 0`, "c.toml:27: backlog.window: 0 is under the least, 1"},
+		{`window = 32`, `window = -5`, "c.toml:27: backlog.window: -5 is under the least, 1"},
+		{`window = 32`, `window = 501`, "c.toml:28: backlog.behind: 500 is under backlog.window, 501"},
+		{`window = 32`, `window = "32"`, "c.toml:27: backlog.window"},
+		{`behind = 500`, `behind = 31`, "c.toml:28: backlog.behind: 31 is under backlog.window, 32"},
+		{"window = 32\nbehind = 500", "window = 2001\nbehind = 2001", "c.toml:27: backlog.window: 2001 is over dispatch.room, 2000"},
+		{`behind = 500`, "behind = 500\n[limits]\ndescriptors = 73", "limits.descriptors: 73 is under the least with a backlog store, 74"},
+	} {
+		text := strings.Replace(whole+stored, c.old, c.new, 1)
+		require.NotEqual(t, whole+stored, text)
+		if strings.Contains(c.new, "[limits]") {
+			text = strings.Replace(text, "[limits]\nmemory = \"48MB\"\n", "", 1)
+		}
+		require.Contains(t, wrong(t, text, nil, nil), c.says, c.new)
+	}
+	require.Empty(t, wrong(t, whole+stored, nil, nil))
+	require.Contains(t, wrong(t, whole+stored, nil, []string{"backlog.disk=1MB"}), "backlog.disk: 1MB is under the least")
+	require.Contains(t, wrong(t, whole+stored, []string{"SPANFLOW_BACKLOG_WINDOW=many"}, nil), `SPANFLOW_BACKLOG_WINDOW: "many" is not a whole number`)
+}
+
+// A folder that is reached by another name is the same folder.
+func TestALinkToTheLedgersFolderIsNoFolderOfItsOwn(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, os.Mkdir(filepath.Join(dir, "state"), 0o700))
+	require.NoError(t, os.Symlink("state", filepath.Join(dir, "link")))
+	for folder, says := range map[string]string{"link": "is ledger.folder too", "link/new/deep": "lies within ledger.folder"} {
+		path := filepath.Join(dir, "c.toml")
+		require.NoError(t, os.WriteFile(path, []byte(whole+strings.Replace(stored, `"stored"`, fmt.Sprintf("%q", folder), 1)), 0o600))
+		l, err := Load(path, nil, nil)
+		require.NoError(t, err)
+		wrong, _ := l.Check()
+		require.ErrorContains(t, wrong, says)
+	}
+}
+
+func TestWhatTheBacklogStoreNeedsIsWorthAWord(t *testing.T) {
+	for _, c := range []struct{ old, new, says string }{
+		{"window = 32", "window = 126", "backlog.window: dispatch.room, 2000, holds the windows of 15 lanes only"},
+		{"behind = 500", "behind = 2001", "backlog.behind: 2001 is over dispatch.room, 2000: a destination that answers never counts as far behind"},
+		{`disk = "64MB"`, `disk = "1GB"`, "backlog.disk: full of messages of 300 bytes it takes up to 160MB of memory for their places, over half of limits.memory, 48MB"},
+	} {
+		require.Contains(t, notes(t, strings.Replace(whole+stored, c.old, c.new, 1)), c.says)
+	}
+	require.NotContains(t, notes(t, whole+stored), "backlog")
+	require.NotContains(t, notes(t, "[backlog]\nfolder = \"stored\"\n"+strings.NewReplacer(`name = "n1"`+"\n", "", `zones = ["a", "b"]`+"\n", "",
+		`zone = "b"`+"\n", "", `memory = "48MB"`, "").Replace(whole)), "backlog", "nothing about the defaults")
+}
+
+// What passes the check is taken by the packages that the order goes to: the bounds here are those there.
+func TestTheStoreAndItsPolicyTakeWhatPassesTheCheck(t *testing.T) {
+	check := func(flags ...string) (*forward.Backlog, error) {
+		o, err := Order(file(t, whole+stored), nil, flags)
+		if err != nil {
+			return nil, err
+		}
+		return o.Backlog, nil
+	}
+	use := func(b *forward.Backlog) error {
+		store, err := backlog.Open(backlog.OS{}, t.TempDir(), backlog.Bounds{Bytes: b.Bytes})
+		if err != nil {
+			return err
+		}
+		defer store.Close()
+		orAll := func(bound int64) int64 { // 0: no bound of its own
+			if bound == 0 {
+				return b.Bytes
+			}
+			return bound
+		}
+		bounds := policy.Bounds{Bytes: b.Bytes, DestinationBytes: orAll(b.DestinationBytes), TenantBytes: orAll(b.TenantBytes),
+			Window: b.Window, Behind: b.Behind, Batch: 1, ExpiryLead: time.Second}
+		return bounds.Check()
+	}
+	for _, flags := range [][]string{nil, {"backlog.disk=2MiB", "backlog.destination=2MiB", "backlog.tenant=2MiB"},
+		{"backlog.destination=0B", "backlog.tenant=0B"}, {"backlog.destination=1B", "backlog.tenant=1B"},
+		{"backlog.window=1", "backlog.behind=1"}, {"backlog.window=2000", "backlog.behind=2000"}} {
+		b, err := check(flags...)
+		require.NoError(t, err, flags)
+		require.NoError(t, use(b), flags)
+	}
+	sound, err := check()
+	require.NoError(t, err)
+	for flag, spoil := range map[string]func(*forward.Backlog){
+		fmt.Sprintf("backlog.disk=%dB", leastBacklog-1): func(b *forward.Backlog) { b.Bytes = leastBacklog - 1 },
+		"backlog.destination=65MB":                      func(b *forward.Backlog) { b.DestinationBytes = 65e6 },
+		"backlog.tenant=65MB":                           func(b *forward.Backlog) { b.TenantBytes = 65e6 },
+		"backlog.window=0":                              func(b *forward.Backlog) { b.Window = 0 },
+		"backlog.behind=31":                             func(b *forward.Backlog) { b.Behind = 31 },
+	} {
+		_, err := check(flag)
+		require.Error(t, err, flag)
+		b := *sound
+		spoil(&b)
+		require.Error(t, use(&b), flag)
+	}
+}
+
+func TestTheBacklogStoresFieldsComeInLayers(t *testing.T) {
+	path := file(t, whole+stored)
+	l, err := Load(path, []string{"SPANFLOW_BACKLOG_DISK=128MB", "SPANFLOW_BACKLOG_WINDOW=16"}, []string{"backlog.window=8", "backlog.tenant=0B"})
+	require.NoError(t, err)
+	require.Equal(t, Backlog{Folder: "stored", Disk: 128e6, Destination: 16e6, Tenant: 0, Window: 8, Behind: 500}, l.Backlog)
+	from := map[string]Source{}
+	for _, v := range l.Values() {
+		from[v.Field] = v.Source
+	}
+	require.Equal(t, []Source{{ByFile, "", 23}, {ByVariable, "SPANFLOW_BACKLOG_DISK", 24}, {ByFlag, "--set", 27}, {ByFlag, "--set", 26}, {ByFile, "", 28}},
+		[]Source{from["backlog.folder"], from["backlog.disk"], from["backlog.window"], from["backlog.tenant"], from["backlog.behind"]})
+	_, notes := l.Check()
+	require.Contains(t, notes.Error(), "backlog.window: --set goes before line 27 of the file")
+
+	again := whole + "[backlog]\n"
+	for _, v := range l.Values() { // what is shown can be told again
+		if name, is := strings.CutPrefix(v.Field, "backlog."); is {
+			value := fmt.Sprint(v.Value)
+			if reflect.TypeOf(v.Value).Kind() != reflect.Int {
+				value = fmt.Sprintf("%q", value)
+			}
+			again += fmt.Sprintf("%s = %s\n", name, value)
+		}
+	}
+	other, err := Load(file(t, again), nil, nil)
+	require.NoError(t, err)
+	require.Equal(t, l.Backlog, other.Backlog)
+}
+
+func TestTheBoundsOfTheBacklogStoreChangeByReloadAndItsFolderAtAStart(t *testing.T) {
+	for _, name := range keys(reflect.TypeFor[Backlog](), nil) {
+		want := forward.AtOnce
+		if name == "folder" {
+			want = forward.AtStart
+		}
+		require.Equal(t, want, Reload("backlog."+name), name)
+		in := 0
+		for _, p := range forward.Parts {
+			for _, key := range p.Keys {
+				if key == "backlog."+name {
+					in++
+				}
+			}
+		}
+		require.Equal(t, 1, in, "%s stands in one part of an order", name)
+	}
+}
+
+// The lines of the example file, taken out of their comment, say what holds without them.
+func TestTheExampleFilesBacklogLinesAreTheDefaults(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/spanflow.toml")
+	require.NoError(t, err)
+	begin := strings.Index(string(text), "# [backlog]\n")
+	require.Positive(t, begin)
+	section, rest, found := strings.Cut(string(text[begin:]), "\n\n")
+	require.True(t, found)
+	section = strings.ReplaceAll("\n"+section, "\n# ", "\n")
+	l, err := Load(file(t, string(text[:begin])+section+"\n\n"+rest), nil, nil)
+	require.NoError(t, err)
+	wrong, notes := l.Check()
+	require.Empty(t, wrong)
+	require.NotContains(t, notes.Error(), "backlog")
+	want := Defaults().Backlog
+	want.Folder = "/var/lib/spanflow-backlog"
+	require.Equal(t, want, l.Backlog)
+	for _, name := range keys(reflect.TypeFor[Backlog](), nil) {
+		require.Contains(t, section, "\n"+name+" = ", "each field is there")
+	}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -94,6 +94,7 @@
 	c := &checker{Loaded: l}
 	c.whole()
 	c.limits()
+	c.backlog()
 	c.dispatch()
 	c.fronts()
 	c.types()
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -242,6 +242,7 @@
 
 func FuzzLoad(f *testing.F) {
 	f.Add(whole)
+	f.Add(whole + stored)
 	f.Fuzz(func(t *testing.T, text string) {
 		l := &Loaded{File: Defaults(), Path: "c.toml", Sources: map[string]Source{}, lines: map[string]int{}}
 		if l.parse([]byte(text)) == nil {
--- a/internal/config/form.go
+++ b/internal/config/form.go
@@ -76,6 +76,7 @@
 	Zones     []string  `toml:"zones" jsonschema_description:"Zones that targets may be in."`
 	Zone      string    `toml:"zone" jsonschema_description:"Zone of this forwarder, one of zones."`
 	Ledger    Ledger    `toml:"ledger"`
+	Backlog   Backlog   `toml:"backlog"`
 	Limits    Limits    `toml:"limits"`
 	Discovery Discovery `toml:"discovery"`
 	Dispatch  Dispatch  `toml:"dispatch"`
@@ -96,6 +97,16 @@
 	Disk   Size   `toml:"disk" jsonschema_description:"Space that the folder may take, 1 MB at least."`
 }
 
+// Backlog is the store on disk in which messages wait for destinations that are out or far behind.
+type Backlog struct {
+	Folder      string `toml:"folder" jsonschema_description:"The store's folder, relative to the file. It is made if missing. Empty: no store, all that is held stays in memory."`
+	Disk        Size   `toml:"disk" jsonschema_description:"Space that the folder may take, 2 MiB at least. Some three quarters of it hold messages."`
+	Destination Size   `toml:"destination" jsonschema_description:"Bytes that one destination may have stored. 0B: no bound of its own."`
+	Tenant      Size   `toml:"tenant" jsonschema_description:"Bytes that one tenant may have stored. 0B: no bound of its own."`
+	Window      int    `toml:"window" jsonschema_description:"Messages of a lane (one destination and tenant) that stay in memory before those that are stored."`
+	Behind      int    `toml:"behind" jsonschema_description:"Messages of a lane beyond which its destination counts as far behind, though it answers."`
+}
+
 // Limits are what the process may use.
 type Limits struct {
 	Cores       float64 `toml:"cores" jsonschema_description:"Cores to use; a part of one counts as one."`
@@ -205,8 +216,9 @@
 // Defaults are what holds where nothing is said.
 func Defaults() File {
 	return File{Name: "spanflow", Zones: []string{"a"}, Zone: "a",
-		Ledger: Ledger{Folder: "state", Disk: 64e6},
-		Limits: Limits{Cores: 1, Memory: 192e6, Descriptors: 1024},
+		Ledger:  Ledger{Folder: "state", Disk: 64e6},
+		Backlog: Backlog{Disk: 256e6, Window: 64, Behind: 1000},
+		Limits:  Limits{Cores: 1, Memory: 192e6, Descriptors: 1024},
 		Dispatch: Dispatch{Slots: 64, Room: 2000, Transmissions: 6, Forwarders: 1, ComeBack: 2, Connect: 1.5, IdleLife: 10,
 			KeyRest: 0.1, AskWithin: 10, ColdFrom: 0.2, ColdFor: 10, FallMultiple: 2, Late: "line", ListedRates: "none", ReportLimit: "x1", ReportLeft: "x0"},
 		Log: Log{Level: "info", Format: "json"}}
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -96,6 +96,9 @@
 		o.Fronts = append(o.Fronts, forward.Front{Name: f.Name, Protocol: f.Protocol, Listen: f.Listen, Connections: f.Connections,
 			Waiting: f.Waiting, WaitingBytes: int(f.WaitingBytes)})
 	}
+	if o.Backlog, err = l.backlogOrder(); err != nil {
+		return nil, err
+	}
 	o.Terms, o.Names = l.terms()
 	for _, w := range l.Outlets {
 		o.Outlets = append(o.Outlets, forward.Outlet{Name: w.Name, Protocol: w.Protocol, Connect: float64(w.Connect)})
