command: what looks at a folder is apart from the ledger's commands

The backlog store's commands need the same flags, rows and way to a folder. Moved to looking.go, with Holder for the owner of any lock file. The ledger's commands print what they did.

--- a/internal/command/ledger.go
+++ b/internal/command/ledger.go
@@ -2,38 +2,26 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"slices"
-	"strconv"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"spanflow/forward"
 	"spanflow/internal/config"
 	"spanflow/internal/ledger"
 	"spanflow/internal/shell"
 )
 
-// looking are the flags of the ledger's commands.
-type looking struct {
-	folder, dest, tenant, key, front, kind, state string
-	expired, within                               time.Duration
-	most                                          int
-}
-
 func (s *session) ledgerCommand() *cobra.Command {
 	c := &cobra.Command{Use: "ledger", Short: "Look at what is owed", Args: cobra.NoArgs,
 		Long: `Reads a ledger's folder, whether a forwarder has it or not. Nothing is altered and no forwarder waits for it; with
 one running, what is printed is as of a moment ago.`,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	l := &looking{}
-	add := func(c *cobra.Command) *cobra.Command {
-		s.configured(c).Flags().StringVarP(&l.folder, "folder", "f", "", "the folder (default: the configuration's)")
-		c.MarkFlagDirname("folder")
-		return c
-	}
+	add := func(c *cobra.Command) *cobra.Command { return s.inFolder(c, l) }
 	list := add(&cobra.Command{Use: "list", Short: "List the documents that are owed their end", Args: cobra.NoArgs,
 		Long: `Lists documents in the order of their taking on. States: held (not transmitted yet), tried (transmitted, surely never
 run), out (a transmission is out), may-have-run, returned and abandoned (answered; the answer is not confirmed yet).`,
@@ -61,61 +49,11 @@
 	return c
 }
 
-// look reads the folder that is asked for; the names of tenants come with a configuration, if there is one.
-func (s *session) look(l *looking) (*ledger.View, []string, error) {
-	folder := l.folder
-	var tenants []string
-	if folder == "" || s.path != "" {
-		path, platform, err := s.file()
-		if err != nil {
-			return nil, nil, fmt.Errorf("no folder: use --folder, or --config FILE")
-		}
-		of := ""
-		if platform {
-			o, err := s.order()
-			if err != nil {
-				return nil, nil, err
-			}
-			of, tenants = o.Folder, o.Names.Tenants
-		} else {
-			c, err := config.Load(path, s.environ, s.set)
-			if err != nil {
-				return nil, nil, s.problems(err)
-			}
-			of = c.Folder()
-			for _, t := range c.Tenants {
-				tenants = append(tenants, t.Name)
-			}
-		}
-		if folder == "" {
-			folder = of
-		}
-	}
-	v, err := ledger.Look(folder)
-	return v, tenants, err
-}
-
 // filter reads the flags.
 func (l *looking) filter(tenants []string) (f ledger.Filter, err error) {
-	number := func(name, text string, base, bits int) *uint64 {
-		n, e := strconv.ParseUint(text, base, bits)
-		if e != nil && err == nil {
-			err = fmt.Errorf("--%s: %q is not a number", name, text)
-		}
-		return &n
-	}
-	if l.dest != "" {
-		f.Dest = number("dest", l.dest, 10, 32)
-	}
-	if l.key != "" {
-		f.Key = number("key", l.key, 16, 64)
-	}
-	if l.tenant != "" {
-		i := slices.Index(tenants, l.tenant)
-		if i < 0 {
-			i = int(*number("tenant", l.tenant, 10, 31))
-		}
-		f.Tenant = &i
+	f.Dest, f.Tenant, err = l.lane(tenants)
+	if l.key != "" && err == nil {
+		f.Key, err = flagNumber("key", l.key, 16, 64)
 	}
 	if l.front != "" {
 		name := l.front
@@ -140,43 +78,25 @@
 	return f, err
 }
 
-// row is one document as it is printed.
-type row struct {
-	ID      string    `json:"id"`
-	State   string    `json:"state"`
-	Dest    uint64    `json:"dest"`
-	Type    string    `json:"type"`
-	Tenant  string    `json:"tenant"`
-	Key     string    `json:"key"`
-	Mark    string    `json:"number,omitempty"`
-	Front   string    `json:"front"`
-	Held    bool      `json:"caller_waits,omitempty"`
-	Sent    int       `json:"transmissions"`
-	Expiry  time.Time `json:"expiry"`
-	Ran     time.Time `json:"may_have_run_since,omitzero"`
-	Out     time.Time `json:"out_since,omitzero"`
-	Seq     uint64    `json:"sequence"`
-	Bytes   int       `json:"bytes"`
-	Body    []byte    `json:"body,omitempty"`
-	AfterMs int       `json:"come_back_ms,omitempty"`
+// look reads the folder that is asked for; the names of tenants come with a configuration, if there is one.
+func (s *session) look(l *looking) (*ledger.View, []string, error) {
+	folder, tenants, err := s.folder(l.folder, ledgerPlace)
+	if err != nil {
+		return nil, nil, err
+	}
+	v, err := ledger.Look(folder)
+	return v, tenants, err
+}
+
+// ledgerPlace is where a configuration has the ledger.
+var ledgerPlace = place{
+	byOrder: func(o *forward.Order) string { return o.Folder },
+	byFile:  func(l *config.Loaded) string { return l.Folder() },
 }
 
 func rowOf(e *ledger.Entry, tenants []string) row {
-	at := func(micros int64) (t time.Time) {
-		if micros > 0 {
-			t = time.UnixMicro(micros)
-		}
-		return t
-	}
-	r := row{ID: e.ID, State: e.State(), Dest: e.Dest, Type: e.Type, Tenant: strconv.Itoa(e.Tenant), Key: fmt.Sprintf("%016x", e.Key), Mark: e.Mark,
-		Front: e.Front, Held: e.Held, Sent: e.Sent, Expiry: at(e.Expiry), Ran: at(e.Ran), Out: at(e.Out), Seq: e.Seq, Bytes: len(e.Body), AfterMs: e.After}
-	if e.Tenant < len(tenants) {
-		r.Tenant = tenants[e.Tenant]
-	}
-	if r.Front == "" {
-		r.Front = "resp"
-	}
-	return r
+	return row{ID: e.ID, State: e.State(), Dest: e.Dest, Type: e.Type, Tenant: tenantName(e.Tenant, tenants), Key: fmt.Sprintf("%016x", e.Key), Mark: e.Mark,
+		Front: frontName(e.Front), Held: e.Held, Sent: e.Sent, Expiry: moment(e.Expiry), Ran: moment(e.Ran), Out: moment(e.Out), Seq: e.Seq, Bytes: len(e.Body), AfterMs: e.After}
 }
 
 func (s *session) list(l *looking) error {
@@ -188,30 +108,19 @@
 	if err != nil {
 		return err
 	}
-	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
-	out := json.NewEncoder(s.out)
-	if !s.json {
-		fmt.Fprintln(t, "ID\tSTATE\tDEST\tTYPE\tTENANT\tKEY\tFRONT\tSENT\tEXPIRY\tBYTES")
-	}
-	n := 0
+	t := s.newTable()
 	for _, e := range v.Owed {
 		if !f.Picks(e) {
 			continue
 		}
-		if n++; l.most > 0 && n > l.most {
+		if l.most > 0 && t.rows == l.most {
 			break
 		}
-		r := rowOf(e, tenants)
-		if s.json {
-			if err := out.Encode(r); err != nil {
-				return err
-			}
-			continue
+		if err := t.add(rowOf(e, tenants)); err != nil {
+			return err
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%d\t%s\t%d\n", r.ID, r.State, r.Dest, r.Type, r.Tenant, r.Key, r.Front, r.Sent,
-			r.Expiry.Format(time.RFC3339), r.Bytes)
 	}
-	return t.Flush()
+	return t.flush()
 }
 
 func (s *session) showEntry(l *looking, id string) error {
@@ -225,34 +134,7 @@
 	}
 	r := rowOf(v.Owed[i], tenants)
 	r.Body = v.Owed[i].Body
-	if s.json {
-		return shell.Print(s.out, r)
-	}
-	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
-	line := func(name string, value any) { fmt.Fprintf(t, "%s\t%v\n", name, value) }
-	line("id", r.ID)
-	line("state", r.State)
-	line("destination", r.Dest)
-	line("type", r.Type)
-	line("tenant", r.Tenant)
-	line("key", r.Key)
-	line("number", r.Mark)
-	line("front", r.Front)
-	line("caller waits", r.Held)
-	line("transmissions", r.Sent)
-	line("expiry", r.Expiry.Format(time.RFC3339Nano))
-	if !r.Ran.IsZero() {
-		line("may have run since", r.Ran.Format(time.RFC3339Nano))
-	}
-	if !r.Out.IsZero() {
-		line("out since", r.Out.Format(time.RFC3339Nano))
-	}
-	line("body", fmt.Sprintf("%d bytes", r.Bytes))
-	if err := t.Flush(); err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(s.out, "%q\n", r.Body)
-	return err
+	return s.printRow(&r)
 }
 
 // sums are what stat prints.
@@ -320,13 +202,6 @@
 	return t.Flush()
 }
 
-func owner(pid int) string {
-	if pid == 0 {
-		return "none"
-	}
-	return fmt.Sprintf("pid %d", pid)
-}
-
 func (s *session) verify(l *looking) error {
 	v, _, err := s.look(l)
 	if err != nil {
--- a/internal/ledger/own.go
+++ b/internal/ledger/own.go
@@ -64,10 +64,13 @@
 	return f, nil
 }
 
-// Owner tells which running process has a folder, 0 if none is known. It asks without taking the lock away from
-// anybody who wants it for longer than a moment, and alters nothing.
-func Owner(dir string) int {
-	f, err := os.Open(filepath.Join(dir, ownerFile))
+// Owner tells which running process has a folder, 0 if none is known.
+func Owner(dir string) int { return Holder(filepath.Join(dir, ownerFile)) }
+
+// Holder tells which running process holds a lock file that has its number in it, 0 if none is known. It asks without
+// taking the lock away from anybody who wants it for longer than a moment, and alters nothing.
+func Holder(lockFile string) int {
+	f, err := os.Open(lockFile)
 	if err != nil {
 		return 0
 	}
