--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -59,7 +59,7 @@
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.PersistentFlags().BoolVar(&s.json, "json", false, "output for programs, as JSON")
 	root.CompletionOptions.SetDefaultShellCompDirective(cobra.ShellCompDirectiveDefault)
-	root.AddCommand(s.runCommand(), s.checkCommand(), s.configCommand(), s.ledgerCommand(), s.versionCommand())
+	root.AddCommand(s.runCommand(), s.checkCommand(), s.configCommand(), s.ledgerCommand(), s.backlogCommand(), s.versionCommand())
 	return root
 }
 
@@ -158,11 +158,19 @@
 	Answers string          `json:"final_answers,omitempty"`
 	Folder  string          `json:"folder,omitempty"`
 	Owner   int             `json:"folder_owner_pid,omitempty"`
+	Backlog *planBacklog    `json:"backlog,omitempty"`
 	Calls   int             `json:"slots,omitempty"`
 	Lines   int             `json:"outgoing_connections,omitempty"`
 	Metrics string          `json:"metrics,omitempty"`
 }
 
+// planBacklog is the store that a run would open.
+type planBacklog struct {
+	Folder string `json:"folder"`
+	Bytes  int64  `json:"bytes"`
+	Owner  int    `json:"owner_pid,omitempty"`
+}
+
 type planFront struct {
 	Name        string `json:"name"`
 	Protocol    string `json:"protocol"`
@@ -198,6 +206,9 @@
 		if p.Owner > 0 {
 			p.Notes = append(p.Notes, config.Problem{Field: "ledger.folder", What: fmt.Sprintf("belongs to a running process, pid %d: a second one would be refused", p.Owner)})
 		}
+		if p.Backlog != nil && p.Backlog.Owner > 0 && p.Backlog.Owner != p.Owner {
+			p.Notes = append(p.Notes, config.Problem{Field: "backlog.folder", What: fmt.Sprintf("belongs to a running process, pid %d: a second one would be refused", p.Backlog.Owner)})
+		}
 	}
 	if s.json {
 		err = shell.Print(s.out, p)
@@ -214,6 +225,9 @@
 	p.Name, p.Folder, p.Calls, p.Metrics = o.Name, o.Folder, o.Terms.Slots, o.Metrics
 	p.Lines = o.Sockets - 32 - forward.Clients(o.Sockets)
 	p.Owner = ledger.Owner(o.Folder)
+	if b := o.Backlog; b != nil {
+		p.Backlog = &planBacklog{Folder: b.Folder, Bytes: b.Bytes, Owner: storeOwner(b.Folder)}
+	}
 	for i, n := range o.Shares() {
 		f := o.Fronts[i]
 		p.Fronts = append(p.Fronts, planFront{f.Name, f.Protocol, f.Listen, n})
@@ -242,6 +256,9 @@
 		fmt.Fprintf(t, "front %s\t%s at %s, %d connections at most\n", f.Name, f.Protocol, f.Listen, f.Connections)
 	}
 	fmt.Fprintf(t, "list\t%s\nfinal answers\t%s\nfolder\t%s\nslots\t%d, on %d outgoing connections at most\n", p.List, p.Answers, p.Folder, p.Calls, p.Lines)
+	if p.Backlog != nil {
+		fmt.Fprintf(t, "backlog\t%s, %s at most\n", p.Backlog.Folder, config.Size(p.Backlog.Bytes))
+	}
 	if p.Metrics != "" {
 		fmt.Fprintf(t, "metrics\thttp://%s/metrics\n", p.Metrics)
 	}
