--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -55,7 +55,7 @@
 	m.turn = m.set.NewPrometheusHistogramExt(m.name("owner_turn_seconds"), metrics.ExponentialBuckets(0.00001, 4, 10))
 	m.news = m.set.NewCounter(m.name("owner_news_total"))
 	for _, l := range levels {
-		m.set.NewGauge(m.name(l.Name), l.Read)
+		m.set.NewGauge(m.name(l.Name, l.Labels...), l.Read)
 	}
 	return m, m.serve(addr, token)
 }
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -212,6 +212,7 @@
 
 // Level is a figure that is read when it is asked for; Read is safe to call from any goroutine.
 type Level struct {
-	Name string
-	Read func() float64
+	Name   string
+	Labels []string // names and values in turn, beside the forwarder's; values from short lists
+	Read   func() float64
 }
