--- a/forward/forward.go
+++ b/forward/forward.go
@@ -10,11 +10,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -45,7 +43,7 @@
 	nbio.MaxOpenFiles = order.Sockets + 1024 // it keeps a table of that size for each engine
 
 	x := newExchange()
-	operators := newDesk(order, x)
+	operators := newAdminRequests(order, x)
 	if order.Admin != "" {
 		a, err := admin.Open(order.Admin, operators)
 		if err != nil {
@@ -80,6 +78,10 @@
 	order.askForList()
 	o := newOwner(order, log, x)
 	o.asRead, o.ledger, o.operators, o.rota, o.logTo = asRead, led, operators, rota.New(readOut(order.Folder)), logTo
+	if err := o.openBacklog(); err != nil {
+		return err
+	}
+	defer o.closeBacklog()
 	if err := o.connect(dialer); err != nil {
 		return err
 	}
@@ -110,17 +112,6 @@
 	return nil
 }
 
-// listenInherited puts the socket that the platform hands down in the place of the first front's address.
-func (o *Order) listenInherited() (net.Listener, error) {
-	l, err := inherit(o.Inherited)
-	if err != nil {
-		return nil, err
-	}
-	o.Fronts = slices.Clone(o.Fronts)
-	o.Fronts[0].Listener = l
-	return l, nil
-}
-
 // openLedger opens the folder. A process that replaces another waits until that one has left it.
 func openLedger(ctx context.Context, order *Order, log zerolog.Logger) (*ledger.Ledger, error) {
 	wait := time.Duration(0)
--- a/internal/backlog/policy/policy.go
+++ b/internal/backlog/policy/policy.go
@@ -25,33 +25,35 @@
 	// Behind is how many messages of a lane stay in memory while its destination serves it and none is stored; more
 	// means that it is far behind.
 	Behind int
+	// Memory is how many messages of all lanes together stay in memory before new ones are stored; 0: no bound.
+	Memory int
 	// Batch is how many messages come back in one turn of the event loop, over all lanes.
 	Batch int
 	// ExpiryLead is how long before the end of its time a stored message comes back to be answered.
 	ExpiryLead time.Duration
 }
 
-// Check tells what is wrong, by field.
+// Check tells what is wrong, by field, with the names of the configuration.
 func (b *Bounds) Check() error {
 	switch {
 	case b.Bytes <= 0:
-		return fmt.Errorf("Bytes: %d is not above 0", b.Bytes)
+		return fmt.Errorf("bytes: %d is not above 0", b.Bytes)
 	case b.DestinationBytes <= 0 || b.DestinationBytes > b.Bytes:
-		return fmt.Errorf("DestinationBytes: %d is not between 1 and Bytes (%d)", b.DestinationBytes, b.Bytes)
+		return fmt.Errorf("destination_bytes: %d is not between 1 and bytes (%d)", b.DestinationBytes, b.Bytes)
 	case b.TenantBytes <= 0 || b.TenantBytes > b.Bytes:
-		return fmt.Errorf("TenantBytes: %d is not between 1 and Bytes (%d)", b.TenantBytes, b.Bytes)
+		return fmt.Errorf("tenant_bytes: %d is not between 1 and bytes (%d)", b.TenantBytes, b.Bytes)
 	case b.Window < 1:
-		return fmt.Errorf("Window: %d is less than 1", b.Window)
+		return fmt.Errorf("window: %d is less than 1", b.Window)
 	case b.Behind < b.Window:
-		return fmt.Errorf("Behind: %d is less than Window (%d)", b.Behind, b.Window)
+		return fmt.Errorf("behind: %d is less than window (%d)", b.Behind, b.Window)
 	case b.Batch < 1:
-		return fmt.Errorf("Batch: %d is less than 1", b.Batch)
+		return fmt.Errorf("batch: %d is less than 1", b.Batch)
 	case b.ExpiryLead <= 0:
-		return fmt.Errorf("ExpiryLead: %v is not above 0", b.ExpiryLead)
+		return fmt.Errorf("expiry_lead: %v is not above 0", b.ExpiryLead)
 	}
 	for tenant, bytes := range b.Tenants {
 		if bytes <= 0 || bytes > b.Bytes {
-			return fmt.Errorf("Tenants: %d of tenant %d is not between 1 and Bytes (%d)", bytes, tenant, b.Bytes)
+			return fmt.Errorf("tenants: %d of tenant %d is not between 1 and bytes (%d)", bytes, tenant, b.Bytes)
 		}
 	}
 	return nil
@@ -133,6 +135,7 @@
 	destinations map[uint64]*destinationState
 	tenants      map[uint32]int64 // bytes
 	stored       amount
+	held         int          // messages in memory
 	queue        []*laneState // lanes for which a move may be due, each once, served in turn
 	drain        drainRate
 }
@@ -167,7 +170,8 @@
 // Decide tells where a new message goes. The event loop then calls Held or Stored, or Refused ones are forgotten.
 func (p *Policy) Decide(lane Lane, bytes int64, now time.Time) Decision {
 	l := p.lanes[lane]
-	if l == nil || l.stored.messages == 0 && l.held < p.mostHeld(lane) {
+	fits := l == nil || l.stored.messages == 0 && l.held < p.mostHeld(lane)
+	if fits && p.memoryLeft() > 0 {
 		return Decision{Place: Memory}
 	}
 	if bound := p.bound(lane, bytes); bound != NoBound {
@@ -211,6 +215,7 @@
 func (p *Policy) Held(lane Lane) {
 	l := p.lane(lane)
 	l.held++
+	p.held++
 	p.consider(l)
 }
 
@@ -218,6 +223,7 @@
 func (p *Policy) Ended(lane Lane) {
 	l := p.lane(lane)
 	l.held--
+	p.held--
 	p.consider(l)
 	p.forget(l)
 }
@@ -233,6 +239,7 @@
 func (p *Policy) Spilled(lane Lane, bytes int64) {
 	l := p.lane(lane)
 	l.held--
+	p.held--
 	p.count(l, 1, bytes)
 }
 
@@ -240,6 +247,7 @@
 func (p *Policy) Back(lane Lane, bytes int64, now time.Time) {
 	l := p.lane(lane)
 	l.held++
+	p.held++
 	p.count(l, -1, -bytes)
 	p.drain.left(bytes, now)
 }
@@ -264,8 +272,8 @@
 // be tried before it is called again; a lane whose move was not carried out is given again by Unmoved.
 func (p *Policy) Due() []Move {
 	var moves []Move
-	left := p.bounds.Batch
-	for range len(p.queue) {
+	left, memory := p.bounds.Batch, p.memoryLeft()
+	for range min(len(p.queue), mostLooked) {
 		if left == 0 {
 			break
 		}
@@ -278,11 +286,21 @@
 			p.forget(l)
 			continue
 		}
-		if m.Count > left {
-			m.Count = left
+		most := left
+		if m.Kind == BringBack {
+			most = min(left, memory)
+		}
+		if m.Count > most {
+			m.Count = most
 			p.push(l)
 		}
+		if m.Count == 0 { // memory is full: it waits for its turn
+			continue
+		}
 		left -= m.Count
+		if m.Kind == BringBack {
+			memory -= m.Count
+		}
 		moves = append(moves, m)
 	}
 	return moves
