--- a/lab/sim/real.go
+++ b/lab/sim/real.go
@@ -24,25 +24,25 @@
 // realDay is a day on the wall clock. Its lock is held by whatever touches the model or the log.
 type realDay struct {
 	Real
-	mu      sync.Mutex
-	epoch   time.Time
-	scene   *scene.Scene
-	dests   []*partner.Destination
-	group   []int
-	log     *audit.Log
-	result  *Result
-	effects map[uint64]*effect
-	tails   map[uint64]chan struct{} // of each key, closed when its latest document has its answer at the door
-	heard   map[uint64]bool          // delivered, as the partner wrote
-	from    map[uint64]int           // the forwarder that a document was handed in at
-	lastID  uint64
-	dice    *rand.Rand
-	disc    *standin.Discovery
-	doors   map[*partner.Target]*door
-	nodes   []*process
-	failed  error // of a forwarder that could not be started again
-	wg      sync.WaitGroup
-	ctx     context.Context
+	mu        sync.Mutex
+	epoch     time.Time
+	scene     *scene.Scene
+	dests     []*partner.Destination
+	group     []int
+	log       *audit.Log
+	result    *Result
+	effects   map[uint64]*effect
+	tails     map[uint64]chan struct{} // of each key, closed when its latest document has its answer at the door
+	heard     map[uint64]bool          // delivered, as the partner wrote
+	from      map[uint64]int           // the forwarder that a document was handed in at
+	lastID    uint64
+	dice      *rand.Rand
+	disc      *standin.Discovery
+	endpoints map[*partner.Target]*endpoint
+	nodes     []*process
+	failed    error // of a forwarder that could not be started again
+	wg        sync.WaitGroup
+	ctx       context.Context
 }
 
 // Now and After make a realDay a partner.Clock.
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := &realDay{Real: r, epoch: time.Now(), scene: s, result: newResult(s, seed), effects: map[uint64]*effect{}, from: map[uint64]int{}, heard: map[uint64]bool{}, tails: map[uint64]chan struct{}{},
-		dice: rand.New(rand.NewPCG(seed, 2)), doors: map[*partner.Target]*door{}, ctx: ctx}
+		dice: rand.New(rand.NewPCG(seed, 2)), endpoints: map[*partner.Target]*endpoint{}, ctx: ctx}
 	d.log = audit.New(d, func(dest int) bool { return s.Partners[d.group[dest]].Apart }, float64(s.Dispatch.KeyRest))
 	d.log.Slack = audit.Slack{Answer: 0.35, Wait: 0.15, Drain: 0.3}
 	partners := rand.New(rand.NewPCG(seed, 3))
@@ -80,7 +80,7 @@
 		}
 	}
 	defer func() {
-		for _, o := range d.doors {
+		for _, o := range d.endpoints {
 			o.close()
 		}
 	}()
--- a/lab/sim/real_endpoint.go
+++ b/lab/sim/real_endpoint.go
@@ -16,8 +16,8 @@
 	"spanflow/seam"
 )
 
-// door is a target's listener. While the target refuses connections nobody listens there.
-type door struct {
+// endpoint is a target's listener. While the target refuses connections nobody listens there.
+type endpoint struct {
 	day    *realDay
 	target *partner.Target
 	addr   string
@@ -27,25 +27,25 @@
 	over   bool
 }
 
-const lookAtDoors = 10 * time.Millisecond
+const listenCheckInterval = 10 * time.Millisecond
 
 func (d *realDay) open(t *partner.Target) error {
-	o := &door{day: d, target: t, conns: map[net.Conn]struct{}{}}
+	ep := &endpoint{day: d, target: t, conns: map[net.Conn]struct{}{}}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	o.addr = ln.Addr().String()
-	d.doors[t] = o
-	o.serve(ln)
+	ep.addr = ln.Addr().String()
+	d.endpoints[t] = ep
+	ep.serve(ln)
 	go func() {
-		tick := time.NewTicker(lookAtDoors)
+		tick := time.NewTicker(listenCheckInterval)
 		defer tick.Stop()
 		for range tick.C {
 			d.mu.Lock()
 			refused, _ := t.Up()
 			d.mu.Unlock()
-			if !o.look(refused) {
+			if !ep.look(refused) {
 				return
 			}
 		}
@@ -53,56 +53,56 @@
 	return nil
 }
 
-func (o *door) serve(ln net.Listener) {
-	o.ln = ln
-	server := &http.Server{Handler: o, ConnState: func(c net.Conn, s http.ConnState) {
-		o.mu.Lock()
-		defer o.mu.Unlock()
+func (ep *endpoint) serve(ln net.Listener) {
+	ep.ln = ln
+	server := &http.Server{Handler: ep, ConnState: func(c net.Conn, s http.ConnState) {
+		ep.mu.Lock()
+		defer ep.mu.Unlock()
 		switch s {
 		case http.StateNew:
-			o.conns[c] = struct{}{}
+			ep.conns[c] = struct{}{}
 		case http.StateClosed, http.StateHijacked:
-			delete(o.conns, c)
+			delete(ep.conns, c)
 		}
 	}}
 	go server.Serve(ln)
 }
 
-// look closes or opens the door; false once it is over.
-func (o *door) look(refused bool) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+// look closes or opens the listener; false once it is over.
+func (ep *endpoint) look(refused bool) bool {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
 	switch {
-	case o.over:
+	case ep.over:
 		return false
-	case refused && o.ln != nil:
-		o.ln.Close()
-		o.ln = nil
-		for c := range o.conns {
+	case refused && ep.ln != nil:
+		ep.ln.Close()
+		ep.ln = nil
+		for c := range ep.conns {
 			c.Close()
 		}
-	case !refused && o.ln == nil:
-		if ln, err := net.Listen("tcp", o.addr); err == nil {
-			o.serve(ln)
+	case !refused && ep.ln == nil:
+		if ln, err := net.Listen("tcp", ep.addr); err == nil {
+			ep.serve(ln)
 		}
 	}
 	return true
 }
 
-func (o *door) close() {
-	o.look(true)
-	o.mu.Lock()
-	o.over = true
-	o.mu.Unlock()
+func (ep *endpoint) close() {
+	ep.look(true)
+	ep.mu.Lock()
+	ep.over = true
+	ep.mu.Unlock()
 }
 
 // ServeHTTP takes a call to the model and writes what it answers.
-func (o *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (ep *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 16<<20))
 	if err != nil {
 		return
 	}
-	d := o.day
+	d := ep.day
 	ids, marks := []string{r.Header.Get("X-Txn")}, []string{r.Header.Get("Idempotency-Key")}
 	if r.URL.Path == "/hook/batch" {
 		var many []struct{ ID, Key, Body string }
@@ -132,7 +132,7 @@
 		}
 		call.Docs = append(call.Docs, doc)
 	}
-	o.target.Take(call)
+	ep.target.Take(call)
 	d.mu.Unlock()
 	var a partner.Answer
 	select {
@@ -140,7 +140,7 @@
 	case <-r.Context().Done():
 		d.mu.Lock()
 		call.Cancel()
-		o.target.Learned(call.From)
+		ep.target.Learned(call.From)
 		d.closed(call, false)
 		d.mu.Unlock()
 		return
@@ -149,7 +149,7 @@
 	d.closed(call, told(a.End))
 	d.result.Ends[a.End.String()] += len(call.Docs)
 	if a.End != seam.Took {
-		o.target.Learned(call.From)
+		ep.target.Learned(call.From)
 	}
 	if a.End == seam.Took {
 		for _, doc := range call.Docs {
--- a/lab/sim/real_faults.go
+++ b/lab/sim/real_faults.go
@@ -8,7 +8,7 @@
 )
 
 func (d *realDay) entry(t *partner.Target) standin.Entry {
-	e := standin.Entry{UID: fmt.Sprintf("d%d-%d", t.Dest.Number, t.Number), Endpoint: d.doors[t].addr, Zone: fmt.Sprint("z", t.Zone),
+	e := standin.Entry{UID: fmt.Sprintf("d%d-%d", t.Dest.Number, t.Number), Endpoint: d.endpoints[t].addr, Zone: fmt.Sprint("z", t.Zone),
 		Kind: fmt.Sprint("k", d.group[t.Dest.Number]), Dest: t.Dest.Number, State: "active"}
 	switch {
 	case t.Trouble.Left:
