forward: a reload takes up the backlog store's bounds

Need: the bounds are listed as taken up while the forwarder runs. Change: both the policy's and the files' bounds are set before the fronts move, and set back if these fail, so that an order is taken up whole or not at all.

--- a/forward/backlog.go
+++ b/forward/backlog.go
@@ -86,6 +86,18 @@
 	return nil
 }
 
+// setBacklogBounds takes up other bounds while the forwarder runs. What is stored beyond lower ones stays.
+func (o *owner) setBacklogBounds(asked *Backlog) error {
+	bounds := asked.policyBounds(o.order.Terms.Room)
+	if err := bounds.Check(); err != nil {
+		return fmt.Errorf("backlog: %w", err)
+	}
+	if err := o.stored.store.SetBounds(asked.storeBounds()); err != nil {
+		return fmt.Errorf("backlog: %w", err)
+	}
+	return o.stored.policy.SetBounds(bounds)
+}
+
 // closeBacklog ends the use of the store, before the ledger's folder is free for another process.
 func (o *owner) closeBacklog() {
 	if o.stored == nil {
--- a/forward/reread.go
+++ b/forward/reread.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
 	"slices"
@@ -119,12 +120,24 @@
 	if changed["notices"] && (was.toldNotices == "") != (next.toldNotices == "") {
 		return fmt.Errorf("discovery.notices: an address beside discovery's comes and goes only at a start")
 	}
-	if changed["listen"] { // first of all, as it alone can fail
+	resized := changed["backlog"] && o.stored != nil && next.Backlog != nil
+	if resized { // this and the fronts first, as they can fail
+		if err := o.setBacklogBounds(next.Backlog); err != nil {
+			return err
+		}
+	}
+	if changed["listen"] {
 		if err := o.move(next.Fronts); err != nil {
+			if resized {
+				err = errors.Join(err, o.setBacklogBounds(was.Backlog))
+			}
 			return err
 		}
 		was.Fronts = next.Fronts
 	}
+	if resized {
+		was.Backlog = next.Backlog
+	}
 	if changed["discovery"] { // else a variable at the start may have gone before it
 		was.told, was.Discovery = next.told, next.told
 		if o.moves != nil {
