--- a/lab/capacity/measure/measure_test.go
+++ b/lab/capacity/measure/measure_test.go
@@ -276,3 +276,37 @@
 		require.Equal(t, "down-destination", c.Role)
 	}
 }
+
+func TestAFreshMessageCostsAsMuchWhateverIsStored(t *testing.T) {
+	m := small(t, "backlog", 20_000)
+	require.NoError(t, m.freshBesideStored([]int{0, 200, 20_000}))
+	require.Less(t, growth(m.of(t, backlogRatio)), 5.0, "100 times as many stored and more")
+	windows := small(t, "backlog", 50)
+	require.NoError(t, windows.freshBesideWindows([]int{0, 50}, 4))
+	require.Len(t, windows.of(t, outRatio).Points, 2)
+	require.Positive(t, windows.of(t, outFresh).Points[1].Value)
+}
+
+func TestAStoredMessageTakesFewBytesOfMemory(t *testing.T) {
+	m := small(t, "backlog-restart", 100_000)
+	require.NoError(t, measureBacklogRestart(m))
+	memory := m.of(t, backlogMemory)
+	require.Len(t, memory.Points, 2)
+	perMessage := (memory.Points[1].Value - memory.Points[0].Value) / (memory.Points[1].Size - memory.Points[0].Size)
+	require.Less(t, perMessage, 1.5*bodyBytes, "less than the message itself, with what a collection leaves")
+	require.InDelta(t, bodyBytes+124, m.each(t, backlogDisk), 30)
+}
+
+func TestStoredMessagesDrainAndAreWrittenTwice(t *testing.T) {
+	m := small(t, "backlog-drain", 2000)
+	require.NoError(t, m.drainStored(2000))
+	require.Positive(t, m.of(t, drainRate).Points[0].Value)
+	require.InDelta(t, 1, m.of(t, fillWritten).Points[0].Value, 0.1, "a message is written once when it is stored")
+}
+
+func TestStoredMessagesThatExpireAtOnceAreAnsweredBeforeTheirTime(t *testing.T) {
+	m := small(t, "backlog-expiry", 2000)
+	require.NoError(t, m.expireStored(2000))
+	require.Zero(t, m.of(t, expiredLate).Points[0].Value)
+	require.Positive(t, m.of(t, expiredMargin).Points[0].Value)
+}
--- a/lab/capacity/measure/path.go
+++ b/lab/capacity/measure/path.go
@@ -50,6 +50,7 @@
 	seconds   float64
 	cpu       float64 // seconds of the forwarder's processor time
 	in, out   float64 // bytes between clients and forwarder, and between forwarder and targets
+	slowest   float64 // seconds from the moment at which a message was to be handed in to its answer, at most
 }
 
 func (t *trial) recordRate(w traffic) {
@@ -92,7 +93,15 @@
 }
 
 // load sends messages at a rate for a while and waits until they are delivered.
-func (t *trial) load(p *process, targets *targets, rate, body int) (w traffic, err error) {
+func (t *trial) load(p *process, targets *targets, rate, body int) (traffic, error) {
+	if t.quick {
+		return t.loadFor(p, targets, rate, body, quickSeconds)
+	}
+	return t.loadFor(p, targets, rate, body, pathSeconds)
+}
+
+// loadFor is load for so many seconds.
+func (t *trial) loadFor(p *process, targets *targets, rate, body int, lasts float64) (w traffic, err error) {
 	var in atomic.Int64
 	run := load.Run{Addr: p.listen, Connections: pathClients, Timeout: answerWithin, Life: 60, Bytes: body,
 		Prefix: fmt.Sprintf("%x-", time.Now().UnixNano()),
@@ -100,10 +109,6 @@
 			c, err := net.DialTimeout("tcp", p.listen, answerWithin)
 			return &countedConn{c, &in}, err
 		}}
-	lasts := pathSeconds
-	if t.quick {
-		lasts = quickSeconds
-	}
 	random := rand.New(rand.NewPCG(t.Seed, 1))
 	source := &load.Drawn{Arrivals: load.Even(load.Shape{{Rate: float64(rate)}}, lasts), Dice: random, Dest: load.Zipf(pathTargets, 0),
 		Types: []string{heldType}}
@@ -126,7 +131,7 @@
 		}
 	}
 	w = traffic{body: body, delivered: float64(targets.calls.Load() - calls), seconds: time.Since(began).Seconds(),
-		in: float64(in.Load()), out: float64(targets.bytes.Load() - out)}
+		in: float64(in.Load()), out: float64(targets.bytes.Load() - out), slowest: report.Intended.Max}
 	after, err := processorTimeOf(p.pid())
 	w.cpu = after - cpu
 	if err == nil && w.delivered < pathShare*float64(report.Sent) {
