ledger: freeing a file costs by what is recorded in it

Each file now keeps the numbers of the entries recorded in it (8 bytes a record, gone with the file). What is written anew, and its order, stay. Owed() at the start stays as it was.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -99,8 +99,9 @@
 }
 
 type file struct {
-	number int
-	size   int64
+	number   int
+	size     int64
+	recorded []uint64 // numbers of the entries recorded in it, some of them over or recorded anew since
 }
 
 func blocks(n int64) int64 { return (n + block - 1) / block * block }
@@ -141,6 +142,9 @@
 	}
 	for _, e := range l.entries {
 		l.live += e.Size()
+		if i, found := slices.BinarySearchFunc(l.files, e.file, func(f file, number int) int { return f.number - number }); found {
+			l.recordedIn(&l.files[i], e)
+		}
 	}
 	_ = l.rotate() // a folder that cannot be written to now is tried again with each record
 	return l, nil
@@ -338,10 +342,28 @@
 	if err := l.append(l.whole(e)); err != nil {
 		return err
 	}
-	e.file = l.files[len(l.files)-1].number
+	l.recordedIn(&l.files[len(l.files)-1], e)
 	return nil
 }
 
+// recordedIn notes that an entry's latest record is in a file.
+func (l *Ledger) recordedIn(f *file, e *Entry) {
+	e.file = f.number
+	f.recorded = append(f.recorded, e.Seq)
+}
+
+// owedBy is what is owed of the entries recorded in a file, in the order of taking.
+func (l *Ledger) owedBy(f *file) []*Entry {
+	var owed []*Entry
+	for _, seq := range f.recorded {
+		if e := l.entries[seq]; e != nil && e.file == f.number {
+			owed = append(owed, e)
+		}
+	}
+	slices.SortFunc(owed, func(a, b *Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+	return slices.Compact(owed)
+}
+
 // append closes a record and writes it, after making room.
 func (l *Ledger) append(b []byte) error {
 	l.buf = b
@@ -401,10 +423,7 @@
 	if len(l.files) == 1 {
 		return ErrFull
 	}
-	for _, e := range l.Owed() {
-		if e.file != old.number {
-			continue
-		}
+	for _, e := range l.owedBy(&old) {
 		b := l.whole(e)
 		l.buf = b
 		binary.LittleEndian.PutUint32(b, uint32(len(b)-header))
@@ -417,7 +436,7 @@
 		if err := l.put(b); err != nil {
 			return err
 		}
-		e.file = l.files[len(l.files)-1].number
+		l.recordedIn(&l.files[len(l.files)-1], e)
 	}
 	if err := os.Remove(path(l.dir, old.number)); err != nil {
 		return err
