Out of reach, discovery is asked again within 3.5 s, however long it was down

Seen, by reading against the operators' term (a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed call): ListFailed doubled the wait up to AskWithin, so that the next question came up to 13 s later, and 21 s where AskWithin is not stated (choice.go, wait).

One test of a timer tells its turn instead of an empty lock.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 // Package choice decides which document goes out when, to which target, and which is given up.
 //
 // How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the
-// order of arrival (List, ListFailed, ListSilent, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and
+// order of arrival (List, ListFailed, ListBroken, ListSilent, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and
 // Settle once. Where the room at the door is the module's to mind, Admit comes before Take. The interface is
 // in port.go, what is remembered in state.go. The ordinary path is that of docs/design.md.
 //
@@ -41,6 +41,7 @@
 	kept       = 5.0  // calls that an earlier process's times count as, at most
 	agentAsks  = 0.4  // seconds between questions to an agent: what it has counts as told, heard or not
 	asksAtOnce = 4.0  // questions a second for the list, all forwarders together
+	askWait    = 2.7  // seconds to the next question, 1.3 times that at most, where discovery was out of reach
 	KeepSilent = 2.7  // seconds in which a client has to bring a whole command: slow ones may ask after two
 	KeepQuiet  = 3.0  // seconds that it may be connected between two
 )
@@ -57,7 +58,7 @@
 // List takes news of the targets; whole means that all are named.
 func (f *Forwarder) List(whole bool, lines []Listing) {
 	named := map[*Target]bool{}
-	f.unlisted, f.blind = 0, f.blind && f.now == f.began
+	f.unlisted, f.broken, f.blind = 0, 0, f.blind && f.now == f.began
 	if f.now == f.began && f.askAt == f.now && len(lines) > 0 { // as last known: the question can wait
 		f.askAt += f.asking() * f.dice.unit()
 	}
@@ -103,9 +104,16 @@
 // ListFailed says that a question for the list went wrong or that the list stopped coming. Each failure in a
 // row doubles the time to the next question. Guards against all forwarders together keeping discovery's line
 // so long that nobody is served in time; hurts when it was down and is back.
-func (f *Forwarder) ListFailed() {
-	wait := math.Min(math.Max(1, f.asking())*math.Pow(2, float64(f.unlisted)), f.terms.AskWithin)
-	f.unlisted, f.blind = min(f.unlisted+1, 4), false
+func (f *Forwarder) ListFailed() { f.askAgain(&f.unlisted, f.terms.AskWithin) }
+
+// ListBroken says that the list stopped coming, or that discovery is down or out of reach: no line of questions
+// is to be kept short. What it has counts as told six seconds after it could be reached, so that the next
+// question cannot wait longer. Guards against calls to what began to drain in an outage; costs questions in vain.
+func (f *Forwarder) ListBroken() { f.askAgain(&f.broken, math.Min(f.terms.AskWithin, askWait)) }
+
+func (f *Forwarder) askAgain(failures *int, most float64) {
+	wait := math.Min(math.Max(1, f.asking())*math.Pow(2, float64(*failures)), most)
+	*failures, f.blind = min(*failures+1, 4), false
 	f.askAt = f.now + wait*(0.3+f.dice.unit())
 }
 
--- a/choice/restart_test.go
+++ b/choice/restart_test.go
@@ -144,3 +144,26 @@
 	require.Equal(t, next, h.sent[len(h.sent)-1].doc)
 	require.Equal(t, "abandoned", h.done[first], "once")
 }
+
+// Whatever a failed, refused or given-up question allows, a change counts as told six seconds after discovery had it and
+// could be reached. A connection that never comes up takes a second and a half of that.
+func TestTheListIsAskedForSoonAfterAnOutageOfDiscoveryHoweverLong(t *testing.T) {
+	const toldIn, failsIn = 6.0, 1.5
+	asks := terms
+	asks.AskList = true
+	for _, within := range []float64{0, 2, 10} { // not stated, short, and long
+		for _, forwarders := range []int{1, 3, 30, 500} {
+			asks.AskWithin, asks.Forwarders = within, forwarders
+			for seed := range uint64(20) {
+				h := &fake{now: 100, done: map[*Doc]string{}, back: map[*Doc]float64{}}
+				h.Forwarder = New(asks, seed, h.now, h)
+				h.settle()
+				for n := range 12 {
+					require.Equal(t, n+1, h.asks, "%d forwarders, asked within %v", forwarders, within)
+					h.ListBroken()
+					h.pass(toldIn - failsIn - 0.9) // what is left is for the answer
+				}
+			}
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,6 +34,7 @@
 	askAt    float64 // when to ask for the list; infinite while it is coming
 	blind    bool    // the list of now counts as told and was not heard yet
 	unlisted int     // questions for the list that failed in a row
+	broken   int     // of these, those that failed for another reason than discovery's load
 }
 
 // New starts a forwarder.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -201,7 +201,7 @@
 func (x *Exchange) Listed(l *seam.List) { x.leave(l) }
 
 // WatchEnded says that the list stopped coming.
-func (x *Exchange) WatchEnded(why string, silent bool) { x.leave(watchEnded{why, silent}) }
+func (x *Exchange) WatchEnded(why string, how seam.WatchEnd) { x.leave(watchEnded{why, how}) }
 
 // NoticesLost says that notices will be sent once more.
 func (x *Exchange) NoticesLost(why string) { x.leave(noticesLost(why)) }
@@ -211,8 +211,8 @@
 
 type (
 	watchEnded struct {
-		why    string
-		silent bool
+		why string
+		how seam.WatchEnd
 	}
 	noticesLost string
 	told        []uint64
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -259,10 +259,13 @@
 		}
 	case watchEnded:
 		o.log.Warn().Str("why", n.why).Msg("watch ended")
-		if n.silent {
+		switch n.how {
+		case seam.WatchSilent:
 			o.f.ListSilent()
-		} else {
+		case seam.WatchLate:
 			o.f.ListFailed()
+		default:
+			o.f.ListBroken()
 		}
 	case told:
 		for _, door := range n {
--- /dev/null
+++ b/forward/watch_test.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"spanflow/choice"
+	"spanflow/seam"
+)
+
+// wakeHost notes in how many seconds the module wants to be woken, and how often it asks for the list.
+type wakeHost struct {
+	choice.Host
+	in   float64
+	asks int
+}
+
+func (h *wakeHost) Wake(in float64) { h.in = in }
+func (h *wakeHost) Watch()          { h.asks++ }
+func (h *wakeHost) Log(string)      {}
+
+// The time until the next question for the list goes by how the watch ended.
+func TestAWatchsEndDecidesHowLongTheNextQuestionWaits(t *testing.T) {
+	const askWithin, failures, seeds = 100, 8, 20
+	longest := func(how seam.WatchEnd) (wait float64) {
+		for seed := range uint64(seeds) {
+			host, now := &wakeHost{}, 100.0
+			terms := choice.Terms{Types: []choice.DocType{{Life: 20, Agreed: 3}}, Slots: 4, Room: 40, Forwarders: 3, AskList: true, AskWithin: askWithin}
+			o := &owner{f: choice.New(terms, seed, now, host), log: zerolog.Nop()}
+			o.f.Clock(now)
+			o.f.Settle()
+			require.Equal(t, 1, host.asks)
+			for n := range failures {
+				o.f.Clock(now)
+				o.hear(watchEnded{"as the test has it", how})
+				o.f.Settle()
+				wait = max(wait, host.in)
+				now += host.in + 0.001
+				o.f.Clock(now)
+				o.f.Woken()
+				o.f.Settle()
+				require.Equal(t, n+2, host.asks)
+			}
+		}
+		return wait
+	}
+	require.Less(t, longest(seam.WatchSilent), 1.0, "what it missed counts as told six seconds after it fell silent")
+	require.Less(t, longest(seam.WatchBroken), 3.6, "six seconds after discovery could be reached")
+	require.Greater(t, longest(seam.WatchLate), 8.0, "discovery has more questions than it can answer")
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -21,6 +21,7 @@
 	blankEvery  = 2 * time.Second        // an empty line comes so often while nothing changes
 	mostNotices = 512                    // in one call
 	answerIn    = 2 * time.Second        // a watch that has not begun so long after its connection is over
+	promptly    = 500 * time.Millisecond // what is turned away within this did not wait for others' questions
 	noticeIn    = 120 * time.Millisecond // notices are answered at once: after so long they are sent on a new connection
 	noticeMost  = 4                      // doublings of that while none is answered: the way may be a long one
 	againIn     = 50 * time.Millisecond
@@ -46,13 +47,14 @@
 	stopped bool
 	lost    int // calls with notices in a row that were not answered in time
 
-	// afterFunc starts every timer; tests put one in its place that fires at their word.
+	// The clock, and what starts every timer; tests put others in their place.
+	now       func() time.Time
 	afterFunc func(time.Duration, func()) *time.Timer
 }
 
 // New has no connections yet.
 func New(d *dial.Dialer, addr string, connect time.Duration, desk Desk) *Directory {
-	return &Directory{dialer: d, addr: addr, connect: connect, desk: desk, afterFunc: time.AfterFunc}
+	return &Directory{dialer: d, addr: addr, connect: connect, desk: desk, now: time.Now, afterFunc: time.AfterFunc}
 }
 
 // Stop ends all connections and starts none.
@@ -101,6 +103,7 @@
 	turn   int   // counts the times it was waited for, so that a late timer is known as one
 	told   bool  // a line has come
 	rev    int64 // the latest version that is held
+	asked  time.Time
 	over   bool
 }
 
@@ -114,7 +117,7 @@
 	if d.watch != nil {
 		d.watch.close()
 	}
-	w := &watch{dir: d, rev: rev}
+	w := &watch{dir: d, rev: rev, asked: d.now()}
 	d.watch, d.watched = w, true
 	w.line = d.dialer.Dial(d.addr, d.connect, w)
 	path := "/v1/endpoints?stream=1&index=" + strconv.FormatInt(rev, 10)
@@ -136,7 +139,11 @@
 	w.dir.mu.Lock()
 	defer w.dir.mu.Unlock()
 	if w.turn == turn { // else a line came while this waited for the lock
-		w.ended("silent", w.told)
+		how := seam.WatchLate
+		if w.told {
+			how = seam.WatchSilent
+		}
+		w.ended("silent", how)
 	}
 }
 
@@ -146,13 +153,15 @@
 	w.line.Close()
 }
 
-func (w *watch) end(why string) {
-	w.dir.mu.Lock()
-	defer w.dir.mu.Unlock()
-	w.ended(why, false)
+// failed tells how a watch ended that did not fall silent: late if its question waited for an answer and got none.
+func (w *watch) failed(cause error) seam.WatchEnd {
+	if w.told || w.code == 200 || errors.Is(cause, dial.ErrNeverUp) || w.dir.now().Sub(w.asked) < promptly {
+		return seam.WatchBroken
+	}
+	return seam.WatchLate
 }
 
-func (w *watch) ended(why string, silent bool) {
+func (w *watch) ended(why string, how seam.WatchEnd) {
 	if w.over {
 		return
 	}
@@ -160,7 +169,7 @@
 	if w.dir.watch == w {
 		w.dir.watch = nil
 	}
-	w.dir.desk.WatchEnded(why, silent)
+	w.dir.desk.WatchEnded(why, how)
 }
 
 // Data and Down make a watch a dial.Watcher.
@@ -174,13 +183,17 @@
 	_, whole, err := w.reader.Feed(b, w)
 	switch {
 	case err != nil:
-		w.ended(err.Error(), false)
+		w.ended(err.Error(), w.failed(err))
 	case whole:
-		w.ended(fmt.Sprintf("answered %d", w.code), false)
+		w.ended(fmt.Sprintf("answered %d", w.code), w.failed(nil))
 	}
 }
 
-func (w *watch) Down(cause error) { w.end(fmt.Sprint(cause)) }
+func (w *watch) Down(cause error) {
+	w.dir.mu.Lock()
+	defer w.dir.mu.Unlock()
+	w.ended(fmt.Sprint(cause), w.failed(cause))
+}
 
 // Status, Field and Body make a watch an http1.Handler.
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -1,8 +1,10 @@
 package directory
 
 import (
+	"context"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,16 +18,18 @@
 type desk struct {
 	lists  chan *seam.List
 	ended  chan string
+	how    chan seam.WatchEnd // the same ends
 	lost   chan string
 	told   chan []uint64
 	timers chan scriptedTimer // that the directory started, in their order
 }
 
 func (d *desk) Listed(l *seam.List) { d.lists <- l }
-func (d *desk) WatchEnded(why string, silent bool) {
-	if silent {
+func (d *desk) WatchEnded(why string, how seam.WatchEnd) {
+	if how == seam.WatchSilent {
 		why += ", having told"
 	}
+	d.how <- how
 	d.ended <- why
 }
 func (d *desk) NoticesLost(why string) { d.lost <- why }
@@ -67,7 +71,8 @@
 	dialer, err := dial.New("test", 8)
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close(); dialer.Stop() })
-	k := &desk{make(chan *seam.List, 9), make(chan string, 9), make(chan string, 9), make(chan []uint64, 9), make(chan scriptedTimer, 99)}
+	k := &desk{make(chan *seam.List, 9), make(chan string, 9), make(chan seam.WatchEnd, 9), make(chan string, 9),
+		make(chan []uint64, 9), make(chan scriptedTimer, 99)}
 	d := New(dialer, ln.Addr().String(), time.Second, k)
 	d.afterFunc = k.afterFunc
 	t.Cleanup(d.Stop)
@@ -231,7 +236,9 @@
 	c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n{\"rev\":1,\"all\":true,\"targets\":[]}\n"))
 	<-k.lists
 	d.mu.Lock() // the reader has gone on to wait anew
+	turn := w.turn
 	d.mu.Unlock()
+	require.Greater(t, turn, late)
 	w.silent(late)
 	require.Empty(t, k.ended)
 	c.Write([]byte("{\"rev\":2,\"all\":false,\"targets\":[]}\n"))
@@ -341,3 +348,55 @@
 	c.Write([]byte("HTTP/1.1 204 None\r\n\r\n"))
 	require.Equal(t, []uint64{1}, <-k.told)
 }
+
+// How a question failed decides when the next one follows: one that waited in vain shows that discovery has more of them
+// than it can answer; no other end does.
+func TestAWatchThatEndsTellsIfDiscoveryHadTooManyQuestions(t *testing.T) {
+	const busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+	const told = "HTTP/1.1 200 OK\r\n\r\n{\"rev\":2,\"all\":true,\"targets\":[]}\n"
+	for name, c := range map[string]struct {
+		waited time.Duration // for the answer
+		answer string        // then the connection ends
+		want   seam.WatchEnd
+	}{
+		"turned away at once":      {0, busy, seam.WatchBroken},
+		"turned away after a wait": {2 * time.Second, busy, seam.WatchLate},
+		"reset at once":            {0, "", seam.WatchBroken},
+		"reset after a wait":       {2 * time.Second, "", seam.WatchLate},
+		"ended having told":        {2 * time.Second, told, seam.WatchBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, k, accept := scene(t)
+			began := time.Now()
+			d.now = func() time.Time { return began }
+			d.Watch(1)
+			connection, _ := accept()
+			d.mu.Lock()
+			d.now = func() time.Time { return began.Add(c.waited) }
+			d.mu.Unlock()
+			connection.Write([]byte(c.answer))
+			connection.Close()
+			require.Equal(t, c.want, next(t, k.how))
+		})
+	}
+	t.Run("out of reach", func(t *testing.T) {
+		d, k, _ := scene(t)
+		began := time.Now()
+		d.now = func() time.Time { return began }
+		d.dialer.Connect = func(context.Context, string) (net.Conn, error) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.now = func() time.Time { return began.Add(2 * time.Second) }
+			return nil, syscall.ETIMEDOUT
+		}
+		d.Watch(1)
+		require.Equal(t, seam.WatchBroken, next(t, k.how))
+	})
+	t.Run("no answer in time", func(t *testing.T) {
+		d, k, accept := scene(t)
+		d.Watch(1)
+		accept()
+		next(t, k.timers).fire()
+		require.Equal(t, seam.WatchLate, next(t, k.how))
+	})
+}
--- a/seam/seam.go
+++ b/seam/seam.go
@@ -174,9 +174,18 @@
 // Board is where a source leaves the list.
 type Board interface {
 	Listed(*List)
-	WatchEnded(why string, silent bool) // silent: it had told something, and fell silent; else asking failed
+	WatchEnded(why string, how WatchEnd)
 }
 
+// WatchEnd is how a watch on the list ended.
+type WatchEnd int
+
+const (
+	WatchLate   WatchEnd = iota // no answer in time: the source has more questions than it can answer
+	WatchSilent                 // it had told something, and fell silent
+	WatchBroken                 // any other end: the source is down, out of reach, or what it told cannot be read
+)
+
 // Source brings the list.
 type Source interface {
 	Watch(rev int64) // brings what changed after that version, and from then on each change
