--- a/choice/restart_test.go
+++ b/choice/restart_test.go
@@ -167,3 +167,36 @@
 		}
 	}
 }
+
+// The window in which a target knows a repeat may be as short as a second, on days of restarts too: what may have run is
+// neither sent nor still waited for beyond it, and whatever is past its window ends as a failure, once.
+func TestAWindowOfASecondIsKeptOverARestart(t *testing.T) {
+	const window, life = 1.0, 20.0
+	short := onSockets()
+	short.Types = append([]DocType{}, short.Types...)
+	short.Types[ticket].Memory = window
+	for age := 0.0; age < 1.6; age += 0.04 { // of the call that was out when the process was killed
+		h := start(short)
+		d := h.receiver(0, 0, 0)
+		doc, ran := &Doc{Dest: d, Key: 5}, h.now-age
+		h.Recover(doc, ticket, life, Past{Sent: 1, Ran: ran})
+		h.settle()
+		for h.now < 100+life {
+			h.pass(0.02)
+			if n := len(h.sent); n > 0 && doc.call != nil && h.now >= h.sent[n-1].at+h.sent[n-1].timeout {
+				h.ends(doc, TimedOut, 0)
+			}
+		}
+		for _, s := range h.sent {
+			require.Less(t, s.at, ran+window, "killed %.2f s into its call", age)
+			require.Less(t, s.at+s.timeout, ran+window+0.001, "killed %.2f s into its call", age)
+		}
+		require.Contains(t, []string{"abandoned", "rejected"}, h.done[doc], "once, killed %.2f s into its call", age)
+		if age > window+0.01 {
+			require.Equal(t, "abandoned", h.done[doc], "a repeat is not harmless any more")
+		}
+		if age < 0.3 {
+			require.NotEmpty(t, h.sent, "there was time")
+		}
+	}
+}
