--- /dev/null
+++ b/lab/capacity/page/figure.go
@@ -0,0 +1,282 @@
+package page
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"spanflow/lab/capacity"
+)
+
+// figure is one line of a role's table: a quantity at the target size. At most one of given, curve and trial says what it
+// is worked out from; with none of them nothing measures it.
+type figure struct {
+	what      string
+	unit      Unit
+	given     *given
+	curve     *curveUse
+	trial     *trialUse
+	budget    *budget
+	carriedBy string // packages; empty: nothing carries it yet
+}
+
+// given is worked out from the target alone.
+type given struct {
+	value func(*Target) float64
+	from  string
+}
+
+// curveUse is a curve at the target size, times a factor.
+type curveUse struct {
+	ref     curveRef
+	unit    Unit                  // of the curve; the factor makes the figure's unit of it
+	size    func(*Target) float64 // nil: the target states none
+	sizeIs  string
+	times   func(*Target) float64 // nil: once
+	timesIs string
+}
+
+// trialUse is a figure of the largest trial of a scenario.
+type trialUse struct {
+	scenario string
+	value    func(*Target, *capacity.FleetTrial) float64
+	from     string
+	reached  func(*Target, *capacity.FleetTrial) float64 // the share of the target size that a trial had
+}
+
+// destinationsReached is the share for figures of one forwarder, which do not depend on how many there are.
+func destinationsReached(t *Target, trial *capacity.FleetTrial) float64 {
+	return float64(trial.Destinations) / t.Load.Destinations
+}
+
+// fleetReached is the share for figures of a whole fleet.
+func fleetReached(t *Target, trial *capacity.FleetTrial) float64 {
+	return math.Min(float64(trial.Forwarders)/t.Fleet.Forwarders, destinationsReached(t, trial))
+}
+
+// budget is what a figure may come to.
+type budget struct {
+	name  string
+	value func(*Target) float64
+	curve *curveUse // in place of value: the budget was measured beside what it bounds
+}
+
+// missing stands where nothing carries a figure.
+const missing = "**missing**"
+
+// reckoned is a figure worked out for a target and results.
+type reckoned struct {
+	*figure
+	role     string
+	estimate Estimate
+	limit    Limit
+	share    float64 // of the target size at which the budget is left, if limit tells one
+	from     string
+	command  string
+	budget   float64
+	budgeted bool
+}
+
+// at is the budget for a target, if it is known.
+func (b *budget) at(target *Target, results *capacity.Results) (float64, bool) {
+	if b.curve == nil {
+		return b.value(target), true
+	}
+	curve := curveOf(results, b.curve.ref)
+	if curve == nil {
+		return 0, false
+	}
+	curve, unit := converted(curve)
+	estimate := ValueAt(curve, b.curve.size(target))
+	return estimate.Value, unit == b.curve.unit && estimate.Basis != NotExtrapolated
+}
+
+// reckon works a figure out.
+func (f *figure) reckon(role string, target *Target, results *capacity.Results) (reckoned, error) {
+	r := reckoned{figure: f, role: role}
+	if f.budget != nil {
+		r.budget, r.budgeted = f.budget.at(target, results)
+	}
+	var err error
+	switch {
+	case f.given != nil:
+		r.fromTarget(target)
+	case f.curve != nil:
+		err = r.fromCurve(target, results)
+	case f.trial != nil:
+		r.fromTrial(target, results)
+	default:
+		r.from, r.command = "nothing measures it", "no command"
+	}
+	return r, err
+}
+
+func (r *reckoned) fromTarget(target *Target) {
+	r.estimate = Estimate{Basis: Fitted, Value: r.given.value(target)}
+	r.limit = Limit{Basis: Fitted, Never: r.estimate.Value <= r.budget}
+	r.from, r.command = r.given.from, "target.toml"
+}
+
+func (r *reckoned) fromCurve(target *Target, results *capacity.Results) error {
+	use := r.curve
+	r.command = "`spanlab capacity measure " + use.ref.role + "`"
+	curve := curveOf(results, use.ref)
+	if curve == nil {
+		r.from = "no curve (" + use.ref.quantity + ")"
+		return nil
+	}
+	curve, unit := converted(curve)
+	if unit != use.unit {
+		return fmt.Errorf("%s, %s: the curve (%s, %s) is in %q, not in %q", r.role, r.what, use.ref.role, use.ref.quantity, curve.Unit, use.unit)
+	}
+	r.from = describe(curve, unit)
+	if use.size == nil {
+		r.estimate, r.limit = Estimate{Basis: NoSize}, Limit{Basis: NoSize}
+		return nil
+	}
+	size, times := use.size(target), 1.0
+	if use.times != nil {
+		times = use.times(target)
+	}
+	r.estimate = ValueAt(curve, size)
+	r.estimate.Value *= times
+	if r.budgeted {
+		r.limit = LeavesAt(curve, r.budget/times, size)
+		r.share = r.limit.Size / size
+	}
+	r.from += "; at " + use.sizeIs + " (" + digits(size) + ")"
+	if use.times != nil {
+		r.from += ", × " + use.timesIs
+	}
+	return nil
+}
+
+// describe tells of a curve what it is worked out from.
+func describe(curve *capacity.Curve, unit Unit) string {
+	fit := curve.Fit
+	slope := unit.Format(fit.Slope) + " each of " + curve.SizeUnit
+	switch fit.Shape {
+	case capacity.Flat:
+		return "flat, " + unit.Format(mean(curve.Points))
+	case capacity.Linear:
+		return fmt.Sprintf("%s, and %s at none", slope, unit.Format(fit.Intercept))
+	case capacity.Bends:
+		return fmt.Sprintf("%s, and %s at none, up to %s", slope, unit.Format(fit.Intercept), digits(fit.BendAt))
+	}
+	return "not straight"
+}
+
+func (r *reckoned) fromTrial(target *Target, results *capacity.Results) {
+	r.command = "`spanlab capacity hollow`"
+	trials := trialsOf(results, r.trial.scenario)
+	if len(trials) == 0 {
+		r.from = "no trial (" + r.trial.scenario + ")"
+		return
+	}
+	largest := slices.MaxFunc(trials, func(a, b *capacity.FleetTrial) int {
+		return cmp.Or(cmp.Compare(r.trial.reached(target, a), r.trial.reached(target, b)), cmp.Compare(a.Forwarders, b.Forwarders))
+	})
+	r.from = fmt.Sprintf("%s; trial (%s) of %s forwarders with %s destinations", r.trial.from, r.trial.scenario,
+		digits(float64(largest.Forwarders)), digits(float64(largest.Destinations)))
+	r.estimate = Estimate{Basis: NotExtrapolated, Value: r.trial.value(target, largest)}
+	r.limit = Limit{Basis: NotExtrapolated}
+	if r.trial.reached(target, largest) >= 1 {
+		r.estimate.Basis = Measured
+		r.limit = Limit{Basis: Measured, Never: true}
+	}
+	if !r.budgeted {
+		return
+	}
+	for _, trial := range trials {
+		reached := r.trial.reached(target, trial)
+		over := r.trial.value(target, trial) > r.budget
+		if over && (r.limit.Size == 0 || reached < r.share) {
+			r.limit, r.share = Limit{Basis: Measured, Size: reached}, reached
+		}
+	}
+}
+
+func trialsOf(results *capacity.Results, scenario string) []*capacity.FleetTrial {
+	var trials []*capacity.FleetTrial
+	for i := range results.Fleets {
+		if results.Fleets[i].Scenario == scenario {
+			trials = append(trials, &results.Fleets[i])
+		}
+	}
+	return trials
+}
+
+// atSize is the cell that tells the value at the target size.
+func (r *reckoned) atSize() string {
+	value := r.unit.Format(r.estimate.Value)
+	switch r.estimate.Basis {
+	case NotMeasured:
+		return "not measured"
+	case NoSize:
+		return "no number is told"
+	case NotExtrapolated:
+		if r.trial != nil {
+			return value + " in the trial; not extrapolated"
+		}
+		return "not extrapolated" + r.leftAtMeasured()
+	case Extrapolated:
+		return fmt.Sprintf("%s (extrapolated to %s times the largest measured size)", value, digits(r.estimate.Beyond))
+	case Measured:
+		return value + " (measured)"
+	case Interpolated:
+		return value + " (between two measured sizes)"
+	}
+	return value
+}
+
+// leftAtMeasured says at which measured size a curve that is not drawn out leaves its budget.
+func (r *reckoned) leftAtMeasured() string {
+	if !r.budgeted || r.limit.Never || r.limit.Basis == NotExtrapolated || r.limit.Size == 0 {
+		return ""
+	}
+	return "; the budget is left at " + digits(r.limit.Size)
+}
+
+// allowed is the cell that tells the budget.
+func (r *reckoned) allowed() string {
+	switch {
+	case r.figure.budget == nil:
+		return "none stated"
+	case !r.budgeted:
+		return r.figure.budget.name + ": not measured"
+	}
+	return r.unit.Format(r.budget) + ", " + r.figure.budget.name
+}
+
+func (r *reckoned) carrier() string {
+	if r.carriedBy == "" {
+		return missing
+	}
+	return r.carriedBy
+}
+
+// leaves is the cell that tells where a budget is left.
+func (r *reckoned) leaves() string {
+	switch {
+	case r.limit.Basis == NotMeasured:
+		return "not measured"
+	case r.limit.Basis == NoSize:
+		return "no number is told"
+	case r.limit.Basis == NotExtrapolated && r.trial != nil:
+		return "kept in the trials; not extrapolated"
+	case r.limit.Basis == NotExtrapolated:
+		return "kept at the measured sizes; not extrapolated"
+	case r.limit.Never:
+		return "kept"
+	case r.given != nil:
+		return "left by the letter's own figures"
+	case r.trial != nil:
+		return "at the latest " + share(r.share) + ", left in a trial of that size"
+	case r.limit.Size == 0:
+		return "at any size"
+	case r.limit.Basis == Measured:
+		return fmt.Sprintf("at the latest %s, left at the measured size %s", share(r.share), digits(r.limit.Size))
+	}
+	return fmt.Sprintf("%s, at %s", share(r.share), digits(r.limit.Size))
+}
--- /dev/null
+++ b/lab/capacity/page/page.go
@@ -0,0 +1,115 @@
+package page
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"spanflow/lab/capacity"
+)
+
+// Generated tables stand between two lines: each of these with the table's name and the end of a comment.
+const (
+	beginPrefix = "<!-- begin generated:"
+	endPrefix   = "<!-- end generated:"
+	markerEnd   = "-->"
+)
+
+// Page is a page with its generated tables rendered anew.
+type Page struct {
+	Text    string
+	Tables  []string // names, in the page's order
+	Differs []string // those that the given text did not have as they are now
+}
+
+// Update renders the generated tables of a page's text anew. A table that is not known, not closed, there twice or not
+// there at all is an error that names it.
+func Update(text string, target *Target, results *capacity.Results) (*Page, error) {
+	rendered, err := tables(target, results)
+	if err != nil {
+		return nil, err
+	}
+	page := &Page{}
+	var out strings.Builder
+	lines := strings.SplitAfter(text, "\n")
+	for at := 0; at < len(lines); at++ {
+		name, begins, err := marker(lines[at], beginPrefix)
+		if err != nil {
+			return nil, fmt.Errorf("line %d: %w", at+1, err)
+		}
+		if !begins {
+			if name, ends, _ := marker(lines[at], endPrefix); ends {
+				return nil, fmt.Errorf("line %d: table %q ends and has not begun", at+1, name)
+			}
+			out.WriteString(lines[at])
+			continue
+		}
+		end, err := endOf(lines, at, name)
+		if err != nil {
+			return nil, err
+		}
+		if err := page.add(name, strings.Join(lines[at+1:end], ""), rendered); err != nil {
+			return nil, fmt.Errorf("line %d: %w", at+1, err)
+		}
+		out.WriteString(lines[at])
+		out.WriteString(rendered[name])
+		out.WriteString(lines[end])
+		at = end
+	}
+	for _, name := range slices.Sorted(maps.Keys(rendered)) {
+		if !slices.Contains(page.Tables, name) {
+			return nil, fmt.Errorf("table %q is not on the page", name)
+		}
+	}
+	page.Text = out.String()
+	return page, nil
+}
+
+// add notes a table of the page and whether it differs from what is rendered.
+func (p *Page) add(name, present string, rendered map[string]string) error {
+	text, known := rendered[name]
+	if !known {
+		return fmt.Errorf("table %q is unknown; known are %s", name, strings.Join(slices.Sorted(maps.Keys(rendered)), ", "))
+	}
+	if slices.Contains(p.Tables, name) {
+		return fmt.Errorf("table %q is there twice", name)
+	}
+	p.Tables = append(p.Tables, name)
+	if present != text {
+		p.Differs = append(p.Differs, name)
+	}
+	return nil
+}
+
+// marker reads the name out of a marker's line.
+func marker(text, prefix string) (name string, is bool, err error) {
+	text = strings.TrimSpace(text)
+	rest, is := strings.CutPrefix(text, prefix)
+	if !is {
+		return "", false, nil
+	}
+	name, closed := strings.CutSuffix(rest, markerEnd)
+	if name = strings.TrimSpace(name); !closed || name == "" {
+		return "", true, fmt.Errorf("%q is no whole marker", text)
+	}
+	return name, true, nil
+}
+
+// endOf finds the line that ends the table which begins at a line.
+func endOf(lines []string, begin int, name string) (int, error) {
+	for at := begin + 1; at < len(lines); at++ {
+		ended, is, err := marker(lines[at], endPrefix)
+		if err != nil {
+			return 0, fmt.Errorf("line %d: %w", at+1, err)
+		}
+		if is && ended == name {
+			return at, nil
+		}
+		other, begins, _ := marker(lines[at], beginPrefix)
+		if is || begins {
+			return 0, fmt.Errorf("line %d: table %q is not ended before table %q", at+1, name, ended+other)
+		}
+	}
+	return 0, fmt.Errorf("line %d: table %q has no end", begin+1, name)
+}
--- /dev/null
+++ b/lab/capacity/page/roles.go
@@ -0,0 +1,276 @@
+package page
+
+import "spanflow/lab/capacity"
+
+// role is a part of an installation with its figures at the target size.
+type role struct {
+	table   string // name of the generated table
+	title   string
+	figures []*figure
+}
+
+// roles are all that docs/CAPACITY.md tells of, in its order.
+func roles() []role {
+	return []role{
+		{"message-path", "forwarder: message path", messagePath()},
+		{"control", "forwarder: control", control()},
+		{"control-machines", "the control machines", controlMachines()},
+		{"discovery", "discovery", discovery()},
+		{"destination", "a destination", destination()},
+		{"client", "a client", client()},
+		{"tools", "operators' tools", tools()},
+	}
+}
+
+// The budgets.
+var (
+	forwarderCores = &budget{name: "a forwarder's cores", value: func(t *Target) float64 { return t.Budget.Forwarder.Cores }}
+	forwarderBytes = &budget{name: "a forwarder's memory", value: func(t *Target) float64 { return float64(t.Budget.Forwarder.Memory) }}
+	readyWithin    = &budget{name: "ready within", value: func(t *Target) float64 { return float64(t.Budget.Forwarder.ReadyWithin) }}
+	controlCores   = &budget{name: "control's share of a core", value: func(t *Target) float64 { return t.Budget.Control.CoreShare }}
+	controlMemory  = &budget{name: "control's memory", value: func(t *Target) float64 { return float64(t.Budget.Control.Memory) }}
+	controlBytes   = &budget{name: "control's bytes", value: func(t *Target) float64 { return float64(t.Budget.Control.BytesPerSecond) }}
+	inForceWithin  = &budget{name: "in force within", value: func(t *Target) float64 { return float64(t.Changes.InForceWithin) }}
+
+	// watchLine is a bound of today's text and not of the operators.
+	watchLine = &budget{name: "the bound of `internal/directory` on a line", value: func(*Target) float64 { return mostWatchLine }}
+)
+
+// mostWatchLine is mostLine of internal/directory, in bytes.
+const mostWatchLine = 4 << 20
+
+// restartCurve is the time until a forwarder that owes so many messages is ready.
+var restartCurve = curveRef{"restart", "time to the forwarder's readiness"}
+
+// The scenarios of fleet trials.
+const (
+	idleScenario   = "idle"
+	changeScenario = "change"
+	wholeScenario  = "whole list"
+)
+
+// The sizes at which curves are read.
+func destinationsAtTarget(t *Target) float64 { return t.Load.Destinations }
+func owedAtTarget(t *Target) float64         { return t.Load.BacklogPerForwarder }
+func forwardersAtTarget(t *Target) float64   { return t.Fleet.Forwarders }
+func eventsAtTarget(t *Target) float64       { return t.eventsPerForwarder() }
+func changesAtTarget(t *Target) float64      { return t.changesPerSecond() }
+func bodyAtTarget(t *Target) float64         { return float64(t.Load.Body) }
+
+const (
+	allDestinations = "all destinations"
+	allOwed         = "a forwarder's backlog"
+	allForwarders   = "all forwarders"
+	allEvents       = "a forwarder's events a second"
+	allChanges      = "changes a second, as a mean of the day"
+)
+
+// ofTarget makes a figure of the target alone.
+func ofTarget(what string, unit Unit, value func(*Target) float64, from, carriedBy string) *figure {
+	return &figure{what: what, unit: unit, given: &given{value, from}, carriedBy: carriedBy}
+}
+
+// ofCurve makes a figure of a curve at the target size.
+func ofCurve(what string, unit Unit, use curveUse, within *budget, carriedBy string) *figure {
+	return &figure{what: what, unit: unit, curve: &use, budget: within, carriedBy: carriedBy}
+}
+
+// ofTrial makes a figure of the largest trial of a scenario.
+func ofTrial(what string, unit Unit, use trialUse, within *budget, carriedBy string) *figure {
+	return &figure{what: what, unit: unit, trial: &use, budget: within, carriedBy: carriedBy}
+}
+
+// unmeasured makes a figure that nothing measures.
+func unmeasured(what, carriedBy string) *figure { return &figure{what: what, carriedBy: carriedBy} }
+
+func messagePath() []*figure {
+	held := func(quantity string, unit Unit) curveUse {
+		return curveUse{ref: curveRef{"held-message", quantity}, unit: unit, size: owedAtTarget, sizeIs: allOwed}
+	}
+	beside := held("processor time of a fresh message beside them", Seconds)
+	beside.times, beside.timesIs = eventsAtTarget, allEvents
+	path := curveUse{ref: curveRef{"message-path", "processor time in a second"}, unit: Seconds, size: eventsAtTarget, sizeIs: allEvents}
+	carried := func(quantity string) curveUse {
+		return curveUse{ref: curveRef{"message-path", quantity}, unit: Bytes, size: bodyAtTarget, sizeIs: "the body of an event",
+			times: eventsAtTarget, timesIs: allEvents}
+	}
+	return []*figure{
+		ofTarget("state: messages owed", Count, owedAtTarget, "`load.backlog_per_forwarder`",
+			"`choice`, `forward`, `internal/ledger`; a store beyond memory: "+missing),
+		ofTarget("messages taken a second", PerSecond, eventsAtTarget,
+			"`load.events_per_second` over `fleet.forwarders`, × `load.forwarder_skew`", "`internal/resp`, `internal/intake`, `forward`"),
+		ofTarget("messages a second for destinations that are down", PerSecond,
+			func(t *Target) float64 { return t.eventsPerForwarder() * t.Load.DownShare }, "× `load.down_share`", "`choice`, `internal/ledger`"),
+		ofCurve("bytes between clients and a forwarder", BytesPerSecond, carried("bytes between client and forwarder for a message"), nil,
+			"`internal/resp`, `internal/intake`"),
+		ofCurve("bytes between a forwarder and destinations", BytesPerSecond, carried("bytes between forwarder and target for a message"), nil,
+			"`internal/http1`, `internal/outlet`"),
+		ofCurve("processor time, nothing held", Cores, path, forwarderCores, "`forward`, `choice`, `internal/ledger`, `internal/outlet`"),
+		ofCurve("processor time of fresh messages beside the backlog", Cores, beside, forwarderCores, "`choice`"),
+		ofCurve("processor time of a backlog that is given up in one turn", Seconds, held("processor time of giving all up in one turn", Seconds), nil, "`choice`"),
+		ofCurve("memory of the backlog in the scheduler", Bytes, held("memory in the scheduler", Bytes), forwarderBytes, "`choice`"),
+		ofCurve("memory of the backlog in the write-ahead log", Bytes, held("memory in the write-ahead log", Bytes), forwarderBytes, "`internal/ledger`"),
+		ofCurve("disk of the backlog", Bytes, held("bytes on disk", Bytes), nil, "`internal/ledger`"),
+		ofCurve("restart: time until ready", Seconds,
+			curveUse{ref: restartCurve, unit: Seconds, size: owedAtTarget, sizeIs: allOwed}, readyWithin,
+			"`internal/ledger`, `forward`"),
+		ofCurve("memory of a forwarder that is ready with its backlog", Bytes,
+			curveUse{ref: curveRef{"restart", "memory of the forwarder when ready"}, unit: Bytes, size: owedAtTarget, sizeIs: allOwed},
+			forwarderBytes, "`internal/ledger`, `forward`, `choice`"),
+	}
+}
+
+func control() []*figure {
+	known := func(quantity string, unit Unit) curveUse {
+		return curveUse{ref: curveRef{"known-destination", quantity}, unit: unit, size: destinationsAtTarget, sizeIs: allDestinations}
+	}
+	change := known("processor time of a list change", Seconds)
+	change.times, change.timesIs = changesAtTarget, allChanges
+	return []*figure{
+		ofTarget("state: destinations known", Count, destinationsAtTarget, "`load.destinations`", "`choice`, `forward`, `internal/directory`"),
+		ofTarget("changes a second", PerSecond, changesAtTarget, "`changes.per_day`",
+			"`internal/directory` (changes of the list); of settings, without a restart: "+missing),
+		ofCurve("memory of the known destinations in the scheduler", Bytes, known("memory in the scheduler", Bytes), controlMemory,
+			"`choice`, `forward`; destinations that nobody sends to, kept cheaper: "+missing),
+		ofCurve("memory of a forwarder without messages", Bytes, known("memory of the forwarder", Bytes), forwarderBytes, "`forward`"),
+		ofCurve("processor time of a whole list, told in one turn", Seconds, known("processor time of a whole list", Seconds), nil, "`choice`"),
+		ofCurve("processor time of changes in the scheduler", Cores, change, controlCores, "`choice`"),
+		ofCurve("first start: time until ready", Seconds, known("time to the forwarder's first readiness", Seconds), readyWithin,
+			"`internal/config`, `forward`"),
+		ofTrial("a change in force everywhere", Seconds, trialUse{changeScenario, lastInForce, "the last forwarder", fleetReached}, inForceWithin,
+			"`internal/directory`, `forward`"),
+		ofTrial("processor time, idle", Cores, trialUse{idleScenario, idleCores, "of one forwarder", destinationsReached}, controlCores,
+			"`internal/directory`"),
+		ofTrial("processor time of changes", Cores, trialUse{changeScenario, changeCores, "a change × " + allChanges, destinationsReached},
+			controlCores, "`internal/directory`, `forward`, `choice`"),
+		ofTrial("bytes, idle", BytesPerSecond, trialUse{idleScenario, idleBytes, "of one forwarder", destinationsReached}, controlBytes,
+			"`internal/directory`"),
+		ofTrial("bytes of changes", BytesPerSecond, trialUse{changeScenario, changeBytes, "a change × " + allChanges, destinationsReached},
+			controlBytes, "`internal/directory`"),
+		ofTrial("memory of a hollow forwarder", Bytes, trialUse{idleScenario, hollowMemory, "live, of one forwarder", destinationsReached},
+			controlMemory, "`forward`, `choice`"),
+		ofTrial("a whole list: bytes", Bytes, trialUse{wholeScenario, bytesPerChange, "of one forwarder", destinationsReached}, watchLine,
+			"`internal/directory`; a list in parts: "+missing),
+		ofTrial("a whole list: processor time", Seconds, trialUse{wholeScenario, secondsPerChange, "of one forwarder", destinationsReached}, nil,
+			"`internal/directory`, `forward`, `choice`"),
+		ofTrial("a whole list in force at all that start at once", Seconds, trialUse{wholeScenario, lastInForce, "the last forwarder", fleetReached},
+			inForceWithin, "`internal/directory`, `forward`"),
+	}
+}
+
+// What is read off a fleet trial.
+
+// never stands for a time after which some forwarders still had not what they should have.
+const never = 1e9 // seconds
+
+func lastInForce(_ *Target, trial *capacity.FleetTrial) float64 {
+	if trial.Missed > 0 {
+		return never
+	}
+	return trial.InForceLast
+}
+
+func idleCores(_ *Target, trial *capacity.FleetTrial) float64    { return trial.ForwarderIdleCPU }
+func idleBytes(_ *Target, trial *capacity.FleetTrial) float64    { return trial.ForwarderIdleBytes }
+func hollowMemory(_ *Target, trial *capacity.FleetTrial) float64 { return trial.ForwarderMemory }
+func bytesPerChange(_ *Target, trial *capacity.FleetTrial) float64 {
+	return trial.ForwarderBytesPerChange
+}
+func secondsPerChange(_ *Target, trial *capacity.FleetTrial) float64 {
+	return trial.ForwarderCPUPerChange
+}
+
+func changeCores(t *Target, trial *capacity.FleetTrial) float64 {
+	return trial.ForwarderCPUPerChange * t.changesPerSecond()
+}
+
+func changeBytes(t *Target, trial *capacity.FleetTrial) float64 {
+	return trial.ForwarderBytesPerChange * t.changesPerSecond()
+}
+
+func controlMachines() []*figure {
+	return []*figure{
+		ofTarget("state: destinations, each machine", Count, destinationsAtTarget, "`load.destinations`, if each has the whole", ""),
+		ofTarget("forwarders, each machine", Count, func(t *Target) float64 { return t.Fleet.Forwarders / t.Fleet.ControlMachines },
+			"`fleet.forwarders` over `fleet.control_machines`", ""),
+		ofTarget("lines of changes a second, each machine", PerSecond, func(t *Target) float64 {
+			return t.changesPerSecond() * t.Fleet.Forwarders / t.Fleet.ControlMachines
+		}, "`changes.per_day` × forwarders", ""),
+		ofTarget("bytes a second that control allows, each machine", BytesPerSecond, func(t *Target) float64 {
+			return float64(t.Budget.Control.BytesPerSecond) * t.Fleet.Forwarders / t.Fleet.ControlMachines
+		}, "`budget.control.bytes_per_second` × forwarders", ""),
+		unmeasured("processor time", ""),
+		unmeasured("memory", ""),
+	}
+}
+
+func discovery() []*figure {
+	perChange := func(whole func(*capacity.FleetTrial) float64) func(*Target, *capacity.FleetTrial) float64 {
+		return func(_ *Target, trial *capacity.FleetTrial) float64 {
+			return whole(trial) / float64(max(1, trial.Changes))
+		}
+	}
+	server := trialUse{changeScenario, perChange(func(trial *capacity.FleetTrial) float64 { return trial.ServerCPU }),
+		"the whole trial over its changes, idle time included", fleetReached}
+	sent := trialUse{changeScenario, perChange(func(trial *capacity.FleetTrial) float64 { return trial.ServerBytes }),
+		"the whole trial over its changes, idle time included", fleetReached}
+	return []*figure{
+		ofTarget("state: watches open", Count, forwardersAtTarget, "`fleet.forwarders`", "the operators' own service; here stand-ins alone"),
+		ofTarget("changes sent a second", PerSecond, func(t *Target) float64 { return t.changesPerSecond() * t.Fleet.Forwarders },
+			"`changes.per_day` × `fleet.forwarders`", "the operators' own service; here stand-ins alone"),
+		ofTrial("processor time of a change", Seconds, server, nil, "the stand-in of `lab/capacity/hollow`"),
+		ofTrial("bytes of a change", Bytes, sent, nil, "the stand-in of `lab/capacity/hollow`"),
+		unmeasured("memory", "the operators' own service"),
+	}
+}
+
+// ofOutage is a curve of a destination that is down, by forwarders.
+func ofOutage(quantity string) curveUse {
+	return curveUse{ref: curveRef{"down-destination", quantity}, unit: Calls, size: forwardersAtTarget, sizeIs: allForwarders}
+}
+
+func destination() []*figure {
+	returnBudget := ofOutage("budget of the first second of its return")
+	returnCalls := &budget{name: "a cold destination's", curve: &returnBudget}
+	return []*figure{
+		ofTarget("messages a second", PerSecond, func(t *Target) float64 { return t.eventsPerDestination() },
+			"`load.events_per_second` over `load.destinations`, × `load.destination_skew`", "`choice`, `internal/outlet`"),
+		ofTarget("bytes of bodies a second", BytesPerSecond, func(t *Target) float64 { return t.eventsPerDestination() * float64(t.Load.Body) },
+			"× `load.body`", "`internal/outlet`"),
+		ofTarget("state: messages that wait for one that is down", Count, func(t *Target) float64 { return t.Load.BacklogEvents / t.destinationsDown() },
+			"`load.backlog_events` over `load.destinations` × `load.down_share`", "`choice`, `internal/ledger`"),
+		ofCurve("calls in a minute of an outage, all in vain", Calls, ofOutage("calls to a destination that is down for a minute"), nil,
+			"`choice` at each forwarder; knowledge shared among forwarders: "+missing),
+		ofCurve("calls in the first second of a return", Calls, ofOutage("calls in the first second of its return"), returnCalls,
+			"`choice` at each forwarder; knowledge shared among forwarders: "+missing),
+	}
+}
+
+func client() []*figure {
+	idle := func(quantity string, unit Unit) curveUse {
+		return curveUse{ref: curveRef{"idle-client", quantity}, unit: unit}
+	}
+	return []*figure{
+		ofTarget("messages a second, all clients of a forwarder", PerSecond, eventsAtTarget, "as the message path", "`internal/resp`, `internal/intake`"),
+		ofCurve("memory of a forwarder with idle connections", Bytes, idle("memory of the forwarder", Bytes), forwarderBytes, "`internal/intake`"),
+		ofCurve("descriptors of a forwarder with idle connections", "descriptors", idle("descriptors of the forwarder", "descriptors"), nil, "`internal/intake`"),
+	}
+}
+
+func tools() []*figure {
+	scrape := func(quantity string, unit Unit) curveUse {
+		return curveUse{ref: curveRef{"scrape", quantity}, unit: unit, size: destinationsAtTarget, sizeIs: allDestinations}
+	}
+	reload := func(quantity string) curveUse {
+		return curveUse{ref: curveRef{"reload", quantity}, unit: Seconds, size: destinationsAtTarget, sizeIs: allDestinations}
+	}
+	return []*figure{
+		ofCurve("a scrape of the metrics: time", Seconds, scrape("time of a scrape", Seconds), nil, "`internal/meter`"),
+		ofCurve("a scrape of the metrics: processor time", Seconds, scrape("processor time of a scrape", Seconds), nil, "`internal/meter`"),
+		ofCurve("a scrape of the metrics: bytes", Bytes, scrape("bytes of a scrape", Bytes), nil, "`internal/meter`"),
+		ofCurve("a reload (SIGHUP): until a changed list is in force", Seconds, reload("time until a changed list is in force"), inForceWithin,
+			"`internal/config`, `forward`"),
+		ofCurve("a reload (SIGHUP): processor time", Seconds, reload("processor time of a reload"), nil, "`internal/config`, `forward`"),
+		unmeasured("`spanflow ledger list` or `stat` of a whole backlog: time and memory (it reads the folder whole)", "`internal/ledger`, `internal/command`"),
+	}
+}
--- /dev/null
+++ b/lab/capacity/page/tables.go
@@ -0,0 +1,222 @@
+package page
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"spanflow/lab/capacity"
+)
+
+// tables renders every generated table, by name.
+func tables(target *Target, results *capacity.Results) (map[string]string, error) {
+	rendered := map[string]string{
+		"target":      targetTable(target),
+		"assumptions": assumptionsTable(target),
+		"failures":    failuresTable(target, results),
+		"estimates":   estimatesTable(target, results),
+		"curves":      curvesTable(results),
+		"fleets":      fleetsTable(target, results),
+	}
+	var all []reckoned
+	for _, role := range roles() {
+		reckonedOfRole, err := reckonAll(role, target, results)
+		if err != nil {
+			return nil, err
+		}
+		rendered[role.table] = roleTable(reckonedOfRole)
+		all = append(all, reckonedOfRole...)
+	}
+	rendered["ranking"] = rankingTable(all)
+	return rendered, nil
+}
+
+func reckonAll(role role, target *Target, results *capacity.Results) ([]reckoned, error) {
+	var all []reckoned
+	for _, figure := range role.figures {
+		r, err := figure.reckon(role.title, target, results)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+func roleTable(figures []reckoned) string {
+	var rows [][]string
+	for _, r := range figures {
+		rows = append(rows, []string{r.what, r.atSize(), r.from, r.allowed(), r.command, r.carrier()})
+	}
+	return table([]string{"figure", "at the target size", "worked out from", "budget", "measured by", "carried by"}, rows)
+}
+
+// rankingTable orders all figures with a budget by the share of the target size at which they leave it. What is not
+// known comes last.
+func rankingTable(figures []reckoned) string {
+	var ranked []reckoned
+	for _, r := range figures {
+		if r.budgeted {
+			ranked = append(ranked, r)
+		}
+	}
+	slices.SortStableFunc(ranked, func(a, b reckoned) int {
+		return cmp.Or(cmp.Compare(rankClass(&a), rankClass(&b)), cmp.Compare(a.share, b.share))
+	})
+	var rows [][]string
+	place := 0
+	for _, r := range ranked {
+		rank := ""
+		if rankClass(&r) == leftBefore {
+			place++
+			rank = fmt.Sprint(place)
+		}
+		rows = append(rows, []string{rank, r.leaves(), r.role + ": " + r.what, r.allowed(), r.atSize(), r.carrier()})
+	}
+	return table([]string{"place", "share of the target size at which the budget is left", "figure", "budget", "at the target size", "carried by"}, rows)
+}
+
+// The classes of a ranking, in its order.
+const (
+	leftBefore = iota // the budget is left before the target size
+	unknown
+	kept
+)
+
+func rankClass(r *reckoned) int {
+	switch {
+	case r.limit.Basis == NotMeasured, r.limit.Basis == NoSize, r.limit.Basis == NotExtrapolated:
+		return unknown
+	case r.limit.Never:
+		return kept
+	}
+	return leftBefore
+}
+
+func targetTable(t *Target) string {
+	control, forwarder := t.Budget.Control, t.Budget.Forwarder
+	return table([]string{"what", "size"}, [][]string{
+		{"forwarders", Count.Format(t.Fleet.Forwarders)},
+		{"regions, zones", Count.Format(t.Fleet.Regions) + ", " + Count.Format(t.Fleet.Zones)},
+		{"machines set aside for control", Count.Format(t.Fleet.ControlMachines)},
+		{"events taken on", PerSecond.Format(t.Load.EventsPerSecond) + "; " + PerSecond.Format(t.Load.EventsPerSecond/t.Fleet.Forwarders) + " by each forwarder"},
+		{"destinations", Count.Format(t.Load.Destinations)},
+		{"of these down at any time", Count.Format(t.destinationsDown()) + " (" + share(t.Load.DownShare) + ")"},
+		{"backlog", Count.Format(t.Load.BacklogEvents) + " events, up to " + Count.Format(t.Load.BacklogPerForwarder) + " at a forwarder: " +
+			Seconds.Format(float64(t.Load.BacklogFor)) + " of what the destinations that are down get"},
+		{"changes of the configuration", Count.Format(t.Changes.PerDay) + " a day, in force everywhere within " + Seconds.Format(float64(t.Changes.InForceWithin))},
+		{"budget of control at a forwarder", Cores.Format(control.CoreShare) + ", " + Bytes.Format(float64(control.Memory)) + ", " +
+			BytesPerSecond.Format(float64(control.BytesPerSecond))},
+		{"budget of all else at a forwarder", Cores.Format(forwarder.Cores) + ", " + Bytes.Format(float64(forwarder.Memory)) + " (assumed), ready within " +
+			Seconds.Format(float64(forwarder.ReadyWithin)) + " of a restart"},
+		{"machines that fail", Count.Format(t.Failures.MachinesPerDay) + " a day"},
+		{"restarts and replacements", Count.Format(t.Failures.RestartsPerDay) + " a day"},
+		{"racks or switches that fail", Count.Format(t.Failures.RacksPerYear) + " a year at most"},
+		{"zones that fail", Count.Format(t.Failures.ZonesPerYear) + " a year at most"},
+		{"regions apart", "now and then, for " + Seconds.Format(float64(t.Failures.RegionsApart))},
+	})
+}
+
+func assumptionsTable(t *Target) string {
+	skew := func(value float64) string {
+		if value == 1 {
+			return "even"
+		}
+		return "the busiest has " + digits(value) + " times the mean"
+	}
+	assumptions := [][2]string{
+		{"skew over forwarders", skew(t.Load.ForwarderSkew)},
+		{"skew over destinations", skew(t.Load.DestinationSkew)},
+		{"body of an event", Bytes.Format(float64(t.Load.Body))},
+		{"life of an event", "at least " + Seconds.Format(float64(t.Load.BacklogFor)) + ": else the backlog would expire before it is " + digits(t.Load.BacklogEvents)},
+		{"destinations that are down get as much as others", Count.Format(t.eventsPerSecondDown()) + " events a second of all"},
+		{"a forwarder's process", Cores.Format(t.Budget.Forwarder.Cores) + " and " + Bytes.Format(float64(t.Budget.Forwarder.Memory)) + ", the defaults of `limits`"},
+		{"budgets of control", "means over a day; memory at any time"},
+		{"endpoints of a destination", "one"},
+		{"every forwarder", "serves every destination and knows the whole list"},
+		{"forwarders over zones and regions", "even parts: " + Count.Format(t.Fleet.Forwarders/t.Fleet.Zones) + " in a zone, " + Count.Format(t.Fleet.Forwarders/t.Fleet.Regions) + " in a region"},
+		{"an event needs one transmission", "retries and vain calls are not counted in the message path"},
+	}
+	var rows [][]string
+	for i, assumption := range assumptions {
+		rows = append(rows, []string{fmt.Sprint(i + 1), assumption[0], assumption[1]})
+	}
+	return table([]string{"no.", "assumed of", "what"}, rows)
+}
+
+func estimatesTable(t *Target, results *capacity.Results) string {
+	var rows [][]string
+	for _, estimate := range t.Estimates {
+		measured := "not measured"
+		if curve := curveOf(results, curveRef{estimate.Role, estimate.Quantity}); curve != nil {
+			scaled, unit := converted(curve)
+			measured = describe(scaled, unit)
+		}
+		rows = append(rows, []string{estimate.What, estimate.Value, measured, estimate.Role + ": " + estimate.Quantity})
+	}
+	return table([]string{"what", "the operators' estimate", "measured here", "curve"}, rows)
+}
+
+func curvesTable(results *capacity.Results) string {
+	var rows [][]string
+	for i := range results.Curves {
+		curve, unit := converted(&results.Curves[i])
+		first, last := curve.Points[0], curve.Points[len(curve.Points)-1]
+		bend := ""
+		if curve.Fit.Shape == capacity.Bends {
+			bend = " at " + digits(curve.Fit.BendAt)
+		}
+		rows = append(rows, []string{curve.Role, curve.Quantity,
+			fmt.Sprintf("%s to %s %s (%d)", digits(first.Size), digits(last.Size), curve.SizeUnit, len(curve.Points)),
+			unit.Format(first.Value) + " to " + unit.Format(last.Value), string(curve.Fit.Shape) + bend, describe(curve, unit), share(curve.Fit.Residual)})
+	}
+	if len(rows) == 0 {
+		return "Nothing is measured yet.\n"
+	}
+	head := []string{"role", "quantity", "sizes (how many)", "values", "shape", "line", "residual"}
+	return "Measured " + results.Date + " on " + results.Machine + ".\n\n" + table(head, rows)
+}
+
+func fleetsTable(t *Target, results *capacity.Results) string {
+	var rows [][]string
+	for _, trial := range results.Fleets {
+		rows = append(rows, []string{trial.Scenario, digits(float64(trial.Forwarders)) + " × " + digits(float64(trial.Destinations)),
+			Count.Format(float64(trial.Changes)),
+			timesInForce(&trial),
+			Count.Format(float64(trial.Missed)), inTime(t, &trial),
+			Bytes.Format(trial.ForwarderBytesPerChange) + ", " + Seconds.Format(trial.ForwarderCPUPerChange),
+			BytesPerSecond.Format(trial.ForwarderIdleBytes) + ", " + Cores.Format(trial.ForwarderIdleCPU),
+			Bytes.Format(trial.ForwarderMemory), Bytes.Format(trial.ServerBytes) + ", " + Seconds.Format(trial.ServerCPU), trial.Note})
+	}
+	if len(rows) == 0 {
+		return "No trial is measured yet.\n"
+	}
+	return table([]string{"scenario", "forwarders × destinations", "changes", "in force: 50th, 99th, last", "missed",
+		"within " + Seconds.Format(float64(t.Changes.InForceWithin)), "a forwarder by change: bytes, processor time",
+		"a forwarder idle", "memory of a forwarder", "stand-in: bytes, processor time", "note"}, rows)
+}
+
+// timesInForce are the times by which the middle forwarder, all but one in a hundred, and the last had a change in force.
+func timesInForce(trial *capacity.FleetTrial) string {
+	if trial.Changes == 0 {
+		return ""
+	}
+	reached := func(seconds float64) string {
+		if seconds == 0 && trial.Missed > 0 { // so many did not get it
+			return "never"
+		}
+		return Seconds.Format(seconds)
+	}
+	return reached(trial.InForce50) + ", " + reached(trial.InForce99) + ", " + Seconds.Format(lastInForce(nil, trial))
+}
+
+// inTime tells if a trial's changes were in force everywhere within the time that the target allows.
+func inTime(t *Target, trial *capacity.FleetTrial) string {
+	if trial.Changes == 0 {
+		return ""
+	}
+	if trial.Missed > 0 || trial.InForceLast > float64(t.Changes.InForceWithin) {
+		return "no"
+	}
+	return "yes"
+}
--- /dev/null
+++ b/lab/capacity/page/target.go
@@ -0,0 +1,241 @@
+// Package page renders the tables of docs/CAPACITY.md from the size that is built towards (docs/capacity/target.toml)
+// and from what was measured (docs/capacity/measured.json). Straight curves are worked out to the size; curves that are
+// not straight never are.
+package page
+
+import (
+	"fmt"
+	"math"
+	"os"
+
+	"spanflow/internal/config"
+)
+
+// Target is the size that is built towards and what may be spent on it.
+type Target struct {
+	Fleet     Fleet              `toml:"fleet"`
+	Load      Load               `toml:"load"`
+	Changes   Changes            `toml:"changes"`
+	Failures  Failures           `toml:"failures"`
+	Budget    Budget             `toml:"budget"`
+	Estimates []OperatorEstimate `toml:"estimates"`
+}
+
+// Fleet is how many processes and machines there are.
+type Fleet struct {
+	Forwarders      float64 `toml:"forwarders"`
+	Regions         float64 `toml:"regions"`
+	Zones           float64 `toml:"zones"` // of all regions
+	ControlMachines float64 `toml:"control_machines"`
+}
+
+// Load is what the forwarders take on and hold. Rates are a second.
+type Load struct {
+	EventsPerSecond     float64     `toml:"events_per_second"` // all forwarders together
+	Destinations        float64     `toml:"destinations"`
+	DownShare           float64     `toml:"down_share"` // of the destinations, at any time
+	BacklogEvents       float64     `toml:"backlog_events"`
+	BacklogPerForwarder float64     `toml:"backlog_per_forwarder"`
+	BacklogFor          config.Span `toml:"backlog_for"`
+	Body                config.Size `toml:"body"`
+	ForwarderSkew       float64     `toml:"forwarder_skew"`   // the busiest beside the mean
+	DestinationSkew     float64     `toml:"destination_skew"` // the busiest beside the mean
+}
+
+// Changes are changes of the configuration.
+type Changes struct {
+	PerDay        float64     `toml:"per_day"`
+	InForceWithin config.Span `toml:"in_force_within"`
+}
+
+// Failures are what is to be expected.
+type Failures struct {
+	MachinesPerDay float64     `toml:"machines_per_day"`
+	RestartsPerDay float64     `toml:"restarts_per_day"`
+	RacksPerYear   float64     `toml:"racks_per_year"`
+	ZonesPerYear   float64     `toml:"zones_per_year"`
+	RegionsApart   config.Span `toml:"regions_apart"`
+}
+
+// Budget is what may be spent at one forwarder.
+type Budget struct {
+	Control   ControlBudget   `toml:"control"`
+	Forwarder ForwarderBudget `toml:"forwarder"`
+}
+
+// ControlBudget is for control alone.
+type ControlBudget struct {
+	CoreShare      float64     `toml:"core_share"` // of one core
+	Memory         config.Size `toml:"memory"`
+	BytesPerSecond config.Size `toml:"bytes_per_second"`
+}
+
+// ForwarderBudget is for everything else.
+type ForwarderBudget struct {
+	Cores       float64     `toml:"cores"`
+	Memory      config.Size `toml:"memory"`
+	ReadyWithin config.Span `toml:"ready_within"` // after a restart
+}
+
+// OperatorEstimate is a figure that the operators measured once, with the curve that repeats it.
+type OperatorEstimate struct {
+	What     string `toml:"what"`
+	Value    string `toml:"value"`
+	Role     string `toml:"role"`
+	Quantity string `toml:"quantity"`
+}
+
+// consistent is the relative difference up to which figures that follow from each other agree.
+const consistent = 0.1
+
+// ReadTarget reads and checks the file of the target size. Errors name file, line and field.
+func ReadTarget(path string) (*Target, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return ParseTarget(path, text)
+}
+
+// ParseTarget is ReadTarget for a text that was read; path is for errors alone.
+func ParseTarget(path string, text []byte) (*Target, error) {
+	target := &Target{}
+	if err := config.Decode(path, text, target); err != nil {
+		return nil, err
+	}
+	if problems := target.check(); len(problems) > 0 {
+		for i := range problems {
+			problems[i].File = path
+		}
+		return nil, problems
+	}
+	return target, nil
+}
+
+// targetChecker collects what is wrong with a target.
+type targetChecker struct{ problems config.Problems }
+
+func (c *targetChecker) bad(field, format string, values ...any) {
+	c.problems = append(c.problems, config.Problem{Field: field, What: fmt.Sprintf(format, values...)})
+}
+
+func (c *targetChecker) positive(field string, value float64) {
+	if !(value > 0) || math.IsInf(value, 0) {
+		c.bad(field, "%v is not a number over 0, or it is missing", value)
+	}
+}
+
+func (c *targetChecker) count(field string, value float64) {
+	if c.positive(field, value); value != math.Trunc(value) {
+		c.bad(field, "%v is not a whole number", value)
+	}
+}
+
+func (c *targetChecker) share(field string, value float64) {
+	if c.positive(field, value); value > 1 {
+		c.bad(field, "%v is over 1, the whole", value)
+	}
+}
+
+func (c *targetChecker) skew(field string, value float64) {
+	if c.positive(field, value); value < 1 {
+		c.bad(field, "%v is under 1: the busiest cannot be under the mean", value)
+	}
+}
+
+func (c *targetChecker) agrees(field string, value, other float64, otherIs string) {
+	if math.Abs(value-other) > consistent*other {
+		c.bad(field, "%v does not agree with %v, which is %s", value, other, otherIs)
+	}
+}
+
+func (t *Target) check() config.Problems {
+	c := &targetChecker{}
+	t.checkFleet(c)
+	t.checkLoad(c)
+	t.checkChangesAndFailures(c)
+	t.checkBudget(c)
+	t.checkEstimates(c)
+	return c.problems
+}
+
+func (t *Target) checkFleet(c *targetChecker) {
+	c.count("fleet.forwarders", t.Fleet.Forwarders)
+	c.count("fleet.regions", t.Fleet.Regions)
+	c.count("fleet.zones", t.Fleet.Zones)
+	c.count("fleet.control_machines", t.Fleet.ControlMachines)
+	if t.Fleet.Zones < t.Fleet.Regions {
+		c.bad("fleet.zones", "%v zones are too few for %v regions", t.Fleet.Zones, t.Fleet.Regions)
+	}
+}
+
+func (t *Target) checkLoad(c *targetChecker) {
+	c.positive("load.events_per_second", t.Load.EventsPerSecond)
+	c.count("load.destinations", t.Load.Destinations)
+	c.share("load.down_share", t.Load.DownShare)
+	c.count("load.backlog_events", t.Load.BacklogEvents)
+	c.count("load.backlog_per_forwarder", t.Load.BacklogPerForwarder)
+	c.positive("load.backlog_for", float64(t.Load.BacklogFor))
+	c.positive("load.body", float64(t.Load.Body))
+	c.skew("load.forwarder_skew", t.Load.ForwarderSkew)
+	c.skew("load.destination_skew", t.Load.DestinationSkew)
+	if len(c.problems) > 0 {
+		return
+	}
+	c.agrees("load.backlog_per_forwarder", t.Load.BacklogPerForwarder, t.Load.BacklogEvents/t.Fleet.Forwarders,
+		"load.backlog_events over fleet.forwarders")
+	c.agrees("load.backlog_events", t.Load.BacklogEvents, t.eventsPerSecondDown()*float64(t.Load.BacklogFor),
+		"what the destinations that are down get in load.backlog_for")
+}
+
+func (t *Target) checkChangesAndFailures(c *targetChecker) {
+	c.positive("changes.per_day", t.Changes.PerDay)
+	c.positive("changes.in_force_within", float64(t.Changes.InForceWithin))
+	c.positive("failures.machines_per_day", t.Failures.MachinesPerDay)
+	c.positive("failures.restarts_per_day", t.Failures.RestartsPerDay)
+	c.positive("failures.racks_per_year", t.Failures.RacksPerYear)
+	c.positive("failures.zones_per_year", t.Failures.ZonesPerYear)
+	c.positive("failures.regions_apart", float64(t.Failures.RegionsApart))
+}
+
+func (t *Target) checkBudget(c *targetChecker) {
+	c.share("budget.control.core_share", t.Budget.Control.CoreShare)
+	c.positive("budget.control.memory", float64(t.Budget.Control.Memory))
+	c.positive("budget.control.bytes_per_second", float64(t.Budget.Control.BytesPerSecond))
+	c.positive("budget.forwarder.cores", t.Budget.Forwarder.Cores)
+	c.positive("budget.forwarder.memory", float64(t.Budget.Forwarder.Memory))
+	c.positive("budget.forwarder.ready_within", float64(t.Budget.Forwarder.ReadyWithin))
+}
+
+func (t *Target) checkEstimates(c *targetChecker) {
+	for i, e := range t.Estimates {
+		for _, field := range []struct{ name, value string }{{"what", e.What}, {"value", e.Value}, {"role", e.Role}, {"quantity", e.Quantity}} {
+			if field.value == "" {
+				c.bad(fmt.Sprintf("estimates[%d].%s", i, field.name), "is not told")
+			}
+		}
+	}
+}
+
+// The figures that follow from the file.
+
+const secondsPerDay = 24 * 60 * 60
+
+// eventsPerForwarder are the events a second of the busiest forwarder.
+func (t *Target) eventsPerForwarder() float64 {
+	return t.Load.EventsPerSecond / t.Fleet.Forwarders * t.Load.ForwarderSkew
+}
+
+// eventsPerDestination are the events a second of the busiest destination.
+func (t *Target) eventsPerDestination() float64 {
+	return t.Load.EventsPerSecond / t.Load.Destinations * t.Load.DestinationSkew
+}
+
+// eventsPerSecondDown are the events a second for the destinations that are down, at even parts.
+func (t *Target) eventsPerSecondDown() float64 { return t.Load.EventsPerSecond * t.Load.DownShare }
+
+// destinationsDown are those that are down at any time.
+func (t *Target) destinationsDown() float64 { return t.Load.Destinations * t.Load.DownShare }
+
+// changesPerSecond is the mean rate of changes.
+func (t *Target) changesPerSecond() float64 { return t.Changes.PerDay / secondsPerDay }
--- /dev/null
+++ b/lab/command/capacity.go
@@ -0,0 +1,11 @@
+package command
+
+import "github.com/spf13/cobra"
+
+// capacityCommand is the parent of the commands around docs/CAPACITY.md.
+func (s *session) capacityCommand() *cobra.Command {
+	c := &cobra.Command{Use: "capacity", Short: "Measure what destinations, messages and clients cost, by their number", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	c.AddCommand(pageCommand())
+	return c
+}
--- /dev/null
+++ b/lab/command/capacity_page_test.go
@@ -0,0 +1,110 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/internal/shell"
+)
+
+// The capacity page's files, from this folder.
+const (
+	repositoryPage     = "../../" + capacityPage
+	repositoryTarget   = "../../" + capacityTarget
+	repositoryMeasured = "../../" + capacityMeasured
+)
+
+// runPage runs the page command with the repository's files unless told otherwise.
+func runPage(args ...string) (code int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	all := append([]string{"capacity", "page", "--target", repositoryTarget, "--measured", repositoryMeasured}, args...)
+	code = Main(context.Background(), all, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// spoiltPage is a copy of the repository's page with a figure in a table put wrong.
+func spoiltPage(t *testing.T) (file, spoilt, current string) {
+	t.Helper()
+	text, err := os.ReadFile(repositoryPage)
+	require.NoError(t, err)
+	current = string(text)
+	spoilt = strings.Replace(current, "| forwarders | 500 |", "| forwarders | 501 |", 1)
+	require.NotEqual(t, current, spoilt)
+	file = filepath.Join(t.TempDir(), "CAPACITY.md")
+	require.NoError(t, os.WriteFile(file, []byte(spoilt), 0o640))
+	return file, spoilt, current
+}
+
+func TestPageCheckNamesTheTableThatDiffersAndWritesNothing(t *testing.T) {
+	file, spoilt, _ := spoiltPage(t)
+	code, _, errOut := runPage("--check", file)
+	require.Equal(t, shell.Failed, code)
+	require.Contains(t, errOut, "not current: target;")
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, spoilt, string(text))
+
+	code, out, errOut := runPage("--check", repositoryPage)
+	require.Equal(t, shell.Fine, code, errOut)
+	require.Contains(t, out, "tables are current")
+}
+
+func TestPageWritesTheTablesAnewInPlace(t *testing.T) {
+	file, _, current := spoiltPage(t)
+	code, out, errOut := runPage(file)
+	require.Equal(t, shell.Fine, code, errOut)
+	require.Contains(t, out, "written anew: target\n")
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, current, string(text))
+	info, err := os.Stat(file)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o640), info.Mode().Perm())
+	beside, err := os.ReadDir(filepath.Dir(file))
+	require.NoError(t, err)
+	require.Len(t, beside, 1, "nothing is left beside the page")
+
+	code, out, _ = runPage(file)
+	require.Equal(t, shell.Fine, code)
+	require.Contains(t, out, "tables are current")
+}
+
+func TestPageTellsProgramsInJSON(t *testing.T) {
+	file, _, _ := spoiltPage(t)
+	code, out, _ := runPage("--check", "--json", file)
+	require.Equal(t, shell.Failed, code)
+	var report pageReport
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	require.Equal(t, []string{"target"}, report.Differs)
+	require.Contains(t, report.Tables, "ranking")
+}
+
+func TestPageNamesTheFileThatIsWrong(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken")
+	require.NoError(t, os.WriteFile(broken, []byte("colour = 1\n"), 0o600))
+	for _, c := range []struct {
+		args []string
+		code int
+		says string
+	}{
+		{[]string{"no-such-page.md"}, shell.Failed, "no-such-page.md"},
+		{[]string{"--target", "no-such-target.toml", repositoryPage}, shell.Failed, "no-such-target.toml"},
+		{[]string{"--measured", "no-such.json", repositoryPage}, shell.Failed, "no-such.json"},
+		{[]string{"--target", broken, repositoryPage}, shell.Failed, "colour: unknown key"},
+		{[]string{"--measured", broken, repositoryPage}, shell.Failed, broken},
+		{[]string{broken}, shell.Failed, broken + `: table "assumptions" is not on the page`},
+		{[]string{"--checks"}, shell.Usage, "unknown flag"},
+		{[]string{"one", "two"}, shell.Usage, "accepts at most 1"},
+	} {
+		code, _, errOut := runPage(c.args...)
+		require.Equal(t, c.code, code, "%v: %s", c.args, errOut)
+		require.Contains(t, errOut, c.says)
+	}
+}
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -53,7 +53,8 @@
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.PersistentFlags().BoolVar(&s.json, "json", false, "output for programs, as JSON")
 	root.PersistentFlags().BoolVarP(&s.quiet, "quiet", "q", false, "no progress")
-	root.AddCommand(s.scenes(), s.run(), s.compare(), s.sweep(), s.search(), s.hunt(), s.findings(), s.real(), s.load())
+	root.AddCommand(s.scenes(), s.run(), s.compare(), s.sweep(), s.search(), s.hunt(), s.findings(), s.real(), s.load(),
+		s.capacityCommand())
 	return root
 }
 
