Capacity page: between which measured sizes a budget is left, and all points

A curve that is not straight told the first measured size beyond its budget alone; the largest size at which it was kept stands beside it now. The table of curves lists every point, and estimates of a size are compared at it.

--- a/lab/capacity/page/estimate.go
+++ b/lab/capacity/page/estimate.go
@@ -59,6 +59,7 @@
 	Basis Basis   // NotMeasured, NotExtrapolated: it is not known; Measured: at a measured size; else by the line
 	Never bool    // kept at every size up to the one that was asked for
 	Size  float64 // from which on the budget is left; with Measured the first measured size at which it is
+	Kept  float64 // with Measured: the largest measured size below it, at which the budget is kept; 0: there is none
 }
 
 // LeavesAt tells at which size a curve, nil if there is none, leaves a budget, looking up to a size.
@@ -81,10 +82,15 @@
 			return Limit{Basis: Fitted, Never: true}
 		}
 	}
+	kept := straight
 	for _, point := range curve.Points {
-		if point.Size > straight && point.Size <= upTo && point.Value > budget {
-			return Limit{Basis: Measured, Size: point.Size}
+		if point.Size <= straight || point.Size > upTo {
+			continue
 		}
+		if point.Value > budget {
+			return Limit{Basis: Measured, Size: point.Size, Kept: kept}
+		}
+		kept = point.Size
 	}
 	if at := ValueAt(curve, upTo); at.Basis != NotExtrapolated {
 		return Limit{Basis: at.Basis, Never: at.Value <= budget, Size: upTo}
--- a/lab/capacity/page/estimate_test.go
+++ b/lab/capacity/page/estimate_test.go
@@ -68,7 +68,8 @@
 
 func TestACurveThatIsNotStraightLeavesItsBudgetAtAMeasuredSize(t *testing.T) {
 	curve := square(capacity.NotStraight, 0)
-	require.Equal(t, Limit{Basis: Measured, Size: 100}, LeavesAt(curve, 50, 1e6), "the first measured size beyond")
+	require.Equal(t, Limit{Basis: Measured, Size: 100, Kept: 10}, LeavesAt(curve, 50, 1e6), "the first measured size beyond")
+	require.Equal(t, Limit{Basis: Measured, Size: 10}, LeavesAt(curve, 0.5, 1e6), "left at all measured sizes")
 	require.Equal(t, Limit{Basis: NotExtrapolated}, LeavesAt(curve, 20_000, 1e6), "kept as far as measured")
 	require.Equal(t, Limit{Basis: Measured, Never: true, Size: 1000}, LeavesAt(curve, 20_000, 1000))
 	require.Equal(t, Limit{Basis: Interpolated, Size: 550}, LeavesAt(curve, 200, 550), "over it between two measured sizes")
@@ -78,7 +79,7 @@
 func TestACurveThatBendsLeavesItsBudgetOnTheLineOrAtAMeasuredSize(t *testing.T) {
 	curve := square(capacity.Bends, 100)
 	require.Equal(t, Limit{Basis: Fitted, Size: 50}, LeavesAt(curve, 5, 1e6))
-	require.Equal(t, Limit{Basis: Measured, Size: 1000}, LeavesAt(curve, 150, 1e6))
+	require.Equal(t, Limit{Basis: Measured, Size: 1000, Kept: 100}, LeavesAt(curve, 150, 1e6))
 	require.Equal(t, Limit{Basis: NotExtrapolated}, LeavesAt(curve, 20_000, 1e6))
 }
 
@@ -117,5 +118,6 @@
 	require.Equal(t, "0%", share(0))
 	require.Equal(t, "120%", share(1.2))
 	require.Equal(t, "3.7e-05%", share(3.7e-7))
+	require.Equal(t, "0%", share(4e-16))
 	require.False(t, math.Signbit(rounded(0)))
 }
--- a/lab/capacity/page/figure.go
+++ b/lab/capacity/page/figure.go
@@ -219,7 +219,10 @@
 		if r.trial != nil {
 			return value + " in the trial; not extrapolated"
 		}
-		return "not extrapolated" + r.leftAtMeasured()
+		if r.budgeted && r.limit.Basis == Measured && !r.limit.Never {
+			return "not extrapolated; the budget is " + r.leftAtMeasured()
+		}
+		return "not extrapolated"
 	case Extrapolated:
 		return fmt.Sprintf("%s (extrapolated to %s times the largest measured size)", value, digits(r.estimate.Beyond))
 	case Measured:
@@ -230,12 +233,13 @@
 	return value
 }
 
-// leftAtMeasured says at which measured size a curve that is not drawn out leaves its budget.
+// leftAtMeasured says between which measured sizes a curve that is not straight leaves its budget.
 func (r *reckoned) leftAtMeasured() string {
-	if !r.budgeted || r.limit.Never || r.limit.Basis == NotExtrapolated || r.limit.Size == 0 {
-		return ""
+	left := "left at the measured size " + digits(r.limit.Size)
+	if r.limit.Kept == 0 {
+		return left
 	}
-	return "; the budget is left at " + digits(r.limit.Size)
+	return "kept at " + digits(r.limit.Kept) + ", " + left
 }
 
 // allowed is the cell that tells the budget.
@@ -276,7 +280,7 @@
 	case r.limit.Size == 0:
 		return "at any size"
 	case r.limit.Basis == Measured:
-		return fmt.Sprintf("at the latest %s, left at the measured size %s", share(r.share), digits(r.limit.Size))
+		return "at the latest " + share(r.share) + ": " + r.leftAtMeasured()
 	}
 	return fmt.Sprintf("%s, at %s", share(r.share), digits(r.limit.Size))
 }
--- a/lab/capacity/page/files_test.go
+++ b/lab/capacity/page/files_test.go
@@ -59,6 +59,7 @@
 		{`memory = "192MB"`, `memory = "0MB"`, "budget.forwarder.memory: "},
 		{`ready_within = "10s"`, "", "budget.forwarder.ready_within: "},
 		{`value = "52 to 71 ms"`, `value = ""`, "estimates[1].value: is not told"},
+		{"size = 170_000", "size = -1", "estimates[1].size: -1 is no size"},
 	} {
 		require.Equal(t, 1, min(1, strings.Count(string(text), c.is)), c.is)
 		_, err := ParseTarget("target.toml", []byte(strings.Replace(string(text), c.is, c.becomes, 1)))
--- a/lab/capacity/page/format.go
+++ b/lab/capacity/page/format.go
@@ -143,10 +143,13 @@
 	return number
 }
 
-// share writes a share as percent, with two digits.
+// share writes a share as percent, with two digits. Under a millionth of a percent it is none.
 func share(value float64) string {
+	if math.Abs(value) < 1e-8 {
+		return "0%"
+	}
 	percent, err := strconv.ParseFloat(strconv.FormatFloat(value*100, 'e', 1, 64), 64)
-	if err != nil || percent != 0 && math.Abs(percent) < 1e-4 {
+	if err != nil || math.Abs(percent) < 1e-4 {
 		return strconv.FormatFloat(value*100, 'g', 2, 64) + "%"
 	}
 	return strconv.FormatFloat(percent, 'f', -1, 64) + "%"
--- a/lab/capacity/page/page_test.go
+++ b/lab/capacity/page/page_test.go
@@ -201,7 +201,7 @@
 	require.Contains(t, known, "kept cheaper: **missing**")
 
 	beside := row(t, rendered["message-path"], "processor time of fresh messages")
-	require.Contains(t, beside, "| not extrapolated; the budget is left at 100,000 |")
+	require.Contains(t, beside, "| not extrapolated; the budget is kept at 10,000, left at the measured size 100,000 |")
 	require.Contains(t, row(t, rendered["message-path"], "restart: time until ready"), "| not extrapolated |")
 	require.Contains(t, row(t, rendered["message-path"], "memory of the backlog in the scheduler"), "| not measured |")
 	require.Contains(t, row(t, rendered["message-path"], "processor time, nothing held"), "| 13% of a core |")
@@ -209,6 +209,11 @@
 	require.Contains(t, row(t, rendered["control-machines"], "memory"), "| not measured | nothing measures it |")
 	require.Contains(t, rendered["control-machines"], "| **missing** |")
 
+	require.Contains(t, row(t, rendered["estimates"], "memory of a known destination"), "| 1,017 bytes | 1 kB each of destinations, and 0 bytes at none |")
+	require.Contains(t, row(t, rendered["estimates"], "a fresh message beside"), "| 15 ms | not extrapolated; 50 ms at 100,000 |")
+	require.Contains(t, row(t, rendered["estimates"], "disk of"), "| 410 bytes | not measured |")
+	require.Contains(t, rendered["curves"], "| messages held | 1,000: 100 µs; 10,000: 500 µs; 100,000: 50 ms | not straight |")
+
 	change := row(t, rendered["control"], "a change in force everywhere")
 	require.Contains(t, change, "| 30 ms in the trial; not extrapolated |")
 	require.Contains(t, change, "trial (change) of 50 forwarders with 1,700 destinations")
@@ -268,7 +273,7 @@
 	rendered, err := tables(readTarget(t), results)
 	require.NoError(t, err)
 	require.Contains(t, row(t, rendered["destination"], "calls in the first second"), "| 20 calls (measured) | not straight; at all forwarders (500) | 7 calls, a cold destination's |")
-	require.Contains(t, rendered["ranking"], "| 1 | at the latest 10%, left at the measured size 50 | a destination: calls in the first second of a return |")
+	require.Contains(t, rendered["ranking"], "| 1 | at the latest 10%: kept at 5, left at the measured size 50 | a destination: calls in the first second of a return |")
 }
 
 func TestACurveInAnotherUnitIsAnError(t *testing.T) {
--- a/lab/capacity/page/tables.go
+++ b/lab/capacity/page/tables.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 
 	"spanflow/lab/capacity"
 )
@@ -147,33 +148,53 @@
 func estimatesTable(t *Target, results *capacity.Results) string {
 	var rows [][]string
 	for _, estimate := range t.Estimates {
-		measured := "not measured"
-		if curve := curveOf(results, curveRef{estimate.Role, estimate.Quantity}); curve != nil {
-			scaled, unit := converted(curve)
-			measured = describe(scaled, unit)
-		}
+		measured := repeated(&estimate, curveOf(results, curveRef{estimate.Role, estimate.Quantity}))
 		rows = append(rows, []string{estimate.What, estimate.Value, measured, estimate.Role + ": " + estimate.Quantity})
 	}
 	return table([]string{"what", "the operators' estimate", "measured here", "curve"}, rows)
 }
 
+// repeated is what a curve, nil if there is none, says of an operators' estimate.
+func repeated(estimate *OperatorEstimate, curve *capacity.Curve) string {
+	if curve == nil {
+		return "not measured"
+	}
+	curve, unit := converted(curve)
+	if estimate.Size == 0 {
+		return describe(curve, unit)
+	}
+	at := ValueAt(curve, estimate.Size)
+	if at.Basis == NotExtrapolated {
+		last := curve.Points[len(curve.Points)-1]
+		return "not extrapolated; " + unit.Format(last.Value) + " at " + digits(last.Size)
+	}
+	return unit.Format(at.Value)
+}
+
+// pointsOf lists what was measured, size by size.
+func pointsOf(curve *capacity.Curve, unit Unit) string {
+	var points []string
+	for _, point := range curve.Points {
+		points = append(points, digits(point.Size)+": "+unit.Format(point.Value))
+	}
+	return strings.Join(points, "; ")
+}
+
 func curvesTable(results *capacity.Results) string {
 	var rows [][]string
 	for i := range results.Curves {
 		curve, unit := converted(&results.Curves[i])
-		first, last := curve.Points[0], curve.Points[len(curve.Points)-1]
 		bend := ""
 		if curve.Fit.Shape == capacity.Bends {
 			bend = " at " + digits(curve.Fit.BendAt)
 		}
-		rows = append(rows, []string{curve.Role, curve.Quantity,
-			fmt.Sprintf("%s to %s %s (%d)", digits(first.Size), digits(last.Size), curve.SizeUnit, len(curve.Points)),
-			unit.Format(first.Value) + " to " + unit.Format(last.Value), string(curve.Fit.Shape) + bend, describe(curve, unit), share(curve.Fit.Residual)})
+		rows = append(rows, []string{curve.Role, curve.Quantity, curve.SizeUnit, pointsOf(curve, unit),
+			string(curve.Fit.Shape) + bend, describe(curve, unit), share(curve.Fit.Residual)})
 	}
 	if len(rows) == 0 {
 		return "Nothing is measured yet.\n"
 	}
-	head := []string{"role", "quantity", "sizes (how many)", "values", "shape", "line", "residual"}
+	head := []string{"role", "quantity", "size in", "measured", "shape", "line", "residual"}
 	return "Measured " + results.Date + " on " + results.Machine + ".\n\n" + table(head, rows)
 }
 
--- a/lab/capacity/page/target.go
+++ b/lab/capacity/page/target.go
@@ -83,6 +83,8 @@
 	Value    string `toml:"value"`
 	Role     string `toml:"role"`
 	Quantity string `toml:"quantity"`
+
+	Size float64 `toml:"size"` // at which the estimate holds; 0: it is of each piece, as the curve's line
 }
 
 // consistent is the relative difference up to which figures that follow from each other agree.
@@ -214,6 +216,9 @@
 				c.bad(fmt.Sprintf("estimates[%d].%s", i, field.name), "is not told")
 			}
 		}
+		if !(e.Size >= 0) || math.IsInf(e.Size, 0) {
+			c.bad(fmt.Sprintf("estimates[%d].size", i), "%v is no size", e.Size)
+		}
 	}
 }
 
