--- a/lab/capacity/page/figure.go
+++ b/lab/capacity/page/figure.go
@@ -168,7 +168,7 @@
 }
 
 func (r *reckoned) fromTrial(target *Target, results *capacity.Results) {
-	r.command = "`spanlab capacity hollow`"
+	r.command = "`spanlab capacity hollow " + hollowArgument[r.trial.scenario] + "`"
 	trials := trialsOf(results, r.trial.scenario)
 	if len(trials) == 0 {
 		r.from = "no trial (" + r.trial.scenario + ")"
--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -49,6 +49,9 @@
 	wholeScenario  = "whole list"
 )
 
+// hollowArgument is how the command line names a scenario.
+var hollowArgument = map[string]string{idleScenario: "idle", changeScenario: "change", wholeScenario: "whole"}
+
 // The sizes at which curves are read.
 func destinationsAtTarget(t *Target) float64 { return t.Load.Destinations }
 func owedAtTarget(t *Target) float64         { return t.Load.BacklogPerForwarder }
