--- a/lab/capacity/page/page_test.go
+++ b/lab/capacity/page/page_test.go
@@ -283,7 +283,7 @@
 	require.ErrorContains(t, err, `the curve (known-destination, memory in the scheduler) is in "calls", not in "bytes"`)
 }
 
-func TestEveryFigureSaysWhatCarriesIt(t *testing.T) {
+func TestEveryFigureHasOneSourceAndACommand(t *testing.T) {
 	for _, role := range roles() {
 		require.NotEmpty(t, role.figures, role.title)
 		for _, figure := range role.figures {
@@ -294,6 +294,9 @@
 				}
 			}
 			require.LessOrEqual(t, sources, 1, "%s, %s", role.title, figure.what)
+			if figure.trial != nil {
+				require.NotEmpty(t, hollowArgument[figure.trial.scenario], "%s has no command", figure.what)
+			}
 		}
 	}
 }
--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -47,10 +47,14 @@
 	idleScenario   = "idle"
 	changeScenario = "change"
 	wholeScenario  = "whole list"
+	thirdScenario  = "restart of a third"
+	awayScenario   = "discovery away"
+	zoneScenario   = "zone cut off"
 )
 
 // hollowArgument is how the command line names a scenario.
-var hollowArgument = map[string]string{idleScenario: "idle", changeScenario: "change", wholeScenario: "whole"}
+var hollowArgument = map[string]string{idleScenario: "idle", changeScenario: "change", wholeScenario: "whole",
+	thirdScenario: "restart", awayScenario: "outage", zoneScenario: "zone"}
 
 // The sizes at which curves are read.
 func destinationsAtTarget(t *Target) float64 { return t.Load.Destinations }
@@ -142,6 +146,12 @@
 			"`internal/config`, `forward`"),
 		ofTrial("a change in force everywhere", Seconds, trialUse{changeScenario, lastInForce, "the last forwarder", fleetReached}, inForceWithin,
 			"`internal/directory`, `forward`"),
+		ofTrial("a change in force everywhere, a third restarted beside it", Seconds,
+			trialUse{thirdScenario, lastInForce, "the last forwarder", fleetReached}, inForceWithin, "`internal/directory`, `forward`"),
+		ofTrial("a change in force everywhere, after discovery was away", Seconds,
+			trialUse{awayScenario, lastInForce, "the last forwarder, from the return", fleetReached}, inForceWithin, "`internal/directory`, `choice`"),
+		ofTrial("a change in force everywhere, after a zone was cut off", Seconds,
+			trialUse{zoneScenario, lastInForce, "the last forwarder, from the return", fleetReached}, inForceWithin, "`internal/directory`, `choice`"),
 		ofTrial("processor time, idle", Cores, trialUse{idleScenario, idleCores, "of one forwarder", destinationsReached}, controlCores,
 			"`internal/directory`"),
 		ofTrial("processor time of changes", Cores, trialUse{changeScenario, changeCores, "a change × " + allChanges, destinationsReached},
@@ -152,6 +162,8 @@
 			controlBytes, "`internal/directory`"),
 		ofTrial("memory of a hollow forwarder", Bytes, trialUse{idleScenario, hollowMemory, "live, of one forwarder", destinationsReached},
 			controlMemory, "`forward`, `choice`"),
+		ofTrial("memory of a hollow forwarder that was told a whole list", Bytes,
+			trialUse{wholeScenario, hollowMemory, "live, of one forwarder", destinationsReached}, controlMemory, "`forward`, `choice`"),
 		ofTrial("a whole list: bytes", Bytes, trialUse{wholeScenario, bytesPerChange, "of one forwarder", destinationsReached}, watchLine,
 			"`internal/directory`; a list in parts: "+missing),
 		ofTrial("a whole list: processor time", Seconds, trialUse{wholeScenario, secondsPerChange, "of one forwarder", destinationsReached}, nil,
