--- a/lab/capacity/page/files_test.go
+++ b/lab/capacity/page/files_test.go
@@ -57,6 +57,7 @@
 		{"machines_per_day = 2", "machines_per_day = 0", "failures.machines_per_day: "},
 		{"core_share = 0.016", "core_share = 1.6", "budget.control.core_share: 1.6 is over 1"},
 		{`memory = "192MB"`, `memory = "0MB"`, "budget.forwarder.memory: "},
+		{"drain_per_second = 5_000", "drain_per_second = inf", "budget.forwarder.drain_per_second: +Inf is not a number over 0"},
 		{`ready_within = "10s"`, "", "budget.forwarder.ready_within: "},
 		{`value = "52 to 71 ms"`, `value = ""`, "estimates[1].value: is not told"},
 		{"size = 170_000", "size = -1", "estimates[1].size: -1 is no size"},
--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -96,6 +96,8 @@
 	}
 	beside := held("processor time of a fresh message beside them", Seconds)
 	beside.times, beside.timesIs = eventsAtTarget, allEvents
+	draining := held("processor time of each message that drains of them", Seconds)
+	draining.times, draining.timesIs = func(t *Target) float64 { return t.Budget.Forwarder.DrainPerSecond }, "`budget.forwarder.drain_per_second`"
 	path := curveUse{ref: curveRef{"message-path", "processor time in a second"}, unit: Seconds, size: eventsAtTarget, sizeIs: allEvents}
 	carried := func(quantity string) curveUse {
 		return curveUse{ref: curveRef{"message-path", quantity}, unit: Bytes, size: bodyAtTarget, sizeIs: "the body of an event",
@@ -114,6 +116,7 @@
 			"`internal/http1`, `internal/outlet`"),
 		ofCurve("processor time, nothing held", Cores, path, forwarderCores, "`forward`, `choice`, `internal/ledger`, `internal/outlet`"),
 		ofCurve("processor time of fresh messages beside the backlog", Cores, beside, forwarderCores, "`choice`"),
+		ofCurve("processor time of draining the backlog at the stated rate", Cores, draining, forwarderCores, "`choice`"),
 		ofCurve("processor time of a backlog that is given up in one turn", Seconds, held("processor time of giving all up in one turn", Seconds), nil, "`choice`"),
 		ofCurve("memory of the backlog in the scheduler", Bytes, held("memory in the scheduler", Bytes), forwarderBytes, "`choice`"),
 		ofCurve("memory of the backlog in the write-ahead log", Bytes, held("memory in the write-ahead log", Bytes), forwarderBytes, "`internal/ledger`"),
@@ -142,7 +145,7 @@
 		ofCurve("memory of a forwarder without messages", Bytes, known("memory of the forwarder", Bytes), forwarderBytes, "`forward`"),
 		ofCurve("processor time of a whole list, told in one turn", Seconds, known("processor time of a whole list", Seconds), nil, "`choice`"),
 		ofCurve("processor time of changes in the scheduler", Cores, change, controlCores, "`choice`"),
-		ofCurve("first start: time until ready", Seconds, known("time to the forwarder's first readiness", Seconds), readyWithin,
+		ofCurve("start without a list: time until all is known", Seconds, known("time until a started forwarder knows all", Seconds), readyWithin,
 			"`internal/config`, `forward`"),
 		ofTrial("a change in force everywhere", Seconds, trialUse{changeScenario, lastInForce, "the last forwarder", fleetReached}, inForceWithin,
 			"`internal/directory`, `forward`"),
--- a/lab/capacity/page/tables.go
+++ b/lab/capacity/page/tables.go
@@ -109,7 +109,7 @@
 		{"budget of control at a forwarder", Cores.Format(control.CoreShare) + ", " + Bytes.Format(float64(control.Memory)) + ", " +
 			BytesPerSecond.Format(float64(control.BytesPerSecond))},
 		{"budget of all else at a forwarder", Cores.Format(forwarder.Cores) + ", " + Bytes.Format(float64(forwarder.Memory)) + " (assumed), ready within " +
-			Seconds.Format(float64(forwarder.ReadyWithin)) + " of a restart"},
+			Seconds.Format(float64(forwarder.ReadyWithin)) + " of a restart, a backlog drained at " + PerSecond.Format(forwarder.DrainPerSecond)},
 		{"machines that fail", Count.Format(t.Failures.MachinesPerDay) + " a day"},
 		{"restarts and replacements", Count.Format(t.Failures.RestartsPerDay) + " a day"},
 		{"racks or switches that fail", Count.Format(t.Failures.RacksPerYear) + " a year at most"},
--- a/lab/capacity/page/target.go
+++ b/lab/capacity/page/target.go
@@ -75,6 +75,8 @@
 	Cores       float64     `toml:"cores"`
 	Memory      config.Size `toml:"memory"`
 	ReadyWithin config.Span `toml:"ready_within"` // after a restart
+
+	DrainPerSecond float64 `toml:"drain_per_second"` // messages of a backlog, beside which nothing comes
 }
 
 // OperatorEstimate is a figure that the operators measured once, with the curve that repeats it.
@@ -207,6 +209,7 @@
 	c.positive("budget.forwarder.cores", t.Budget.Forwarder.Cores)
 	c.positive("budget.forwarder.memory", float64(t.Budget.Forwarder.Memory))
 	c.positive("budget.forwarder.ready_within", float64(t.Budget.Forwarder.ReadyWithin))
+	c.positive("budget.forwarder.drain_per_second", t.Budget.Forwarder.DrainPerSecond)
 }
 
 func (t *Target) checkEstimates(c *targetChecker) {
