Capacity page: trials that forwarders missed tell nothing of the cost

A whole list that every forwarder refused was read as its memory and bytes. Such trials count for the time alone, which is never.

--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -147,37 +147,42 @@
 		ofCurve("processor time of changes in the scheduler", Cores, change, controlCores, "`choice`"),
 		ofCurve("start without a list: time until all is known", Seconds, known("time until a started forwarder knows all", Seconds), readyWithin,
 			"`internal/config`, `forward`"),
-		ofTrial("a change in force everywhere", Seconds, trialUse{changeScenario, lastInForce, "the last forwarder", fleetReached}, inForceWithin,
+		ofTrial("a change in force everywhere", Seconds, trialUse{changeScenario, lastInForce, "the last forwarder", fleetReached, nil}, inForceWithin,
 			"`internal/directory`, `forward`"),
 		ofTrial("a change in force everywhere, a third restarted beside it", Seconds,
-			trialUse{thirdScenario, lastInForce, "the last forwarder", fleetReached}, inForceWithin, "`internal/directory`, `forward`"),
+			trialUse{thirdScenario, lastInForce, "the last forwarder", fleetReached, nil}, inForceWithin, "`internal/directory`, `forward`"),
 		ofTrial("a change in force everywhere, after discovery was away", Seconds,
-			trialUse{awayScenario, lastInForce, "the last forwarder, from the return", fleetReached}, inForceWithin, "`internal/directory`, `choice`"),
+			trialUse{awayScenario, lastInForce, "the last forwarder, from the return", fleetReached, nil}, inForceWithin, "`internal/directory`, `choice`"),
 		ofTrial("a change in force everywhere, after a zone was cut off", Seconds,
-			trialUse{zoneScenario, lastInForce, "the last forwarder, from the return", fleetReached}, inForceWithin, "`internal/directory`, `choice`"),
-		ofTrial("processor time, idle", Cores, trialUse{idleScenario, idleCores, "of one forwarder", destinationsReached}, controlCores,
+			trialUse{zoneScenario, lastInForce, "the last forwarder, from the return", fleetReached, nil}, inForceWithin, "`internal/directory`, `choice`"),
+		ofTrial("processor time, idle", Cores, trialUse{idleScenario, idleCores, "of one forwarder", destinationsReached, nil}, controlCores,
 			"`internal/directory`"),
-		ofTrial("processor time of changes", Cores, trialUse{changeScenario, changeCores, "a change × " + allChanges, destinationsReached},
+		ofTrial("processor time of changes", Cores, trialUse{changeScenario, changeCores, "a change × " + allChanges, destinationsReached, nil},
 			controlCores, "`internal/directory`, `forward`, `choice`"),
-		ofTrial("bytes, idle", BytesPerSecond, trialUse{idleScenario, idleBytes, "of one forwarder", destinationsReached}, controlBytes,
+		ofTrial("bytes, idle", BytesPerSecond, trialUse{idleScenario, idleBytes, "of one forwarder", destinationsReached, nil}, controlBytes,
 			"`internal/directory`"),
-		ofTrial("bytes of changes", BytesPerSecond, trialUse{changeScenario, changeBytes, "a change × " + allChanges, destinationsReached},
+		ofTrial("bytes of changes", BytesPerSecond, trialUse{changeScenario, changeBytes, "a change × " + allChanges, destinationsReached, nil},
 			controlBytes, "`internal/directory`"),
-		ofTrial("memory of a hollow forwarder", Bytes, trialUse{idleScenario, hollowMemory, "live, of one forwarder", destinationsReached},
+		ofTrial("memory of a hollow forwarder", Bytes, trialUse{idleScenario, hollowMemory, "live, of one forwarder", destinationsReached, nil},
 			controlMemory, "`forward`, `choice`"),
 		ofTrial("memory of a hollow forwarder that was told a whole list", Bytes,
-			trialUse{wholeScenario, hollowMemory, "live, of one forwarder", destinationsReached}, controlMemory, "`forward`, `choice`"),
-		ofTrial("a whole list: bytes", Bytes, trialUse{wholeScenario, bytesPerChange, "of one forwarder", destinationsReached}, watchLine,
+			trialUse{wholeScenario, hollowMemory, "live, of one forwarder", destinationsReached, nobodyMissed}, controlMemory, "`forward`, `choice`"),
+		ofTrial("a whole list: bytes until it is in force", Bytes,
+			trialUse{wholeScenario, bytesPerChange, wholeAttempts, destinationsReached, nobodyMissed}, watchLine,
 			"`internal/directory`; a list in parts: "+missing),
-		ofTrial("a whole list: processor time", Seconds, trialUse{wholeScenario, secondsPerChange, "of one forwarder", destinationsReached}, nil,
+		ofTrial("a whole list: processor time until it is in force", Seconds,
+			trialUse{wholeScenario, secondsPerChange, wholeAttempts, destinationsReached, nobodyMissed}, nil,
 			"`internal/directory`, `forward`, `choice`"),
-		ofTrial("a whole list in force at all that start at once", Seconds, trialUse{wholeScenario, lastInForce, "the last forwarder", fleetReached},
+		ofTrial("a whole list in force at all that start at once", Seconds, trialUse{wholeScenario, lastInForce, "the last forwarder", fleetReached, nil},
 			inForceWithin, "`internal/directory`, `forward`"),
 	}
 }
 
 // What is read off a fleet trial.
 
+// wholeAttempts is what the cost of a whole list is of: a forwarder whose watch ended asks again.
+const wholeAttempts = "of one forwarder, with all attempts"
+
 // never stands for a time after which some forwarders still had not what they should have.
 const never = 1e9 // seconds
 
@@ -229,9 +234,9 @@
 		}
 	}
 	server := trialUse{changeScenario, perChange(func(trial *capacity.FleetTrial) float64 { return trial.ServerCPU }),
-		"the whole trial over its changes, idle time included", fleetReached}
+		"the whole trial over its changes, idle time included", fleetReached, nil}
 	sent := trialUse{changeScenario, perChange(func(trial *capacity.FleetTrial) float64 { return trial.ServerBytes }),
-		"the whole trial over its changes, idle time included", fleetReached}
+		"the whole trial over its changes, idle time included", fleetReached, nil}
 	return []*figure{
 		ofTarget("state: watches open", Count, forwardersAtTarget, "`fleet.forwarders`", "the operators' own service; here stand-ins alone"),
 		ofTarget("changes sent a second", PerSecond, func(t *Target) float64 { return t.changesPerSecond() * t.Fleet.Forwarders },
