--- a/lab/capacity/page/figure.go
+++ b/lab/capacity/page/figure.go
@@ -175,10 +175,7 @@
 	r.command = "`spanlab capacity hollow " + hollowArgument[r.trial.scenario] + "`"
 	trials := r.trial.of(results)
 	if len(trials) == 0 {
-		r.from = "no trial (" + r.trial.scenario + ") in which all had it"
-		if r.trial.counts == nil {
-			r.from = "no trial (" + r.trial.scenario + ")"
-		}
+		r.from = r.trial.none()
 		return
 	}
 	largest := slices.MaxFunc(trials, func(a, b *capacity.FleetTrial) int {
@@ -187,25 +184,43 @@
 	r.from = fmt.Sprintf("%s; trial (%s) of %s forwarders with %s destinations", r.trial.from, r.trial.scenario,
 		digits(float64(largest.Forwarders)), digits(float64(largest.Destinations)))
 	r.estimate = Estimate{Basis: NotExtrapolated, Value: r.trial.value(target, largest)}
-	r.limit = Limit{Basis: NotExtrapolated}
 	if r.trial.reached(target, largest) >= 1 {
-		r.estimate.Basis, r.limit = Measured, Limit{Basis: Measured, Never: true}
+		r.estimate.Basis = Measured
 	}
-	if !r.budgeted {
-		return
+	if r.budgeted {
+		r.limit = r.trial.leavesAt(target, trials, r.budget)
+		r.share = r.limit.Size
 	}
+}
+
+// leavesAt tells at which share of the target size trials leave a budget: the smallest that did, and the largest below
+// it that did not.
+func (u *trialUse) leavesAt(target *Target, trials []*capacity.FleetTrial, budget float64) Limit {
+	limit, reachedMost := Limit{Basis: NotExtrapolated}, 0.0
 	for _, trial := range trials {
-		over := r.trial.value(target, trial) > r.budget
-		if reached := r.trial.reached(target, trial); over && (r.limit.Size == 0 || reached < r.limit.Size) {
-			r.limit = Limit{Basis: Measured, Size: reached}
+		reached := u.reached(target, trial)
+		reachedMost = math.Max(reachedMost, reached)
+		if over := u.value(target, trial) > budget; over && (limit.Size == 0 || reached < limit.Size) {
+			limit = Limit{Basis: Measured, Size: reached}
 		}
 	}
-	r.share = r.limit.Size
+	if limit.Size == 0 && reachedMost >= 1 {
+		return Limit{Basis: Measured, Never: true}
+	}
 	for _, trial := range trials {
-		if reached := r.trial.reached(target, trial); reached < r.limit.Size {
-			r.limit.Kept = math.Max(r.limit.Kept, reached)
+		if reached := u.reached(target, trial); reached < limit.Size {
+			limit.Kept = math.Max(limit.Kept, reached)
 		}
 	}
+	return limit
+}
+
+// none says which trial there is none of.
+func (u *trialUse) none() string {
+	if u.counts != nil {
+		return "no trial (" + u.scenario + ") in which all had it"
+	}
+	return "no trial (" + u.scenario + ")"
 }
 
 // of are the trials that count.
@@ -232,10 +247,7 @@
 		if r.trial != nil {
 			return value + " in the trial; not extrapolated"
 		}
-		if r.budgeted && r.limit.Basis == Measured && !r.limit.Never {
-			return "not extrapolated; the budget is " + r.leftAtMeasured()
-		}
-		return "not extrapolated"
+		return "not extrapolated" + r.leftBefore()
 	case Extrapolated:
 		return fmt.Sprintf("%s (extrapolated to %s times the largest measured size)", value, digits(r.estimate.Beyond))
 	case Measured:
@@ -246,6 +258,19 @@
 	return value
 }
 
+// leftBefore says of a curve that is not extrapolated where it leaves its budget, if that is known.
+func (r *reckoned) leftBefore() string {
+	switch {
+	case !r.budgeted || r.limit.Never:
+		return ""
+	case r.limit.Basis == Measured:
+		return "; the budget is " + r.leftAtMeasured()
+	case r.limit.Basis == Fitted:
+		return "; the budget is left at " + digits(r.limit.Size)
+	}
+	return ""
+}
+
 // leftAtMeasured says between which measured sizes a curve that is not straight leaves its budget.
 func (r *reckoned) leftAtMeasured() string {
 	left := "left at the measured size " + digits(r.limit.Size)
--- a/lab/capacity/page/page_test.go
+++ b/lab/capacity/page/page_test.go
@@ -205,6 +205,10 @@
 	require.Contains(t, row(t, rendered["message-path"], "restart: time until ready"), "| not extrapolated |")
 	require.Contains(t, row(t, rendered["message-path"], "memory of the backlog in the scheduler"), "| not measured |")
 	require.Contains(t, row(t, rendered["message-path"], "processor time, nothing held"), "| 13% of a core |")
+	results.Curves[1].Fit = capacity.Fit{Shape: capacity.Bends, Intercept: 0.1, Slope: 0.0001, BendAt: 10_000} // in ms
+	bends, err := tables(readTarget(t), results)
+	require.NoError(t, err)
+	require.Contains(t, row(t, bends["message-path"], "processor time of fresh messages"), "| not extrapolated; the budget is left at 6,690 |")
 	require.Contains(t, row(t, rendered["failures"], "restart of a process"), "ready: not extrapolated to the backlog")
 	require.Contains(t, row(t, rendered["control-machines"], "memory"), "| not measured | nothing measures it |")
 	require.Contains(t, rendered["control-machines"], "| **missing** |")
