Backlog: no start with a move half ended, the log's room too, cheap sums

A start whose release of doubly held messages failed went on and would have sent them twice: it ends now, naming the error. A stopping process kept a timer in the past and turned without pause. Where the log has no room for a message the store may have. The gauges read one record of each lane every ten seconds: one record in all now. Change: as said; the policy's bound on messages in memory has tests of its own.

--- a/forward/backlog.go
+++ b/forward/backlog.go
@@ -168,10 +168,11 @@
 func (s *stored) knows(id string) bool { return s != nil && s.store.Has(id) }
 
 // resolve ends the moves that a kill has cut short and tells the policy what is stored. It gives the numbers of those
-// documents in the ledger that are answered without a call, as older ones of their lane are stored.
-func (o *owner) resolve(owed []*ledger.Entry) (overtaking map[uint64]bool) {
+// documents in the ledger that are answered without a call, as older ones of their lane are stored. With an error no
+// document may be taken up: one that both have would go out twice.
+func (o *owner) resolve(owed []*ledger.Entry) (overtaking map[uint64]bool, err error) {
 	if o.stored == nil {
-		return nil
+		return nil, nil
 	}
 	refs := make([]backlog.Ref, len(owed))
 	for i, e := range owed {
@@ -180,7 +181,7 @@
 	before := o.stored.store.Messages()
 	past, err := o.stored.mover.Resolve(refs)
 	if err != nil {
-		o.logBacklogError(err)
+		return nil, fmt.Errorf("backlog: %w", err)
 	}
 	overtaking = map[uint64]bool{}
 	for _, ref := range past {
@@ -194,7 +195,7 @@
 	}
 	o.log.Info().Int("messages", o.stored.store.Messages()).Int("in_both", before-o.stored.store.Messages()).
 		Int("answered_without_call", len(overtaking)).Msg("backlog resolved")
-	return overtaking
+	return overtaking, nil
 }
 
 // inMemory enters a document in its lane.
@@ -243,7 +244,8 @@
 	}
 	now := time.Now()
 	m := messageOf(e, a.Paper.Came)
-	decision := o.stored.policy.DecideWithin(policyLane(m.Lane), int64(m.Size()), time.Duration(left*float64(time.Second)), now)
+	fits, _ := o.f.Admit(e.Size(), left)
+	decision := o.stored.policy.DecideWithin(policyLane(m.Lane), int64(m.Size()), time.Duration(left*float64(time.Second)), fits, now)
 	if decision.Place == policy.Memory {
 		return seam.Reply{}, false
 	}
--- a/forward/backlog_figures.go
+++ b/forward/backlog_figures.go
@@ -31,7 +31,7 @@
 	states                  [len(backlogStates)]atomic.Int64
 }
 
-var backlogStates = [...]backlog.State{backlog.Untried, backlog.Tried, backlog.MayHaveRun}
+var backlogStates = [...]backlog.State{backlog.Untried: backlog.Untried, backlog.Tried: backlog.Tried, backlog.MayHaveRun: backlog.MayHaveRun}
 
 // setBacklogLevels sets what is cheap to tell, each turn.
 func (o *owner) setBacklogLevels() {
@@ -43,22 +43,22 @@
 	s.levels.bytes.Store(s.store.Bytes())
 }
 
-// setBacklogAges sets what takes a look at each lane, now and then.
+// setBacklogAges sets what takes a walk over the lanes, now and then.
 func (o *owner) setBacklogAges() {
 	if o.stored == nil || !o.metered {
 		return
 	}
 	s := o.stored
 	s.levels.onDisk.Store(s.store.Used())
-	stats, err := s.store.Stats()
+	for state, count := range s.store.States() {
+		s.levels.states[state].Store(int64(count))
+	}
+	oldest, err := s.store.Oldest()
 	if err != nil {
 		o.logBacklogError(err)
 		return
 	}
-	s.levels.oldest.Store(stats.Oldest)
-	for i, state := range backlogStates {
-		s.levels.states[i].Store(int64(stats.States[state]))
-	}
+	s.levels.oldest.Store(oldest)
 }
 
 // backlogGauges are the store's figures that are read when they are asked for.
--- a/forward/backlog_moves.go
+++ b/forward/backlog_moves.go
@@ -21,10 +21,13 @@
 // are served meanwhile.
 func (o *owner) moveBacklog(now time.Time) {
 	s := o.stored
-	if s == nil || o.stopping {
+	if s == nil {
 		return
 	}
 	s.wakeAt = time.Time{}
+	if o.stopping { // what is stored stays for the next process
+		return
+	}
 	o.answerExpired(now)
 	moves := s.policy.Due()
 	for _, move := range moves {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -91,7 +91,9 @@
 	}
 	defer o.meter.Stop()
 	lame := operators.takeOver()
-	o.begin(o.epoch)
+	if err := o.begin(o.epoch); err != nil {
+		return err
+	}
 	if err := o.openFronts(); err != nil {
 		return err
 	}
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -9,7 +9,12 @@
 )
 
 // begin gives the module the known list and what an earlier process owed.
-func (o *owner) begin(now time.Time) {
+func (o *owner) begin(now time.Time) error {
+	owed := o.ledger.Owed()
+	overtaking, err := o.resolve(owed)
+	if err != nil {
+		return err
+	}
 	o.f = choice.New(o.order.Terms, o.order.Seed, o.clock(now), o)
 	if o.order.Inherited > 0 { // this process and the one before are one forwarder; a restart ends the waits
 		o.waits = readWaits(o.order.Folder, o.clock(now))
@@ -19,13 +24,12 @@
 	}
 	o.listed(&o.order.Known, true)
 	o.emptyTray()
-	owed := o.ledger.Owed()
-	overtaking := o.resolve(owed)
 	for _, e := range owed {
 		o.recover(e, now, overtaking[e.Seq])
 	}
 	o.f.Settle()
 	o.flush()
+	return nil
 }
 
 // recover takes up a document that an earlier process owed. One that would overtake stored ones is answered without a
--- a/internal/backlog/policy/memory.go
+++ b/internal/backlog/policy/memory.go
@@ -29,10 +29,13 @@
 	return max(0, p.bounds.Memory-p.held)
 }
 
-// DecideWithin is Decide for a message with so much time left: one that would have to be answered at once after it is
-// stored is refused.
-func (p *Policy) DecideWithin(lane Lane, bytes int64, left time.Duration, now time.Time) Decision {
+// DecideWithin is Decide for a message with so much time left, which memory and the log have room for or not (fits): one
+// that would have to be answered at once after it is stored is refused.
+func (p *Policy) DecideWithin(lane Lane, bytes int64, left time.Duration, fits bool, now time.Time) Decision {
 	d := p.Decide(lane, bytes, now)
+	if d.Place == Memory && !fits {
+		d = p.storeOrRefuse(lane, bytes, now)
+	}
 	if d.Place == Store && left <= p.bounds.ExpiryLead {
 		return p.Refuse(NoBound, bytes, now)
 	}
--- /dev/null
+++ b/internal/backlog/policy/memory_test.go
@@ -0,0 +1,74 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func boundedMemory(t *testing.T, memory int) *Policy {
+	b := testBounds()
+	b.Memory = memory
+	return newPolicy(t, b)
+}
+
+func TestNewMessagesAreStoredOnceMemoryIsFull(t *testing.T) {
+	p := boundedMemory(t, 12)
+	for destination := range uint64(4) {
+		for range 3 {
+			require.Equal(t, Memory, arrive(p, Lane{Destination: destination}, 100).Place)
+		}
+	}
+	fresh := Lane{Destination: 9}
+	require.Equal(t, Store, arrive(p, fresh, 100).Place, "though its lane is empty")
+	p.Ended(Lane{Destination: 1})
+	require.Equal(t, Store, arrive(p, fresh, 100).Place, "behind the one of its lane that is stored")
+	require.Equal(t, []Move{{Kind: BringBack, Lane: fresh, Count: 1}}, p.Due(), "as many as there is room for")
+}
+
+func TestLanesThatMemoryHasNoRoomForComeBackLater(t *testing.T) {
+	p := boundedMemory(t, 4)
+	held := Lane{Destination: 1}
+	for range 4 {
+		p.Held(held)
+	}
+	for destination := range uint64(1000) {
+		p.Stored(Lane{Destination: 100 + destination}, 1, 10)
+	}
+	require.Empty(t, p.Due())
+	require.True(t, p.MoreDue())
+	back := map[Lane]bool{}
+	for range 1000 {
+		p.Ended(held)
+		moves := p.Due()
+		require.Len(t, moves, 1)
+		require.False(t, back[moves[0].Lane], "lanes take turns")
+		back[moves[0].Lane] = true
+		p.Back(moves[0].Lane, 10, start)
+		held = moves[0].Lane
+	}
+	require.Len(t, back, 1000)
+}
+
+func TestAMessageWithoutTimeOrRoomIsStoredOrRefused(t *testing.T) {
+	p, lane := boundedMemory(t, 4), Lane{Destination: 1}
+	lead := testBounds().ExpiryLead
+	require.Equal(t, Memory, p.DecideWithin(lane, 100, time.Second, true, start).Place)
+	require.Equal(t, Store, p.DecideWithin(lane, 100, lead+1, false, start).Place)
+	d := p.DecideWithin(lane, 100, lead, false, start)
+	require.Equal(t, Refused, d.Place)
+	require.Positive(t, d.RetryAfter)
+	require.Equal(t, Refused, p.DecideWithin(lane, 1_000_000, time.Hour, false, start).Place, "a bound stands against it")
+}
+
+func TestADiscardedMessageFreesItsPart(t *testing.T) {
+	p, lane := newPolicy(t, testBounds()), Lane{Destination: 1, Tenant: 2}
+	p.Stored(lane, 1, 700)
+	p.Discarded(lane, 700)
+	messages, bytes := p.Amount()
+	require.Zero(t, messages)
+	require.Zero(t, bytes)
+	require.Zero(t, p.TenantBytes(2))
+	require.Empty(t, p.Due())
+}
--- a/internal/backlog/policy/policy.go
+++ b/internal/backlog/policy/policy.go
@@ -174,6 +174,10 @@
 	if fits && p.memoryLeft() > 0 {
 		return Decision{Place: Memory}
 	}
+	return p.storeOrRefuse(lane, bytes, now)
+}
+
+func (p *Policy) storeOrRefuse(lane Lane, bytes int64, now time.Time) Decision {
 	if bound := p.bound(lane, bytes); bound != NoBound {
 		return p.Refuse(bound, bytes, now)
 	}
