--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	firstGuess = 0.9  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
-	fewDocs    = 1.0  // documents a second for a destination, under which refusals teach no pace, two failures end
+	fewDocs    = 1.0  // documents a second for a destination: under it refusals teach no pace, two failures shut
 	shutWait   = 2.5  // seconds; a limit has room again sooner
 	manyLost   = 2.0  // losses on idle connections, a fifth of the calls on them, that end trust in them
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
