Capacity: the power of the size with which a curve grows

A curve that is not straight may be quadratic or may cost twice as much a piece beyond the caches; the power tells which. It is a further field of the fit.

--- a/lab/capacity/fit.go
+++ b/lab/capacity/fit.go
@@ -31,6 +31,12 @@
 // that small sizes count as much as large ones. A line that fits only the points up to some size is a curve that
 // bends there; with fewer than four points, or with sizes less than ten times apart, the curve counts as not straight.
 func FitLine(points []Point) Fit {
+	fit := shapeOf(points)
+	fit.Power = power(points)
+	return fit
+}
+
+func shapeOf(points []Point) Fit {
 	fit := bestLine(points)
 	if len(points) < leastPoints || points[len(points)-1].Size < leastSpan*points[0].Size {
 		fit.Shape = NotStraight
@@ -116,6 +122,23 @@
 	return all
 }
 
+// power is the slope of the line through the logarithms of sizes and values, 0 if one is not over 0. It says by how much
+// a curve that is not straight grows; a little over 1 may be the machine's caches.
+func power(points []Point) float64 {
+	var n, sx, sy, sxx, sxy float64
+	for _, p := range points {
+		if p.Size <= 0 || p.Value <= 0 {
+			return 0
+		}
+		x, y := math.Log(p.Size), math.Log(p.Value)
+		n, sx, sy, sxx, sxy = n+1, sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	if spread := n*sxx - sx*sx; spread > 0 {
+		return (n*sxy - sx*sy) / spread
+	}
+	return 0
+}
+
 // levelLine is the value from which the points' relative errors are least.
 func levelLine(points []Point) float64 {
 	above, below := 0.0, 0.0
--- a/lab/capacity/fit_test.go
+++ b/lab/capacity/fit_test.go
@@ -60,6 +60,16 @@
 	require.Zero(t, flat.Slope)
 }
 
+func TestFitFindsThePowerWithWhichACurveGrows(t *testing.T) {
+	for _, power := range []float64{0, 0.5, 1, 1.3, 2} {
+		require.InDelta(t, power, FitLine(curve(0, func(x float64) float64 { return 3 * math.Pow(x, power) })).Power, 1e-9)
+	}
+	require.InDelta(t, 2, FitLine(curve(0.1, func(x float64) float64 { return x * x })).Power, 0.1)
+	require.Zero(t, FitLine(curve(0, func(float64) float64 { return 0 })).Power)
+	require.Zero(t, FitLine(nil).Power)
+	require.Zero(t, FitLine([]Point{{1, 1}, {1, 2}}).Power)
+}
+
 func TestFitFindsWhereACurveBends(t *testing.T) {
 	fit := FitLine(curve(0, func(x float64) float64 { return 5 + x/100 + 3*math.Max(0, x-1000) }))
 	require.Equal(t, 1000.0, fit.BendAt)
--- a/lab/command/capacity_measure.go
+++ b/lab/command/capacity_measure.go
@@ -99,18 +99,18 @@
 // curves prints curves with their lines.
 func (s *session) curves(curves []capacity.Curve) error {
 	t := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "ROLE\tQUANTITY\tUNIT\tSIZES\tVALUES\tSHAPE\tAT 0\tSLOPE\tRESIDUAL\tBENDS AT")
+	fmt.Fprintln(t, "ROLE\tQUANTITY\tUNIT\tSIZES\tVALUES\tSHAPE\tAT 0\tSLOPE\tRESIDUAL\tBENDS AT\tPOWER")
 	for _, c := range curves {
 		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t", c.Role, c.Quantity, c.Unit, span(c.Points, pointSize), span(c.Points, pointValue), c.Fit.Shape)
 		if c.Fit.Shape == capacity.NotStraight {
-			fmt.Fprintf(t, "-\t-\t%.3f\t-\n", c.Fit.Residual)
+			fmt.Fprintf(t, "-\t-\t%.3f\t-\t%.2f\n", c.Fit.Residual, c.Fit.Power)
 			continue
 		}
 		bends := "-"
 		if c.Fit.Shape == capacity.Bends {
 			bends = fmt.Sprintf("%g", c.Fit.BendAt)
 		}
-		fmt.Fprintf(t, "%.4g\t%.4g\t%.3f\t%s\n", c.Fit.Intercept, c.Fit.Slope, c.Fit.Residual, bends)
+		fmt.Fprintf(t, "%.4g\t%.4g\t%.3f\t%s\t%.2f\n", c.Fit.Intercept, c.Fit.Slope, c.Fit.Residual, bends, c.Fit.Power)
 	}
 	return t.Flush()
 }
