--- a/lab/capacity/page/figure.go
+++ b/lab/capacity/page/figure.go
@@ -168,6 +168,9 @@
 	case capacity.Bends:
 		return fmt.Sprintf("%s, and %s at none, up to %s", slope, unit.Format(fit.Intercept), digits(fit.BendAt))
 	}
+	if fit.Power != 0 {
+		return "not straight: grows with the power " + digits(rounded(fit.Power)) + " of the size"
+	}
 	return "not straight"
 }
 
--- a/lab/capacity/page/files_test.go
+++ b/lab/capacity/page/files_test.go
@@ -81,7 +81,7 @@
 		{func(r *capacity.Results) { r.Curves[0].Points[1].Size = 10 }, "points[1]: sizes have to grow"},
 		{func(r *capacity.Results) { r.Curves[0].Fit.Shape = "round" }, `fit.shape: "round" is unknown`},
 		{func(r *capacity.Results) { r.Curves[0].Fit.Shape = capacity.Bends }, "fit.bend_at: 0 is no size"},
-		{func(r *capacity.Results) { r.Curves[0].Fit.Residual = -1 }, "fit: intercept, slope and residual"},
+		{func(r *capacity.Results) { r.Curves[0].Fit.Residual = -1 }, "fit: intercept, slope, power and residual"},
 		{func(r *capacity.Results) { r.Curves = append(r.Curves, r.Curves[0]) }, "is there twice"},
 		{func(r *capacity.Results) { r.Fleets[0].Scenario = "" }, "fleets[0] (): scenario: is not told"},
 		{func(r *capacity.Results) { r.Fleets[0].Forwarders = 0 }, "forwarders and destinations have to be over 0"},
--- a/lab/capacity/page/page_test.go
+++ b/lab/capacity/page/page_test.go
@@ -183,7 +183,7 @@
 			Fit:    capacity.Fit{Shape: capacity.Linear, Slope: 1000}},
 		{Role: "held-message", Quantity: "processor time of a fresh message beside them", SizeUnit: "messages held", Unit: "ms",
 			Points: []capacity.Point{{Size: 1000, Value: 0.1}, {Size: 10_000, Value: 0.5}, {Size: 100_000, Value: 50}},
-			Fit:    capacity.Fit{Shape: capacity.NotStraight}},
+			Fit:    capacity.Fit{Shape: capacity.NotStraight, Power: 1.3494}},
 		{Role: "message-path", Quantity: "processor time in a second", SizeUnit: "messages a second", Unit: "s",
 			Points: []capacity.Point{{Size: 30, Value: 0.01}, {Size: 3000, Value: 0.3}},
 			Fit:    capacity.Fit{Shape: capacity.Linear, Slope: 0.0001}},
@@ -202,7 +202,8 @@
 
 	beside := row(t, rendered["message-path"], "processor time of fresh messages")
 	require.Contains(t, beside, "| not extrapolated; the budget is kept at 10,000, left at the measured size 100,000 |")
-	require.Contains(t, row(t, rendered["message-path"], "restart: time until ready"), "| not extrapolated |")
+	require.Contains(t, beside, "| not straight: grows with the power 1.35 of the size; at a forwarder's backlog (5,400,000), × ")
+	require.Contains(t, row(t, rendered["message-path"], "restart: time until ready"), "| not extrapolated | not straight; at")
 	require.Contains(t, row(t, rendered["message-path"], "memory of the backlog in the scheduler"), "| not measured |")
 	require.Contains(t, row(t, rendered["message-path"], "processor time, nothing held"), "| 13% of a core |")
 	results.Curves[1].Fit = capacity.Fit{Shape: capacity.Bends, Intercept: 0.1, Slope: 0.0001, BendAt: 10_000} // in ms
--- a/lab/capacity/page/results.go
+++ b/lab/capacity/page/results.go
@@ -87,8 +87,8 @@
 	default:
 		return fmt.Errorf("fit.shape: %q is unknown", fit.Shape)
 	}
-	if !finite(fit.Intercept) || !finite(fit.Slope) || !finite(fit.Residual) || fit.Residual < 0 {
-		return errors.New("fit: intercept, slope and residual have to be numbers, the residual from 0 on")
+	if !finite(fit.Intercept) || !finite(fit.Slope) || !finite(fit.Power) || !finite(fit.Residual) || fit.Residual < 0 {
+		return errors.New("fit: intercept, slope, power and residual have to be numbers, the residual from 0 on")
 	}
 	return nil
 }
