--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -173,8 +173,8 @@
 		ofTrial("a whole list: processor time until it is in force", Seconds,
 			trialUse{wholeScenario, secondsPerChange, wholeAttempts, destinationsReached, nobodyMissed}, nil,
 			"`internal/directory`, `forward`, `choice`"),
-		ofTrial("a whole list in force at all that start at once", Seconds, trialUse{wholeScenario, lastInForce, "the last forwarder", fleetReached, nil},
-			inForceWithin, "`internal/directory`, `forward`"),
+		ofTrial("a whole list in force at forwarders that start without one", Seconds,
+			trialUse{wholeScenario, lastInForce, "the last forwarder", destinationsReached, nil}, inForceWithin, "`internal/directory`, `forward`"),
 	}
 }
 
