--- a/internal/backlog/bench_test.go
+++ b/internal/backlog/bench_test.go
@@ -127,22 +127,31 @@
 }
 
 // Outages of all lengths: each step stores a message, and lanes come back at random, so that as many go as come. A
-// tenth of the lanes stays out. Written bytes for each byte of record.
+// tenth of the lanes stays out and gets nothing new. Written bytes for each byte of record, in a store with much room and in a nearly full one.
 func BenchmarkChurn(b *testing.B) {
-	s := openBench(b, b.TempDir())
-	defer s.Close()
 	const live = 100_000
+	for name, bounds := range map[string]Bounds{"roomy": benchBounds, "nearly-full": {Bytes: 66 << 20}} {
+		b.Run(name, func(b *testing.B) { benchmarkChurn(b, bounds, live) })
+	}
+}
+
+func benchmarkChurn(b *testing.B, bounds Bounds, live int) {
+	s, err := Open(OS{}, b.TempDir(), bounds)
+	require.NoError(b, err)
+	defer s.Close()
 	fillTo(b, s, live)
 	rng := rand.New(rand.NewPCG(1, 1))
-	before, bytes, peak := s.Written(), int64(0), int64(0)
+	before, bytes, peak, refused := s.Written(), int64(0), int64(0), 0
 	b.ResetTimer()
 	for range b.N {
 		m := benchMessage(s.LastSeq() + 1)
-		m.Lane.Destination = rng.Uint64N(benchLanes)
-		if err := s.Append(m); err != nil {
-			b.Fatal(err)
+		m.Lane.Destination = benchLanes/10 + rng.Uint64N(benchLanes*9/10)
+		if err := s.Append(m); err == nil {
+			bytes += s.lanes[m.Lane].last().size()
+		} else {
+			require.ErrorIs(b, err, ErrFull)
+			refused++
 		}
-		bytes += s.lanes[m.Lane].last().size()
 		for s.Messages() > live {
 			lane := Lane{benchLanes/10 + rng.Uint64N(benchLanes*9/10), 1}
 			ms, err := s.Head(lane, drainBatch)
@@ -157,6 +166,8 @@
 	}
 	b.ReportMetric(float64(s.Written()-before)/float64(bytes), "written/record")
 	b.ReportMetric(float64(peak)/float64(s.Bytes()), "peak-disk/live")
+	b.ReportMetric(float64(refused), "refused")
+	b.ReportMetric(float64(s.Bytes())/float64(s.bounds.room()), "live/room")
 }
 
 // 100,000 are due: a batch of the first 512 of them in the order of expiry.
--- a/internal/backlog/store_test.go
+++ b/internal/backlog/store_test.go
@@ -450,6 +450,37 @@
 
 const fixedMemory = 600 << 10 // bytes: buffers and 100 lanes
 
+// Ten times as many messages take ten times the calls and the memory to read again, not more, also where older ones were
+// stored behind newer ones.
+func TestReopenIsLinear(t *testing.T) {
+	cost := func(n int) (calls, allocated float64) {
+		files := newMemFS()
+		bounds := Bounds{Bytes: 256 << 20}
+		s := openStore(t, files, bounds)
+		for seq := range n {
+			number := uint64(n + seq)
+			if seq%10 == 9 { // spilled
+				number = uint64(n - seq)
+			}
+			if err := s.Append(testMessage(Lane{uint64(seq % 50), 1}, number)); err != nil {
+				require.NoError(t, err)
+			}
+		}
+		require.NoError(t, s.Close())
+		files.calls = 0
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		s = openStore(t, files, bounds)
+		runtime.ReadMemStats(&after)
+		require.Equal(t, n, s.Messages())
+		return float64(files.calls), float64(after.TotalAlloc - before.TotalAlloc)
+	}
+	calls, allocated := cost(10_000)
+	moreCalls, moreAllocated := cost(100_000)
+	require.LessOrEqual(t, moreCalls, 10*calls)
+	require.LessOrEqual(t, moreAllocated, 10*allocated)
+}
+
 func TestLookAtAStoreInUse(t *testing.T) {
 	dir := t.TempDir()
 	bounds := Bounds{Bytes: 64 << 10, SegmentBytes: 2 << 10}
