forward: a start ends the moves that a kill cut short, or is refused

If the store could not release what the ledger had again, the start went on with a log line: the message was in memory and in the store, to be delivered from both; what would overtake stored messages was not known either. The moves are now ended as the store is opened, and an error there keeps the forwarder from starting.

TestAForwarderDoesNotStartWhileAMoveThatWasCutShortCannotBeEnded makes that case (three messages in both, the store's next segment cannot be made); without the change the forwarder starts and the test fails.

--- a/forward/backlog.go
+++ b/forward/backlog.go
@@ -52,6 +52,8 @@
 	policy   *policy.Policy
 	lanes    map[backlog.Lane]*list.List // papers in memory, in the order of taking
 	firstSeq uint64                      // numbers below it are of earlier processes
+	inBoth   int                         // messages that the start found in the ledger and in the store
+	past     []backlog.Ref               // that the start found in the ledger though older ones of their lane are stored
 	wakeAt   time.Time                   // when to look for moves again; zero: with the next news
 	counts   backlogCounts
 	levels   backlogLevels
@@ -82,10 +84,28 @@
 		policy: decisions,
 		lanes:  map[backlog.Lane]*list.List{},
 	}
+	if err := o.endMoves(); err != nil {
+		o.closeBacklog()
+		return fmt.Errorf("backlog: %w", err)
+	}
 	o.log.Info().Int("messages", store.Messages()).Int64("bytes", store.Bytes()).Dur("took_ms", time.Since(start)).Msg("backlog opened")
 	return nil
 }
 
+// endMoves ends the moves that a kill has cut short. With an error a message may be in the ledger and in the store:
+// served then, it would be delivered twice.
+func (o *owner) endMoves() error {
+	owed := o.ledger.Owed()
+	refs := make([]backlog.Ref, len(owed))
+	for i, e := range owed {
+		refs[i] = backlog.NewRef(laneOf(e), e.Seq, e.ID)
+	}
+	before := o.stored.store.Messages()
+	past, err := o.stored.mover.Resolve(refs)
+	o.stored.past, o.stored.inBoth = past, before-o.stored.store.Messages()
+	return err
+}
+
 // setBacklogBounds takes up other bounds while the forwarder runs. What is stored beyond lower ones stays.
 func (o *owner) setBacklogBounds(asked *Backlog) error {
 	bounds := asked.policyBounds(o.order.Terms.Room)
@@ -167,32 +187,24 @@
 // knows tells if a message with a client's id is stored.
 func (s *stored) knows(id string) bool { return s != nil && s.store.Has(id) }
 
-// resolve ends the moves that a kill has cut short and tells the policy what is stored. It gives the numbers of those
-// documents in the ledger that are answered without a call, as older ones of their lane are stored.
-func (o *owner) resolve(owed []*ledger.Entry) (overtaking map[uint64]bool) {
+// resolve tells the policy what is stored. It gives the numbers of those documents in the ledger that are answered
+// without a call, as older ones of their lane are stored.
+func (o *owner) resolve() (overtaking map[uint64]bool) {
 	if o.stored == nil {
 		return nil
 	}
-	refs := make([]backlog.Ref, len(owed))
-	for i, e := range owed {
-		refs[i] = backlog.NewRef(laneOf(e), e.Seq, e.ID)
-	}
-	before := o.stored.store.Messages()
-	past, err := o.stored.mover.Resolve(refs)
-	if err != nil {
-		o.logBacklogError(err)
-	}
 	overtaking = map[uint64]bool{}
-	for _, ref := range past {
+	for _, ref := range o.stored.past {
 		overtaking[ref.Seq] = true
 	}
+	o.stored.past = nil
 	o.ledger.Reserve(o.stored.store.LastSeq())
 	o.stored.firstSeq = o.ledger.Number()
 	for _, lane := range o.stored.store.Lanes() {
 		usage := o.stored.store.LaneUsage(lane)
 		o.stored.policy.Stored(policyLane(lane), usage.Messages, usage.Bytes)
 	}
-	o.log.Info().Int("messages", o.stored.store.Messages()).Int("in_both", before-o.stored.store.Messages()).
+	o.log.Info().Int("messages", o.stored.store.Messages()).Int("in_both", o.stored.inBoth).
 		Int("answered_without_call", len(overtaking)).Msg("backlog resolved")
 	return overtaking
 }
--- /dev/null
+++ b/forward/backlog_faults_test.go
@@ -0,0 +1,60 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/forward"
+	"spanflow/internal/backlog"
+	"spanflow/internal/ledger"
+)
+
+// A message is in the log and in the store, as its process was killed while it came back, and the store cannot be
+// written: served all the same, it would be delivered twice.
+func TestAForwarderDoesNotStartWhileAMoveThatWasCutShortCannotBeEnded(t *testing.T) {
+	const count = 100
+	t.Parallel()
+	r := newBacklogRig(t)
+	r.targets[0].Do(failing)
+	r.start()
+	r.fill(0, 0, count)
+	r.stop()
+
+	store, err := backlog.Open(backlog.OS{}, r.store, backlog.Bounds{Bytes: 64 << 20})
+	require.NoError(t, err)
+	head, err := store.Head(backlog.Lane{}, 3)
+	require.NoError(t, err)
+	require.Len(t, head, 3)
+	require.NoError(t, store.Close())
+	log, err := ledger.Open(r.state, 64e6)
+	require.NoError(t, err)
+	for _, m := range head {
+		require.NoError(t, log.Restore(&ledger.Entry{Seq: m.Seq, Key: m.Key, Type: m.Type, ID: m.ID, Expiry: m.Expiry, Body: m.Body}))
+	}
+	require.NoError(t, log.Close())
+	segments, err := filepath.Glob(filepath.Join(r.store, "*.backlog"))
+	require.NoError(t, err)
+	obstacle := filepath.Join(r.store, fmt.Sprintf("%010d.backlog", len(segments)+1))
+	require.NoError(t, os.MkdirAll(filepath.Join(obstacle, "full"), 0o700))
+
+	text := fmt.Appendf(nil, backlogOrder, r.discovery.Addr, r.state, r.discovery.Known(), r.life.Milliseconds())
+	order, err := forward.ReadOrder(text, func(string) string { return "" })
+	require.NoError(t, err)
+	order.Backlog = &forward.Backlog{Folder: r.store, Bytes: 64 << 20, Window: 10, Behind: 20}
+	r.targets[0].Do(r.serve)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- forward.Run(t.Context(), order, nil, io.Discard, func(string) { ended <- nil })
+	}()
+	require.ErrorContains(t, <-ended, "backlog: open "+obstacle)
+	require.Zero(t, r.delivered())
+
+	require.NoError(t, os.RemoveAll(obstacle))
+	r.start()
+	r.requireAllInOrder(count)
+}
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -20,7 +20,7 @@
 	o.listed(&o.order.Known, true)
 	o.emptyTray()
 	owed := o.ledger.Owed()
-	overtaking := o.resolve(owed)
+	overtaking := o.resolve()
 	for _, e := range owed {
 		o.recover(e, now, overtaking[e.Seq])
 	}
