forward: expired messages whose notices are unheard no longer fill memory's bound

Messages brought back to be answered at the end of their time counted as held in memory until their notices were heard. While the receiver of notices did not answer, 1,800 of them (0.9 of dispatch.room) took the whole bound: fresh messages for a destination that is well went to the store and stayed there. They leave the count once they are answered; the ledger's bytes still bound them.

TestUnheardNoticesOfManyThatExpiredDoNotHoldUpFreshOnes: 2,500 that expire while notices are not answered, then 20 fresh ones for another destination; without the change these 20 had not all arrived after 3 s.

--- a/forward/backlog_faults_test.go
+++ b/forward/backlog_faults_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -58,3 +59,33 @@
 	r.start()
 	r.requireAllInOrder(count)
 }
+
+// Messages that are answered and whose notices nobody takes must not keep others out of memory.
+func TestUnheardNoticesOfManyThatExpiredDoNotHoldUpFreshOnes(t *testing.T) {
+	const count = 2500 // more than are held in memory
+	t.Parallel()
+	r := newBacklogRig(t)
+	r.life = 8 * time.Second
+	r.targets[0].Do(failing)
+	r.discovery.Deaf(true)
+	r.start()
+	begun := time.Now()
+	r.fill(0, 0, count)
+	require.Eventually(t, func() bool { return r.stored().Messages == 0 }, 20*time.Second, 20*time.Millisecond)
+	require.Greater(t, time.Since(begun), r.life/2)
+	for number := range 20 {
+		require.Equal(t, "+OK", r.put(1, 101, 10_000+number))
+	}
+	require.Eventually(t, func() bool { return r.delivered() == 20 }, 3*time.Second, time.Millisecond)
+	r.discovery.Deaf(false)
+	answered := map[string]bool{}
+	for len(answered) < count {
+		select {
+		case n := <-r.discovery.Notices:
+			require.False(t, answered[n.ID], "one final answer for each")
+			answered[n.ID] = true
+		case <-time.After(20 * time.Second):
+			require.Fail(t, "missing answers", "%d of %d", len(answered), count)
+		}
+	}
+}
--- a/forward/backlog_moves.go
+++ b/forward/backlog_moves.go
@@ -157,6 +157,7 @@
 		if batch.Expired {
 			o.stored.counts.expired++
 			o.f.GiveUp(p.doc, typ, left, past)
+			o.leftMemory(p) // its notice may stay unheard for long
 		} else {
 			o.stored.counts.broughtBack++
 			if m.Seq < o.stored.firstSeq { // an earlier process counted it
