--- a/forward/forward.go
+++ b/forward/forward.go
@@ -91,9 +91,7 @@
 	}
 	defer o.meter.Stop()
 	lame := operators.takeOver()
-	if err := o.begin(o.epoch); err != nil {
-		return err
-	}
+	o.begin(o.epoch)
 	if err := o.openFronts(); err != nil {
 		return err
 	}
--- a/forward/list.go
+++ b/forward/list.go
@@ -33,6 +33,7 @@
 		lines = append(lines, line)
 	}
 	o.f.List(whole, lines)
+	o.forgetUnused()
 	if len(o.waits) > 0 {
 		o.heedWaits()
 	}
@@ -90,14 +91,6 @@
 	if d := o.dests[number]; d != nil {
 		return d
 	}
-	if len(o.dests) >= o.sweepAt {
-		for n, d := range o.dests {
-			if o.f.Forget(d) {
-				delete(o.dests, n)
-			}
-		}
-		o.sweepAt = 2*len(o.dests) + leastSweep
-	}
 	d := o.f.NewDestination(number)
 	o.dests[number] = d
 	if times := o.learnt[number]; times != nil {
@@ -107,6 +100,20 @@
 	return d
 }
 
+// forgetUnused lets go of destinations that no target is listed for and no document is held for, once there are many.
+// It follows a list that was taken up: while one is being read its destinations have no targets yet.
+func (o *owner) forgetUnused() {
+	if len(o.dests) < o.sweepAt {
+		return
+	}
+	for number, d := range o.dests {
+		if o.f.Forget(d) {
+			delete(o.dests, number)
+		}
+	}
+	o.sweepAt = 2*len(o.dests) + leastSweep
+}
+
 // index is a name's number; one that the settings do not have gets a number beyond them.
 func index(names []string, name string) int {
 	for i, n := range names {
