backlog/policy: full memory leaves a reserve to lanes with few messages there

With 0.9 of dispatch.room held, every new message went to the store and none came back. With the usual bounds (window 64, behind 1000, room 2000) two destinations that turn calls away and have 1,100 messages each, or 40 that are down with 100 each, filled it: messages of a destination that is well were stored and not sent.

A lane with fewer than 4 messages in memory, whose destination is not out, now finds room in a reserve of a twelfth beyond the bound, still below dispatch.room.

Left: some 37 lanes that turn calls away (not out) and hold 4 there fill the reserve too; and a destination that is out with nothing in memory is not tried until memory is free.

--- a/cmd/spanflowctl/backlog_cases_test.go
+++ b/cmd/spanflowctl/backlog_cases_test.go
@@ -564,3 +564,42 @@
 	s.record.mu.Unlock()
 	s.terminate()
 }
+
+// The windows of the destinations that are down are together more than memory holds: one that is well is served all
+// the same.
+func TestManyDestinationsDownLeaveMemoryToThoseThatAreWell(t *testing.T) {
+	const down, each = 40, 100
+	t.Parallel()
+	s := newScene(t, down+1).write("disk = \"64MiB\"\nwindow = 64\nbehind = 128")
+	s.all(refuse)
+	s.targets[down].Do(s.record.deliver)
+	s.start()
+	var all []message
+	for destination := 1; destination <= down; destination++ {
+		all = append(all, several("status", destination, "", each, 5)...)
+	}
+	s.putAll(all)
+	c := s.client()
+	for fresh := range 20 {
+		m := message{typ: "status", destination: down + 1, key: 9, number: fresh}
+		require.Equal(t, "+OK", s.put(c, m))
+		require.Eventually(t, func() bool { return s.record.delivered(m) }, 3*time.Second, time.Millisecond, "its agreed time")
+	}
+}
+
+// Two destinations that turn calls away, with the usual bounds: one that is well is served all the same.
+func TestTwoDestinationsFarBehindLeaveMemoryToThoseThatAreWell(t *testing.T) {
+	const each = 1100
+	t.Parallel()
+	s := newScene(t, 3).write("")
+	s.all(refuse)
+	s.targets[2].Do(s.record.deliver)
+	s.start()
+	s.putAll(append(several("status", 1, "", each, 50), several("status", 2, "", each, 50)...))
+	c := s.client()
+	for fresh := range 20 {
+		m := message{typ: "status", destination: 3, key: 9, number: fresh}
+		require.Equal(t, "+OK", s.put(c, m))
+		require.Eventually(t, func() bool { return s.record.delivered(m) }, 3*time.Second, time.Millisecond, "its agreed time")
+	}
+}
--- a/internal/backlog/policy/memory.go
+++ b/internal/backlog/policy/memory.go
@@ -6,11 +6,13 @@
 )
 
 const (
-	memoryShare = 0.9 // of the messages that the scheduler holds at once: beyond it, it begins to give some up for room
-	batch       = 256 // messages that come back in one turn of the event loop
-	expiryBatch = 512 // messages that are answered at the end of their time in one turn of the event loop
-	expiryLead  = 3 * time.Second
-	mostLooked  = 256 // lanes that are looked at for moves in one turn of the event loop
+	memoryShare  = 0.9 // of the messages that the scheduler holds at once: beyond it, it begins to give some up for room
+	batch        = 256 // messages that come back in one turn of the event loop
+	expiryBatch  = 512 // messages that are answered at the end of their time in one turn of the event loop
+	expiryLead   = 3 * time.Second
+	fewHeld      = 4   // messages of a lane that find room in the reserve
+	reserveParts = 12  // the reserve is this part of Memory, beyond it
+	mostLooked   = 256 // lanes that are looked at for moves in one turn of the event loop
 )
 
 // WithDefaults fills in what is not for operators to set; room is how many messages the scheduler holds at once.
@@ -29,6 +31,19 @@
 	return max(0, p.bounds.Memory-p.held)
 }
 
+// memoryFor is how many messages more of a lane may be in memory, where so many of all lanes may and so many are. A
+// lane with few there, whose destination is not out, finds room in a reserve: lanes that hold much do not keep it out.
+func (p *Policy) memoryFor(lane Lane, left, held int) int {
+	if d := p.destinations[lane.Destination]; p.bounds.Memory == 0 || d != nil && d.out {
+		return left
+	}
+	few := fewHeld
+	if l := p.lanes[lane]; l != nil {
+		few -= l.held
+	}
+	return max(left, min(few, p.bounds.Memory+p.bounds.Memory/reserveParts-held))
+}
+
 // DecideWithin is Decide for a message with so much time left: one that would have to be answered at once after it is
 // stored is refused.
 func (p *Policy) DecideWithin(lane Lane, bytes int64, left time.Duration, now time.Time) Decision {
--- a/internal/backlog/policy/policy.go
+++ b/internal/backlog/policy/policy.go
@@ -171,7 +171,7 @@
 func (p *Policy) Decide(lane Lane, bytes int64, now time.Time) Decision {
 	l := p.lanes[lane]
 	fits := l == nil || l.stored.messages == 0 && l.held < p.mostHeld(lane)
-	if fits && p.memoryLeft() > 0 {
+	if fits && p.memoryFor(lane, p.memoryLeft(), p.held) > 0 {
 		return Decision{Place: Memory}
 	}
 	if bound := p.bound(lane, bytes); bound != NoBound {
@@ -272,7 +272,7 @@
 // be tried before it is called again; a lane whose move was not carried out is given again by Unmoved.
 func (p *Policy) Due() []Move {
 	var moves []Move
-	left, memory := p.bounds.Batch, p.memoryLeft()
+	left, memory, held := p.bounds.Batch, p.memoryLeft(), p.held
 	for range min(len(p.queue), mostLooked) {
 		if left == 0 {
 			break
@@ -288,7 +288,7 @@
 		}
 		most := left
 		if m.Kind == BringBack {
-			most = min(left, memory)
+			most = min(left, p.memoryFor(l.id, memory, held))
 		}
 		if m.Count > most {
 			m.Count = most
@@ -299,7 +299,8 @@
 		}
 		left -= m.Count
 		if m.Kind == BringBack {
-			memory -= m.Count
+			memory = max(0, memory-m.Count)
+			held += m.Count
 		}
 		moves = append(moves, m)
 	}
--- a/internal/backlog/policy/policy_test.go
+++ b/internal/backlog/policy/policy_test.go
@@ -297,3 +297,33 @@
 		require.Equal(t, amount{}, p.stored)
 	}
 }
+
+// Lanes that fill memory do not keep out one with few messages, new or stored, unless its destination is out.
+func TestALaneWithFewInMemoryFindsRoomInTheReserve(t *testing.T) {
+	const memory = 120
+	p, err := New(Bounds{Bytes: 1000, DestinationBytes: 1000, TenantBytes: 1000, Window: memory, Behind: memory, Memory: memory, Batch: 50,
+		ExpiryLead: time.Second})
+	require.NoError(t, err)
+	now := time.Unix(1000, 0)
+	for range memory {
+		p.Held(Lane{Destination: 1})
+	}
+	require.Equal(t, Store, p.Decide(Lane{Destination: 1}, 10, now).Place)
+	lane := Lane{Destination: 2}
+	for range fewHeld {
+		require.Equal(t, Memory, p.Decide(lane, 10, now).Place)
+		p.Held(lane)
+	}
+	require.Equal(t, Store, p.Decide(lane, 10, now).Place)
+	p.Stored(lane, 5, 50)
+	for range fewHeld {
+		p.Ended(lane)
+	}
+	require.Equal(t, []Move{{Kind: BringBack, Lane: lane, Count: fewHeld}}, p.Due())
+	p.Out(3, true)
+	require.Equal(t, Store, p.Decide(Lane{Destination: 3}, 10, now).Place)
+	for range memory / reserveParts {
+		p.Held(Lane{Destination: 1})
+	}
+	require.Equal(t, Store, p.Decide(Lane{Destination: 4}, 10, now).Place, "the reserve is full")
+}
