--- a/forward/backlog_faults_test.go
+++ b/forward/backlog_faults_test.go
@@ -89,3 +89,21 @@
 		}
 	}
 }
+
+// The same where the messages expire in memory, none of them stored.
+func TestUnheardNoticesOfManyThatExpiredInMemoryDoNotHoldUpFreshOnes(t *testing.T) {
+	const count = 1900
+	t.Parallel()
+	r := newBacklogRig(t)
+	r.life = 6 * time.Second
+	r.change = func(b *forward.Backlog) { b.Window, b.Behind = 1800, 1800 }
+	r.targets[0].Do(failing)
+	r.discovery.Deaf(true)
+	r.start()
+	r.fill(0, 0, count)
+	time.Sleep(r.life)
+	for number := range 20 {
+		require.Equal(t, "+OK", r.put(1, 101, 10_000+number))
+	}
+	require.Eventually(t, func() bool { return r.delivered() == 20 }, 3*time.Second, time.Millisecond)
+}
--- a/forward/host.go
+++ b/forward/host.go
@@ -71,6 +71,7 @@
 		outcome = seam.Returned
 	}
 	o.final(p, outcome)
+	o.leftMemory(p) // its notice may stay unheard for long
 	o.tell(p, outcome, after)
 }
 
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -52,7 +52,9 @@
 	} else {
 		o.f.Recover(p.doc, typ, left, past)
 	}
-	o.inMemory(p)
+	if !past.Answered {
+		o.inMemory(p)
+	}
 	o.counts.recovered++
 	if p.untried = past.Sent == 0 && !past.Answered && !past.Left; p.untried {
 		if o.figures.untried++; left <= 0 {
--- a/internal/backlog/policy/memory_test.go
+++ b/internal/backlog/policy/memory_test.go
@@ -21,6 +21,7 @@
 		}
 	}
 	fresh := Lane{Destination: 9}
+	p.Out(fresh.Destination, true) // else it finds room in the reserve
 	require.Equal(t, Store, arrive(p, fresh, 100).Place, "though its lane is empty")
 	p.Ended(Lane{Destination: 1})
 	require.Equal(t, Store, arrive(p, fresh, 100).Place, "behind the one of its lane that is stored")
