--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -105,7 +105,7 @@
 	}
 	return []*figure{
 		ofTarget("state: messages owed", Count, owedAtTarget, "`load.backlog_per_forwarder`",
-			"`choice`, `forward`, `internal/ledger`; a store beyond memory: "+missing),
+			"`choice`, `forward`, `internal/ledger`; beyond memory `internal/backlog`, where `[backlog]` is set"),
 		ofTarget("messages taken a second", PerSecond, eventsAtTarget,
 			"`load.events_per_second` over `fleet.forwarders`, × `load.forwarder_skew`", "`internal/resp`, `internal/intake`, `forward`"),
 		ofTarget("messages a second for destinations that are down", PerSecond,
