--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,7 @@
 // Package choice decides which document goes out when, to which target, and which is given up.
 //
 // How to call it: New at the start; then, for all that happens at one moment, Clock, then the news in the
-// order of arrival (List, ListFailed, ListSilent, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and
+// order of arrival (List, ListFailed, ListBroken, ListSilent, Take, Recover, Ended, Told, Withdrawn, Woken, Stop), and
 // Settle once. Where the room at the door is the module's to mind, Admit comes before Take. The interface is
 // in port.go, what is remembered in state.go. The ordinary path is that of docs/design.md.
 //
@@ -33,7 +33,7 @@
 	firstGuess = 0.9  // seconds a call takes before any was measured
 	blame      = 0.2  // weight of one failure in a target's share of failures, twice that if nothing was heard
 	mostFail   = 0.6  // share of failures from which on a target is sick
-	fewDocs    = 1.0  // documents a second for a destination, under which its refusals teach no pace
+	fewDocs    = 1.0  // documents a second for a destination: under it refusals teach no pace, two failures shut
 	shutWait   = 2.5  // seconds; a limit has room again sooner
 	manyLost   = 2.0  // losses on idle connections, a fifth of the calls on them, that end trust in them
 	fadeTime   = 8.0  // seconds in which a failure loses most of its weight in the choice between siblings
@@ -41,6 +41,7 @@
 	kept       = 5.0  // calls that an earlier process's times count as, at most
 	agentAsks  = 0.4  // seconds between questions to an agent: what it has counts as told, heard or not
 	asksAtOnce = 4.0  // questions a second for the list, all forwarders together
+	askWait    = 2.7  // seconds to the next question, 1.3 times that at most, where discovery was out of reach
 	KeepSilent = 2.7  // seconds in which a client has to bring a whole command: slow ones may ask after two
 	KeepQuiet  = 3.0  // seconds that it may be connected between two
 )
@@ -57,7 +58,7 @@
 // List takes news of the targets; whole means that all are named.
 func (f *Forwarder) List(whole bool, lines []Listing) {
 	named := map[*Target]bool{}
-	f.unlisted, f.blind = 0, f.blind && f.now == f.began
+	f.unlisted, f.broken, f.blind = 0, 0, f.blind && f.now == f.began
 	if f.now == f.began && f.askAt == f.now && len(lines) > 0 { // as last known: the question can wait
 		f.askAt += f.asking() * f.dice.unit()
 	}
@@ -103,9 +104,16 @@
 // ListFailed says that a question for the list went wrong or that the list stopped coming. Each failure in a
 // row doubles the time to the next question. Guards against all forwarders together keeping discovery's line
 // so long that nobody is served in time; hurts when it was down and is back.
-func (f *Forwarder) ListFailed() {
-	wait := math.Min(math.Max(1, f.asking())*math.Pow(2, float64(f.unlisted)), f.terms.AskWithin)
-	f.unlisted, f.blind = min(f.unlisted+1, 4), false
+func (f *Forwarder) ListFailed() { f.askAgain(&f.unlisted, f.terms.AskWithin) }
+
+// ListBroken says that the list stopped coming, or that discovery is down or out of reach: no line of questions
+// is to be kept short. What it has counts as told six seconds after it could be reached, so that the next
+// question cannot wait longer. Guards against calls to what began to drain in an outage; costs questions in vain.
+func (f *Forwarder) ListBroken() { f.askAgain(&f.broken, math.Min(f.terms.AskWithin, askWait)) }
+
+func (f *Forwarder) askAgain(failures *int, most float64) {
+	wait := math.Min(math.Max(1, f.asking())*math.Pow(2, float64(*failures)), most)
+	*failures, f.blind = min(*failures+1, 4), false
 	f.askAt = f.now + wait*(0.3+f.dice.unit())
 }
 
@@ -142,13 +150,9 @@
 	} else if past.Answered { // and is not transmitted any more
 		d.telling = true
 		f.finish(d)
-	} else if d.sent, d.ranFrom, d.ranZone, d.owed = past.Sent, past.Ran, past.Zone, past.Sent == 0; d.owed {
-		d.declassify()
-		f.await(d)
 	} else {
-		f.dequeue(d)
-		f.retry(d)
-		f.await(d)
+		d.sent, d.ranFrom, d.ranZone, d.owed = past.Sent, past.Ran, past.Zone, past.Sent == 0
+		f.resume(d)
 	}
 }
 
@@ -345,13 +349,16 @@
 	}
 }
 
-// doubt shuts a route after three failures in a row, refusals counted after the first and one at least quick,
-// with no answer for a while before. Guards against many forwarders with few calls that go on until each is
-// sure, and together push a destination over as it returns. Hurts after chance failures, calls being few.
+// doubt shuts a route after three failures in a row, two where documents are few; refusals count after the first,
+// one is quick, and no answer came for a while. Guards against many forwarders with few calls that go on until
+// each is sure, and together push a destination over as it returns. Hurts after chance failures.
 func (f *Forwarder) doubt(t *Target) {
-	r := t.route
+	r, enough := t.route, 3
+	if f.few(t.dest) {
+		enough = 2
+	}
 	for _, o := range t.dest.targets {
-		if r.quick && r.amiss >= 3 && f.now-r.lastGood > blip && o.route == r && o.state != sick {
+		if r.quick && r.amiss >= enough && f.now-r.lastGood > blip && o.route == r && o.state != sick {
 			f.cool(o)
 		}
 	}
@@ -445,7 +452,7 @@
 	r.heard = f.now
 	// Departure: few documents teach no pace where no report tells what is left. Guards against hundreds that
 	// ask again soon and use the limit up with refusals; hurts after a chance refusal.
-	few := r.most == 0 && t.dest.taken/(f.now-f.began+2) < fewDocs
+	few := r.most == 0 && f.few(t.dest)
 	if r.refused++; r.refused == 1 || e.Wait > 0 && e.Wait < shutWait {
 		r.turned = f.now
 	}
@@ -742,8 +749,7 @@
 
 // review answers the documents that have no way left to arrive.
 func (f *Forwarder) review() {
-	due := f.collectDue()
-	for _, d := range due {
+	for _, d := range f.collectDue() {
 		if d.answered || d.call != nil && f.now < d.expiry+overdue {
 			continue
 		}
@@ -755,7 +761,6 @@
 			f.answer(d)
 		}
 	}
-	f.due.reviewed(due)
 }
 
 // crowd cuts what is worth least of the longest line while the room is nearly full. Guards against a sick or
--- a/choice/lane.go
+++ b/choice/lane.go
@@ -60,6 +60,17 @@
 	f.enqueue(d)
 }
 
+// resume makes a message that a restart found wait as its history asks for: untried, or for a further call.
+func (f *Forwarder) resume(d *Doc) {
+	if d.owed {
+		d.declassify() // it is not given up for room
+	} else {
+		f.dequeue(d)
+		f.retry(d)
+	}
+	f.await(d)
+}
+
 // dequeue ends a message's waiting. It can come back only as a retry.
 func (f *Forwarder) dequeue(d *Doc) {
 	if !d.queued {
--- a/choice/restart_test.go
+++ b/choice/restart_test.go
@@ -144,3 +144,59 @@
 	require.Equal(t, next, h.sent[len(h.sent)-1].doc)
 	require.Equal(t, "abandoned", h.done[first], "once")
 }
+
+// Whatever a failed, refused or given-up question allows, a change counts as told six seconds after discovery had it and
+// could be reached. A connection that never comes up takes a second and a half of that.
+func TestTheListIsAskedForSoonAfterAnOutageOfDiscoveryHoweverLong(t *testing.T) {
+	const toldIn, failsIn = 6.0, 1.5
+	asks := terms
+	asks.AskList = true
+	for _, within := range []float64{0, 2, 10} { // not stated, short, and long
+		for _, forwarders := range []int{1, 3, 30, 500} {
+			asks.AskWithin, asks.Forwarders = within, forwarders
+			for seed := range uint64(20) {
+				h := &fake{now: 100, done: map[*Doc]string{}, back: map[*Doc]float64{}}
+				h.Forwarder = New(asks, seed, h.now, h)
+				h.settle()
+				for n := range 12 {
+					require.Equal(t, n+1, h.asks, "%d forwarders, asked within %v", forwarders, within)
+					h.ListBroken()
+					h.pass(toldIn - failsIn - 0.9) // what is left is for the answer
+				}
+			}
+		}
+	}
+}
+
+// The window in which a target knows a repeat may be as short as a second, on days of restarts too: what may have run is
+// neither sent nor still waited for beyond it, and whatever is past its window ends as a failure, once.
+func TestAWindowOfASecondIsKeptOverARestart(t *testing.T) {
+	const window, life = 1.0, 20.0
+	short := onSockets()
+	short.Types = append([]DocType{}, short.Types...)
+	short.Types[ticket].Memory = window
+	for age := 0.0; age < 1.6; age += 0.04 { // of the call that was out when the process was killed
+		h := start(short)
+		d := h.receiver(0, 0, 0)
+		doc, ran := &Doc{Dest: d, Key: 5}, h.now-age
+		h.Recover(doc, ticket, life, Past{Sent: 1, Ran: ran})
+		h.settle()
+		for h.now < 100+life {
+			h.pass(0.02)
+			if n := len(h.sent); n > 0 && doc.call != nil && h.now >= h.sent[n-1].at+h.sent[n-1].timeout {
+				h.ends(doc, TimedOut, 0)
+			}
+		}
+		for _, s := range h.sent {
+			require.Less(t, s.at, ran+window, "killed %.2f s into its call", age)
+			require.Less(t, s.at+s.timeout, ran+window+0.001, "killed %.2f s into its call", age)
+		}
+		require.Contains(t, []string{"abandoned", "rejected"}, h.done[doc], "once, killed %.2f s into its call", age)
+		if age > window+0.01 {
+			require.Equal(t, "abandoned", h.done[doc], "a repeat is not harmless any more")
+		}
+		if age < 0.3 {
+			require.NotEmpty(t, h.sent, "there was time")
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -36,6 +36,7 @@
 	askAt    float64 // when to ask for the list; infinite while it is coming
 	blind    bool    // the list of now counts as told and was not heard yet
 	unlisted int     // questions for the list that failed in a row
+	broken   int     // of these, those that failed for another reason than discovery's load
 }
 
 // New starts a forwarder.
@@ -236,6 +237,9 @@
 	}
 }
 
+// few tells that a destination gets few documents.
+func (f *Forwarder) few(d *Destination) bool { return d.taken/(f.now-f.began+2) < fewDocs }
+
 // Woken is a wake-up that was asked for.
 func (f *Forwarder) Woken() { f.wake = math.Inf(1) }
 
--- a/forward/backlog_moves.go
+++ b/forward/backlog_moves.go
@@ -21,10 +21,13 @@
 // are served meanwhile.
 func (o *owner) moveBacklog(now time.Time) {
 	s := o.stored
-	if s == nil || o.stopping {
+	if s == nil {
 		return
 	}
 	s.wakeAt = time.Time{}
+	if o.stopping { // what is stored stays for the next process
+		return
+	}
 	o.answerExpired(now)
 	moves := s.policy.Due()
 	for _, move := range moves {
@@ -157,6 +160,7 @@
 		if batch.Expired {
 			o.stored.counts.expired++
 			o.f.GiveUp(p.doc, typ, left, past)
+			o.leftMemory(p) // its notice may stay unheard for long
 		} else {
 			o.stored.counts.broughtBack++
 			if m.Seq < o.stored.firstSeq { // an earlier process counted it
--- a/forward/owner.go
+++ b/forward/owner.go
@@ -171,10 +171,13 @@
 // watchEnded tells the module that the list is not heard of any more.
 func (o *owner) watchEnded(n watchEnded) {
 	o.log.Warn().Str("why", n.why).Msg("watch ended")
-	if n.silent {
+	switch n.how {
+	case seam.WatchSilent:
 		o.f.ListSilent()
-	} else {
+	case seam.WatchLate:
 		o.f.ListFailed()
+	default:
+		o.f.ListBroken()
 	}
 }
 
--- a/lab/command/capacity.go
+++ b/lab/command/capacity.go
@@ -6,6 +6,6 @@
 func (s *session) capacityCommand() *cobra.Command {
 	c := &cobra.Command{Use: "capacity", Short: "Measure what destinations, messages and clients cost, by their number", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
-	c.AddCommand(s.capacityMeasure(), s.hollowCommand(), s.hollowProcessCommand())
+	c.AddCommand(s.capacityMeasure(), s.hollowCommand(), s.hollowProcessCommand(), pageCommand())
 	return c
 }
