--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -98,6 +98,10 @@
 	beside.times, beside.timesIs = eventsAtTarget, allEvents
 	draining := held("processor time of each message that drains of them", Seconds)
 	draining.times, draining.timesIs = func(t *Target) float64 { return t.Budget.Forwarder.DrainPerSecond }, "`budget.forwarder.drain_per_second`"
+	storedBeside := ofStored("backlog", "processor time of a fresh message beside stored ones", Seconds)
+	storedBeside.times, storedBeside.timesIs = beside.times, beside.timesIs
+	storedDraining := ofStored("backlog-drain", "processor time of a message that drains", Seconds)
+	storedDraining.times, storedDraining.timesIs = draining.times, draining.timesIs
 	path := curveUse{ref: curveRef{"message-path", "processor time in a second"}, unit: Seconds, size: eventsAtTarget, sizeIs: allEvents}
 	carried := func(quantity string) curveUse {
 		return curveUse{ref: curveRef{"message-path", quantity}, unit: Bytes, size: bodyAtTarget, sizeIs: "the body of an event",
@@ -127,9 +131,24 @@
 		ofCurve("memory of a forwarder that is ready with its backlog", Bytes,
 			curveUse{ref: curveRef{"restart", "memory of the forwarder when ready"}, unit: Bytes, size: owedAtTarget, sizeIs: allOwed},
 			forwarderBytes, "`internal/ledger`, `forward`, `choice`"),
+		ofCurve("stored backlog: processor time of fresh messages beside it", Cores, storedBeside, forwarderCores, storedBy),
+		ofCurve("stored backlog: processor time of draining it at the stated rate", Cores, storedDraining, forwarderCores, storedBy),
+		ofCurve("stored backlog: disk", Bytes, ofStored("backlog-restart", "bytes of the store on disk", Bytes), nil, "`internal/backlog`"),
+		ofCurve("stored backlog: restart: time until ready", Seconds,
+			ofStored("backlog-restart", "time to the forwarder's readiness", Seconds), readyWithin, storedBy),
+		ofCurve("stored backlog: memory of a forwarder that is ready with it", Bytes,
+			ofStored("backlog-restart", "memory of the forwarder when ready", Bytes), forwarderBytes, storedBy),
 	}
 }
 
+// storedBy is what carries a backlog in the store.
+const storedBy = "`internal/backlog`, `forward`, where `[backlog]` is set"
+
+// ofStored is the use of a curve over the messages in the backlog store.
+func ofStored(role, quantity string, unit Unit) curveUse {
+	return curveUse{ref: curveRef{role, quantity}, unit: unit, size: owedAtTarget, sizeIs: allOwed}
+}
+
 func control() []*figure {
 	known := func(quantity string, unit Unit) curveUse {
 		return curveUse{ref: curveRef{"known-destination", quantity}, unit: unit, size: destinationsAtTarget, sizeIs: allDestinations}
