backlog: messages of an ordering key keep their order across lanes

The store is a queue by lane alone, so that a message of the key for another destination overtook a stored one (measured: a test that delivered message 101 while 100 was stored).

At the door a message whose key is stored in another lane is refused with a time to come back (KeyBound). A message is not spilled while a later one of its key in memory is of another lane, also behind answered ones whose notices are unheard, nor while its key is stored in another lane.

A replay found a message twice that was spilled before a newer one, released since, and copied before its segment went: it looked in late entries only when the lane's last was newer. Mended, with a test.

Existing tests change by the key in NewRef alone.

--- a/choice/held.go
+++ b/choice/held.go
@@ -223,6 +223,10 @@
 	d.chainPrevious, d.chainNext = nil, nil
 }
 
+// NextOfKey is the next message of the same ordering key that is not over, in the order of taking; nil if there is none
+// or the message's type does not keep the order of keys.
+func (d *Doc) NextOfKey() *Doc { return d.chainNext }
+
 // Waiting tells that a message waits for a call: it may be taken back by Withdrawn without a trace.
 func (d *Doc) Waiting() bool { return d.queued }
 
--- a/forward/backlog.go
+++ b/forward/backlog.go
@@ -98,7 +98,7 @@
 	owed := o.ledger.Owed()
 	refs := make([]backlog.Ref, len(owed))
 	for i, e := range owed {
-		refs[i] = backlog.NewRef(laneOf(e), e.Seq, e.ID)
+		refs[i] = backlog.NewRef(laneOf(e), e.Seq, e.ID, e.Key)
 	}
 	before := o.stored.store.Messages()
 	past, err := o.stored.mover.Resolve(refs)
@@ -146,12 +146,27 @@
 	return policy.Lane{Destination: l.Destination, Tenant: l.Tenant}
 }
 
+// laneOfDoc is the lane of a document that the module has.
+func laneOfDoc(d *choice.Doc) backlog.Lane {
+	return backlog.Lane{Destination: d.Dest.Door, Tenant: uint32(d.Tenant)}
+}
+
+// keepsOrder tells if a document's type keeps the order of its key. One of an unknown type counts as of the first, as
+// for the module.
+func (o *owner) keepsOrder(e *ledger.Entry) bool { return o.order.Terms.Types[o.types[e.Type]].InOrder }
+
+// keyElsewhere tells if a document has to go after one of its ordering key that is stored in another lane.
+func (o *owner) keyElsewhere(e *ledger.Entry) bool {
+	return o.keepsOrder(e) && o.stored.store.KeyElsewhere(e.Key, laneOf(e))
+}
+
 // messageOf is what the store keeps of a document.
-func messageOf(e *ledger.Entry, taken time.Time) *backlog.Message {
+func (o *owner) messageOf(e *ledger.Entry, taken time.Time) *backlog.Message {
 	return &backlog.Message{
 		Seq:              e.Seq,
 		Lane:             laneOf(e),
 		Key:              e.Key,
+		Ordered:          o.keepsOrder(e),
 		Type:             e.Type,
 		ID:               e.ID,
 		Body:             e.Body,
@@ -189,6 +204,13 @@
 
 // resolve tells the policy what is stored. It gives the numbers of those documents in the ledger that are answered
 // without a call, as older ones of their lane are stored.
+//
+// Of an ordering key that has documents both in the ledger and stored in another lane, those in the ledger are the older
+// ones, so that nothing more is to be resolved: while one is stored, toBacklog takes no newer one of another lane on,
+// and spillable stores none while a newer one of another lane is in memory. Nothing comes back to the ledger that is
+// newer, as all stored ones of a key are in one lane and come back in its order (those that expire are answered without
+// a call); until the store has released it, also after a kill, a message counts as stored. It does not hold across a
+// start with a changed setting, if messages were stored while their type did not keep the order of keys.
 func (o *owner) resolve() (overtaking map[uint64]bool) {
 	if o.stored == nil {
 		return nil
@@ -254,7 +276,10 @@
 		return seam.Reply{}, false
 	}
 	now := time.Now()
-	m := messageOf(e, a.Paper.Came)
+	m := o.messageOf(e, a.Paper.Came)
+	if o.keyElsewhere(e) { // in memory, or in the store of its own lane, it could go first
+		return o.refuseForBacklog(o.stored.policy.Refuse(policy.KeyBound, int64(m.Size()), now)), true
+	}
 	fits, _ := o.f.Admit(e.Size(), left)
 	decision := o.stored.policy.DecideWithin(policyLane(m.Lane), int64(m.Size()), time.Duration(left*float64(time.Second)), fits, now)
 	if decision.Place == policy.Memory {
--- a/forward/backlog_moves.go
+++ b/forward/backlog_moves.go
@@ -71,7 +71,7 @@
 	}
 	messages := make([]*backlog.Message, len(papers))
 	for i, p := range papers {
-		messages[i] = messageOf(o.ledger.Entry(p.Door), p.came)
+		messages[i] = o.messageOf(o.ledger.Entry(p.Door), p.came)
 	}
 	moved, err := o.stored.mover.Spill(messages)
 	if err != nil && !errors.Is(err, backlog.ErrFull) {
@@ -92,7 +92,8 @@
 	var papers []*paper
 	for e := inMemory.Back(); e != nil && len(papers) < most; e = e.Prev() {
 		p := e.Value.(*paper)
-		if !p.doc.Waiting() || p.holder != nil || o.ledger.Entry(p.Door) == nil {
+		entry := o.ledger.Entry(p.Door)
+		if !p.doc.Waiting() || p.holder != nil || entry == nil || overtakenIfStored(p) || o.keyElsewhere(entry) {
 			break
 		}
 		papers = append(papers, p)
@@ -101,6 +102,17 @@
 	return papers
 }
 
+// overtakenIfStored tells if a later document of its key, in memory, is of another lane and would go first. To look at the
+// next one of the key that waits is enough: if it is of the same lane it was asked the same before, as the newest go
+// first. Those of the same lane that do not wait are answered (their notices may stay unheard for long) and were not asked.
+func overtakenIfStored(p *paper) bool {
+	next := p.doc.NextOfKey()
+	for next != nil && !next.Waiting() && laneOfDoc(next) == p.lane {
+		next = next.NextOfKey()
+	}
+	return next != nil && laneOfDoc(next) != p.lane
+}
+
 // forgetSpilled lets go of a document that the store has now.
 func (o *owner) forgetSpilled(p *paper, size int64) {
 	o.stored.counts.spilled++
--- /dev/null
+++ b/internal/backlog/keytable_test.go
@@ -0,0 +1,278 @@
+package backlog
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"unsafe"
+
+	"github.com/stretchr/testify/require"
+)
+
+// keyInLane is what the store counts messages by.
+type keyInLane struct {
+	key  uint64
+	lane Lane
+}
+
+// keyModel is what a store of ordered and other messages should hold.
+type keyModel struct {
+	messages map[uint64]*Message // by number
+	next     uint64
+}
+
+var keyLanes = []Lane{{1, 1}, {1, 2}, {2, 1}, {3, 1}}
+
+const modelKeys = 12 // few, and with 0
+
+// read takes up what a store holds, after a kill.
+func (w *keyModel) read(t *testing.T, s *Store) {
+	w.messages = map[uint64]*Message{}
+	for _, lane := range s.Lanes() {
+		messages, err := s.Head(lane, s.Stored(lane))
+		require.NoError(t, err)
+		for _, m := range messages {
+			w.messages[m.Seq] = m
+		}
+	}
+}
+
+// check compares the store's counts and answers with the model's.
+func (w *keyModel) check(t *testing.T, s *Store) {
+	counts, lanesOf := map[keyInLane]uint32{}, map[uint64]map[Lane]bool{}
+	for _, m := range w.messages {
+		if !m.Ordered || m.Key == 0 {
+			continue
+		}
+		counts[keyInLane{m.Key, m.Lane}]++
+		if lanesOf[m.Key] == nil {
+			lanesOf[m.Key] = map[Lane]bool{}
+		}
+		lanesOf[m.Key][m.Lane] = true
+	}
+	require.Equal(t, len(counts), s.keys.count)
+	for of, messages := range counts {
+		slot := s.keys.find(keySlot{key: hashKey(of.key), lane: s.lanes[of.lane].number})
+		require.NotNil(t, slot)
+		require.Equal(t, messages, slot.messages)
+	}
+	for key := range uint64(modelKeys) {
+		for _, lane := range keyLanes {
+			others := len(lanesOf[key])
+			if lanesOf[key][lane] {
+				others--
+			}
+			require.Equal(t, others > 0, s.KeyElsewhere(key, lane), "key %d, lane %v", key, lane)
+		}
+	}
+	checkStore(t, s)
+}
+
+// append stores a new message.
+func (w *keyModel) append(s *Store, rng *rand.Rand) error {
+	m := testMessage(keyLanes[rng.IntN(len(keyLanes))], w.next)
+	w.next++
+	m.Key, m.Ordered = rng.Uint64N(modelKeys), rng.IntN(4) > 0
+	err := s.Append(m)
+	if err == nil {
+		w.messages[m.Seq] = m
+	}
+	return err
+}
+
+// release lets go of some from the head of a lane, or of one from anywhere in it.
+func (w *keyModel) release(s *Store, rng *rand.Rand) (released []*Message, err error) {
+	lane := keyLanes[rng.IntN(len(keyLanes))]
+	messages, err := s.Head(lane, 1+rng.IntN(30))
+	if err != nil || len(messages) == 0 {
+		return nil, err
+	}
+	if rng.IntN(2) == 0 {
+		messages = messages[len(messages)-1:]
+	}
+	if err := s.Release(refsOf(messages)); err != nil {
+		return nil, err
+	}
+	for _, m := range messages {
+		delete(w.messages, m.Seq)
+	}
+	return messages, nil
+}
+
+// there and back: messages from the head leave and are spilled again, the newest first.
+func (w *keyModel) spillAgain(s *Store, rng *rand.Rand) error {
+	messages, err := w.release(s, rng)
+	for i := len(messages) - 1; i >= 0 && err == nil; i-- {
+		if err = s.Append(messages[i]); err == nil {
+			w.messages[messages[i].Seq] = messages[i]
+		}
+	}
+	return err
+}
+
+func (w *keyModel) operate(s *Store, rng *rand.Rand) (err error) {
+	switch rng.IntN(8) {
+	case 0, 1, 2, 3:
+		err = w.append(s, rng)
+	case 4, 5:
+		_, err = w.release(s, rng)
+	default:
+		err = w.spillAgain(s, rng)
+	}
+	if errors.Is(err, ErrFull) || errors.Is(err, ErrOrder) {
+		return nil
+	}
+	return err
+}
+
+// The counts of keys agree with a map over new messages, releases, spills back and forth, restarts, and kills that leave
+// copies of what is in segments that are being freed.
+func TestKeysAgreeWithAMap(t *testing.T) {
+	rng := rand.New(rand.NewPCG(31, 7))
+	files := newMemFS()
+	s := openStore(t, files, smallBounds)
+	w := &keyModel{messages: map[uint64]*Message{}, next: 1}
+	kills, reopens := 0, 0
+	for range 600 {
+		toKill := rng.IntN(2) == 0
+		if toKill {
+			files.kill, files.failAt, files.failFor, files.leaving = true, files.calls+1+rng.IntN(30), 1, allDone
+		}
+		var err error
+		for range 20 {
+			if err = w.operate(s, rng); err != nil {
+				break
+			}
+			if !files.kill {
+				w.check(t, s)
+			}
+		}
+		if err != nil || files.dead {
+			kills++
+			files = files.reboot()
+			s = openStore(t, files, smallBounds)
+			w.read(t, s)
+		} else {
+			reopens++
+			files.kill, files.failAt = false, 0
+			require.NoError(t, s.Close())
+			s = openStore(t, files, smallBounds)
+		}
+		w.check(t, s)
+	}
+	require.Greater(t, kills, 100)
+	require.Greater(t, reopens, 100)
+	require.Greater(t, s.segments[0].number, uint32(50), "segments were freed meanwhile")
+}
+
+// A key's last message gone, nothing is kept of it.
+func TestKeysOfReleasedMessagesAreForgotten(t *testing.T) {
+	const keys = 20_000
+	s := openStore(t, newMemFS(), Bounds{Bytes: 64 << 20})
+	var refs []Ref
+	for seq := uint64(1); seq <= keys; seq++ {
+		m := &Message{Seq: seq, Lane: Lane{seq % 50, 1}, Key: seq << 40, Ordered: true}
+		require.NoError(t, s.Append(m))
+		refs = append(refs, m.Ref())
+	}
+	require.Equal(t, keys, s.keys.count)
+	require.True(t, s.KeyElsewhere(7<<40, Lane{8, 1}))
+	require.False(t, s.KeyElsewhere(7<<40, Lane{7, 1}))
+	require.True(t, s.KeyElsewhere(7<<40, Lane{99, 1}), "a lane of which nothing is stored")
+	for _, ref := range refs {
+		require.NoError(t, s.Release([]Ref{ref}))
+	}
+	for lane := uint64(100); lane < 300; lane++ { // one at a time
+		m := &Message{Seq: keys + lane, Lane: Lane{lane, 1}, Key: 7 << 40, Ordered: true}
+		require.NoError(t, s.Append(m))
+		require.False(t, s.KeyElsewhere(m.Key, m.Lane))
+		require.True(t, s.KeyElsewhere(m.Key, Lane{lane + 1, 1}))
+		require.NoError(t, s.Release([]Ref{m.Ref()}))
+	}
+	require.Zero(t, s.keys.count)
+	slots := 0
+	for i := range s.keys.shards {
+		slots += len(s.keys.shards[i].slots)
+	}
+	require.LessOrEqual(t, slots, idShards*leastSlots, "memory is given back")
+	require.LessOrEqual(t, s.numbers.last, uint32(50), "numbers of lanes are used again")
+}
+
+// A message of an unordered type, or without a key, stands in no other's way.
+func TestUnorderedMessagesAreNotCounted(t *testing.T) {
+	s := openStore(t, newMemFS(), smallBounds)
+	require.NoError(t, s.Append(&Message{Seq: 1, Lane: keyLanes[0], ID: "a", Key: 5}))
+	require.NoError(t, s.Append(&Message{Seq: 2, Lane: keyLanes[0], ID: "b", Ordered: true}))
+	require.False(t, s.KeyElsewhere(5, keyLanes[1]))
+	require.False(t, s.KeyElsewhere(0, keyLanes[1]))
+	require.NoError(t, s.Append(&Message{Seq: 3, Lane: keyLanes[0], ID: "c", Key: 5, Ordered: true}))
+	require.True(t, s.KeyElsewhere(5, keyLanes[1]))
+}
+
+// A message spilled before a newer one of its lane, which has left since, and copied by a kill while its segment was
+// freed, is found once.
+func TestACopyOfASpilledMessageIsFoundOnce(t *testing.T) {
+	files := newMemFS()
+	s := openStore(t, files, smallBounds)
+	newer, older := testMessage(testLanes[0], 10), testMessage(testLanes[0], 5)
+	newer.Key, newer.Ordered = 3, true
+	older.Key, older.Ordered = 3, true
+	require.NoError(t, s.Append(newer))
+	require.NoError(t, s.Append(older))
+	require.NoError(t, s.Release([]Ref{newer.Ref()}))
+	b := older.encode(beginRecord(nil, kindMessage))
+	endRecord(b, 0)
+	_, _, err := s.write(b)
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	s = openStore(t, files, smallBounds)
+	require.Equal(t, []uint64{5}, headSeqs(t, s, testLanes[0], 10))
+	require.Equal(t, 1, s.Messages())
+	checkStore(t, s)
+	require.NoError(t, s.Release([]Ref{older.Ref()}))
+	require.Zero(t, s.Messages())
+	require.False(t, s.KeyElsewhere(3, testLanes[1]))
+}
+
+const mostKeyMemory = 32 // bytes that the distinct ordering key of a stored message adds to it
+
+// A stored message with an ordering key of its own takes at most 32 bytes more, also after a restart.
+func TestMemoryOfADistinctOrderingKey(t *testing.T) {
+	dir := t.TempDir()
+	bounds := Bounds{Bytes: 256 << 20}
+	for _, n := range []int{60_000, 110_000, 130_000, 200_000} {
+		before := liveBytes()
+		s, err := Open(OS{}, filepath.Join(dir, fmt.Sprint(n)), bounds)
+		require.NoError(t, err)
+		body := make([]byte, 300)
+		for seq := range n {
+			m := &Message{Seq: uint64(seq + 1), Lane: Lane{uint64(seq % 100), 1}, ID: fmt.Sprintf("an id of usual length %d", seq), Body: body,
+				Expiry: int64(seq * 7919 % n), Key: uint64(seq + 1), Ordered: true}
+			if err := s.Append(m); err != nil {
+				require.NoError(t, err)
+			}
+		}
+		each := float64(liveBytes()-before-fixedMemory) / float64(n)
+		require.Less(t, each, float64(mostMemory+mostKeyMemory), "%d appended", n)
+		require.NoError(t, s.Close())
+		s = nil
+		before = liveBytes()
+		s, err = Open(OS{}, filepath.Join(dir, fmt.Sprint(n)), bounds)
+		require.NoError(t, err)
+		again := float64(liveBytes()-before-fixedMemory) / float64(n)
+		require.Less(t, again, float64(mostMemory+mostKeyMemory), "%d read", n)
+		require.Equal(t, n, s.keys.count)
+		slots := 0
+		for i := range s.keys.shards {
+			slots += len(s.keys.shards[i].slots)
+		}
+		keys := float64(slots*int(unsafe.Sizeof(keySlot{}))) / float64(n)
+		require.Less(t, keys, float64(mostKeyMemory))
+		t.Logf("%d: %.1f bytes a message appended, %.1f read; %.1f of them for the key", n, each, again, keys)
+		require.NoError(t, s.Close())
+		runtime.KeepAlive(s)
+	}
+}
--- a/internal/backlog/lane.go
+++ b/internal/backlog/lane.go
@@ -8,24 +8,35 @@
 	expiry  int64 // microseconds of the wall clock
 	segment uint32
 	offset  uint32
-	packed  uint32 // bytes of its record, and its state in the lowest bits
+	packed  uint32 // bytes of its record, and in the lowest bits its state and if it keeps the order of its key
 	heapAt  uint32 // its place in the lane's heap of expiries, from 1; 0 once it is released
 }
 
 const (
 	stateBits = 2
+	orderBit  = 1 << stateBits
+	sizeShift = stateBits + 1
 	blockSize = 16 // entries
 )
 
-func (e *entry) size() int64        { return int64(e.packed >> stateBits) }
-func (e *entry) state() State       { return State(e.packed & (1<<stateBits - 1)) }
-func (e *entry) live() bool         { return e.heapAt != 0 }
-func pack(size int, s State) uint32 { return uint32(size)<<stateBits | uint32(s) }
+func (e *entry) size() int64      { return int64(e.packed >> sizeShift) }
+func (e *entry) state() State     { return State(e.packed & (1<<stateBits - 1)) }
+func (e *entry) live() bool       { return e.heapAt != 0 }
+func (e *entry) keepsOrder() bool { return e.packed&orderBit != 0 }
+
+func pack(size int, s State, keepsOrder bool) uint32 {
+	packed := uint32(size)<<sizeShift | uint32(s)
+	if keepsOrder {
+		packed |= orderBit
+	}
+	return packed
+}
 
 // lane holds the entries of one lane in the order of taking, in blocks, and a heap of their expiries. The first and
 // the last entry are live. Positions are ordinals that wrap around.
 type lane struct {
 	id     Lane
+	number uint32 // in the table of keys
 	blocks []*[blockSize]entry
 	base   uint32   // ordinal of the first block's first place
 	begin  uint32   // ordinal of the first entry
--- a/internal/backlog/message.go
+++ b/internal/backlog/message.go
@@ -14,14 +14,17 @@
 
 // Message is a message that is owed its end, with its history. Times are in microseconds of the wall clock, 0 for none.
 type Message struct {
-	Seq    uint64 // its number in the write-ahead log: the order of taking
-	Lane   Lane
-	Key    uint64 // messages of one key keep their order
-	Type   string
-	ID     string // the client's name for it
-	Body   []byte
-	Taken  int64 // when it was taken on
-	Expiry int64 // when its time is over
+	Seq  uint64 // its number in the write-ahead log: the order of taking
+	Lane Lane
+	Key  uint64 // ordering key, 0 for none
+	// Ordered says that its type keeps the order of its key: messages of one key go one at a time in the order of taking,
+	// whatever their lanes.
+	Ordered bool
+	Type    string
+	ID      string // the client's name for it
+	Body    []byte
+	Taken   int64 // when it was taken on
+	Expiry  int64 // when its time is over
 
 	Attempts         uint32 // spent
 	MayHaveRun       int64  // begin of the first attempt that may have run
@@ -61,18 +64,19 @@
 
 // Ref names a stored message.
 type Ref struct {
-	Lane   Lane
-	Seq    uint64
-	idHash uint64
+	Lane    Lane
+	Seq     uint64
+	idHash  uint64
+	keyHash uint64
 }
 
-// NewRef names the message with this lane, number and client's id.
-func NewRef(lane Lane, seq uint64, id string) Ref {
-	return Ref{Lane: lane, Seq: seq, idHash: hashID(id)}
+// NewRef names the message with this lane, number, client's id and ordering key.
+func NewRef(lane Lane, seq uint64, id string, key uint64) Ref {
+	return Ref{Lane: lane, Seq: seq, idHash: hashID(id), keyHash: hashKey(key)}
 }
 
 // Ref names the message.
-func (m *Message) Ref() Ref { return NewRef(m.Lane, m.Seq, m.ID) }
+func (m *Message) Ref() Ref { return NewRef(m.Lane, m.Seq, m.ID, m.Key) }
 
 // hashID is FNV-1a in 64 bits: the same in each process, as release records hold it.
 func hashID(id string) uint64 {
@@ -86,6 +90,7 @@
 	maxText     = math.MaxUint16 // bytes of a type, an id, a deduplication key or a frontend's name
 	fixedLength = 8*8 + 3*4 + 1 + 4*2 + 4
 	flagWaits   = 1
+	flagOrdered = 2
 )
 
 // fixedPart is what a message's record begins with.
@@ -103,6 +108,11 @@
 	return m.State()
 }
 
+// keepsOrder tells if the message has to go after earlier ones of its key.
+func (m *Message) keepsOrder() bool { return m.Ordered && m.Key != 0 }
+
+func (f *fixedPart) keepsOrder() bool { return f.flags&flagOrdered != 0 && f.key != 0 }
+
 func (m *Message) texts() [4]string {
 	return [4]string{m.ID, m.Type, m.DeduplicationKey, m.Frontend}
 }
@@ -131,6 +141,9 @@
 	if m.CallerWaits {
 		flags |= flagWaits
 	}
+	if m.Ordered {
+		flags |= flagOrdered
+	}
 	b = append(b, flags)
 	for _, text := range m.texts() {
 		b = little.AppendUint16(b, uint16(len(text)))
@@ -177,7 +190,8 @@
 	return &Message{Seq: f.seq, Lane: Lane{f.destination, f.tenant}, Key: f.key, ID: texts[0], Type: texts[1],
 		Body: append([]byte(nil), rest...), Taken: f.taken, Expiry: f.expiry, Attempts: f.attempts,
 		MayHaveRun: f.mayHaveRun, MayHaveRunZone: f.mayHaveRunZone, DeduplicationKey: texts[2],
-		DeduplicationEnd: f.deduplicationEnd, Frontend: texts[3], CallerWaits: f.flags&flagWaits != 0}, true
+		DeduplicationEnd: f.deduplicationEnd, Frontend: texts[3], CallerWaits: f.flags&flagWaits != 0,
+		Ordered: f.flags&flagOrdered != 0}, true
 }
 
 // recordID is the client's id within a message's record.
--- a/internal/backlog/policy/policy.go
+++ b/internal/backlog/policy/policy.go
@@ -86,10 +86,12 @@
 	DestinationBound
 	TenantBound
 	DiskBound // the store or the disk under it has no room
+	KeyBound  // an earlier message of its ordering key is stored for another lane
 )
 
 func (b Bound) String() string {
-	return [...]string{"none", "bytes in all", "bytes of the destination", "bytes of the tenant", "disk"}[b]
+	return [...]string{"none", "bytes in all", "bytes of the destination", "bytes of the tenant", "disk",
+		"an earlier message of its key is stored"}[b]
 }
 
 // Decision is what becomes of a new message.
@@ -185,7 +187,7 @@
 }
 
 // Refuse is the answer to a message of so many bytes that a bound stands against, also one that the store itself has no
-// room for (DiskBound).
+// room for (DiskBound) or that has to go after a stored one of another lane (KeyBound).
 func (p *Policy) Refuse(bound Bound, bytes int64, now time.Time) Decision {
 	return Decision{Place: Refused, Bound: bound, RetryAfter: p.drain.wait(bytes, now)}
 }
--- a/internal/backlog/record.go
+++ b/internal/backlog/record.go
@@ -20,7 +20,7 @@
 	kindRelease    = 2
 	maxPayload     = 1 + fixedLength + 4*maxText + maxBody
 	releaseFixed   = 1 + 8 + 4 // bytes: kind, destination, tenant
-	releaseEach    = 8 + 8     // bytes: number, hash of the id
+	releaseEach    = 8 + 8 + 8 // bytes: number, hash of the id, hash of the ordering key
 	// loneRelease is what the release of one message takes at most.
 	loneRelease = recordHeader + releaseFixed + releaseEach
 	maxReleased = 512 // messages in one release record
@@ -136,6 +136,7 @@
 	for _, r := range refs {
 		b = little.AppendUint64(b, r.Seq)
 		b = little.AppendUint64(b, r.idHash)
+		b = little.AppendUint64(b, r.keyHash)
 	}
 	endRecord(b, start)
 	return b
@@ -149,7 +150,7 @@
 	little := binary.LittleEndian
 	lane := Lane{Destination: little.Uint64(payload[1:]), Tenant: little.Uint32(payload[9:])}
 	for b := payload[releaseFixed:]; len(b) > 0; b = b[releaseEach:] {
-		refs = append(refs, Ref{Lane: lane, Seq: little.Uint64(b), idHash: little.Uint64(b[8:])})
+		refs = append(refs, Ref{Lane: lane, Seq: little.Uint64(b), idHash: little.Uint64(b[8:]), keyHash: little.Uint64(b[16:])})
 	}
 	return refs, true
 }
--- a/internal/backlog/replay.go
+++ b/internal/backlog/replay.go
@@ -160,24 +160,30 @@
 	id := Lane{f.destination, f.tenant}
 	l := s.lanes[id]
 	if l == nil {
-		l = &lane{id: id}
-		s.lanes[id] = l
+		l = s.newLane(id)
 	}
 	s.ids.add(hashID(recordID(r.payload[1:], f)))
 	s.lastSeq = max(s.lastSeq, f.seq)
-	e := entry{seq: f.seq, expiry: f.expiry, segment: g.number, offset: uint32(r.offset), packed: pack(len(r.raw), f.state()), heapAt: 1}
-	if l.empty() || f.seq > l.last().seq {
-		l.pushBack(e)
-		return
+	e := entry{seq: f.seq, expiry: f.expiry, segment: g.number, offset: uint32(r.offset), packed: pack(len(r.raw), f.state(), f.keepsOrder()), heapAt: 1}
+	newest := l.empty() || f.seq > l.last().seq
+	if !newest {
+		if old := l.find(f.seq); old != nil {
+			*old = e
+			return
+		}
 	}
-	if old := l.find(f.seq); old != nil {
-		*old = e
-		return
+	_, late := l.late[f.seq]
+	if !late && e.keepsOrder() {
+		s.keys.add(hashKey(f.key), l.number)
 	}
-	if l.late == nil {
-		l.late = map[uint64]entry{}
+	switch {
+	case newest && !late:
+		l.pushBack(e)
+	case l.late == nil:
+		l.late = map[uint64]entry{f.seq: e}
+	default:
+		l.late[f.seq] = e
 	}
-	l.late[f.seq] = e
 }
 
 func (s *Store) replayRelease(ref Ref) {
@@ -186,18 +192,21 @@
 		return
 	}
 	e := l.find(ref.Seq)
-	_, late := l.late[ref.Seq]
+	lateEntry, late := l.late[ref.Seq]
 	if e == nil && !late {
 		return
 	}
 	s.ids.remove(ref.idHash)
+	if e != nil && e.keepsOrder() || late && lateEntry.keepsOrder() {
+		s.keys.remove(ref.keyHash, l.number)
+	}
 	delete(l.late, ref.Seq)
 	if e != nil {
 		e.heapAt = 0
 		l.trimEnds()
 	}
 	if l.empty() && len(l.late) == 0 {
-		delete(s.lanes, ref.Lane)
+		s.removeLane(l)
 	}
 }
 
--- a/internal/backlog/store.go
+++ b/internal/backlog/store.go
@@ -108,6 +108,8 @@
 	lanes    map[Lane]*lane
 	expiries laneHeap
 	ids      idSet // hashes of the clients' ids of stored messages
+	keys     keyTable
+	numbers  laneNumbers
 	messages int
 	bytes    int64 // of live records
 	lastSeq  uint64
@@ -202,6 +204,18 @@
 // Has tells if a message with this client's id is stored. It goes by a hash of 64 bits.
 func (s *Store) Has(id string) bool { return s.ids.has(hashID(id)) }
 
+// KeyElsewhere tells if messages that keep the order of a key are stored in another lane than this one.
+func (s *Store) KeyElsewhere(key uint64, id Lane) bool {
+	if key == 0 {
+		return false
+	}
+	number := uint32(0) // of no lane
+	if l := s.lanes[id]; l != nil {
+		number = l.number
+	}
+	return s.keys.elsewhere(hashKey(key), number)
+}
+
 // Stored tells how many messages of a lane are stored.
 func (s *Store) Stored(id Lane) int {
 	if l := s.lanes[id]; l != nil {
@@ -246,7 +260,7 @@
 		}
 		return err
 	}
-	s.add(l, m, where, entry{seq: m.Seq, expiry: m.Expiry, segment: where.number, offset: offset, packed: pack(size, m.State())})
+	s.add(l, m, where, entry{seq: m.Seq, expiry: m.Expiry, segment: where.number, offset: offset, packed: pack(size, m.State(), m.keepsOrder())})
 	s.freeSegments(int64(size))
 	return nil
 }
@@ -266,8 +280,7 @@
 func (s *Store) add(l *lane, m *Message, where *segment, e entry) {
 	fresh := l == nil
 	if fresh {
-		l = &lane{id: m.Lane}
-		s.lanes[m.Lane] = l
+		l = s.newLane(m.Lane)
 	}
 	var ordinal uint32
 	if l.empty() || m.Seq > l.last().seq {
@@ -284,9 +297,25 @@
 	where.live++
 	s.count(l, &e, 1)
 	s.ids.add(hashID(m.ID))
+	if e.keepsOrder() {
+		s.keys.add(hashKey(m.Key), l.number)
+	}
 	s.lastSeq = max(s.lastSeq, m.Seq)
 }
 
+// newLane makes a lane that nothing is stored of yet.
+func (s *Store) newLane(id Lane) *lane {
+	l := &lane{id: id, number: s.numbers.take()}
+	s.lanes[id] = l
+	return l
+}
+
+// removeLane lets go of a lane of which nothing is stored any more.
+func (s *Store) removeLane(l *lane) {
+	s.numbers.giveBack(l.number)
+	delete(s.lanes, l.id)
+}
+
 // count adds an entry to the sums, or with -1 takes it off.
 func (s *Store) count(l *lane, e *entry, sign int) {
 	s.messages += sign
@@ -340,10 +369,13 @@
 		s.segment(e.segment).live--
 		s.count(l, e, -1)
 		s.ids.remove(r.idHash)
+		if e.keepsOrder() {
+			s.keys.remove(r.keyHash, l.number)
+		}
 		l.heapRemove(e)
 		if l.live() == 0 {
 			heap.Remove(&s.expiries, l.heapAt)
-			delete(s.lanes, r.Lane)
+			s.removeLane(l)
 			continue
 		}
 		l.trim()
--- a/internal/backlog/store_test.go
+++ b/internal/backlog/store_test.go
@@ -53,7 +53,7 @@
 	require.Equal(t, 14, s.Messages())
 	require.Equal(t, uint64(115), s.LastSeq())
 
-	require.NoError(t, s.Release([]Ref{NewRef(one, 11, "id-11"), NewRef(one, 3, "id-3"), NewRef(one, 77, "id-77"), NewRef(Lane{9, 9}, 1, "id")}))
+	require.NoError(t, s.Release([]Ref{NewRef(one, 11, "id-11", 1), NewRef(one, 3, "id-3", 3), NewRef(one, 77, "id-77", 2), NewRef(Lane{9, 9}, 1, "id", 1)}))
 	require.Equal(t, []uint64{9, 10, 12, 13, 14, 15}, headSeqs(t, s, one, 100))
 	require.False(t, s.Has("id-11"))
 	require.True(t, s.Has("id-12"))
@@ -83,7 +83,7 @@
 			all := headSeqs(t, s, lane, 1000)
 			if len(all) > 0 { // also from the middle
 				seq := all[rng.IntN(len(all))]
-				require.NoError(t, s.Release([]Ref{NewRef(lane, seq, fmt.Sprintf("id-%d", seq))}))
+				require.NoError(t, s.Release([]Ref{NewRef(lane, seq, fmt.Sprintf("id-%d", seq), seq%5)}))
 			}
 		}
 		before := map[Lane][]uint64{}
@@ -357,7 +357,7 @@
 	require.ErrorIs(t, s.Append(testMessage(testLanes[0], 100)), ErrFull)
 	for seq := uint64(1); seq <= 59; seq++ {
 		require.Equal(t, []uint64{seq}, headSeqs(t, s, testLanes[0], 1))
-		require.NoError(t, s.Release([]Ref{NewRef(testLanes[0], seq, fmt.Sprintf("id-%d", seq))}))
+		require.NoError(t, s.Release([]Ref{NewRef(testLanes[0], seq, fmt.Sprintf("id-%d", seq), seq%5)}))
 	}
 	require.NoError(t, s.Append(testMessage(testLanes[0], 100)))
 	require.LessOrEqual(t, int64(files.used()), lower.Bytes)
--- a/internal/backlog/sums_test.go
+++ b/internal/backlog/sums_test.go
@@ -29,7 +29,7 @@
 		}
 		require.NoError(t, s.Append(m))
 	}
-	require.NoError(t, s.Release([]Ref{NewRef(Lane{Destination: 0}, 5, "a")}))
+	require.NoError(t, s.Release([]Ref{NewRef(Lane{Destination: 0}, 5, "a", 0)}))
 	oldest, err = s.Oldest()
 	require.NoError(t, err)
 	require.Equal(t, int64(101), oldest)
