Backlog: what a start finds is no demand of its first seconds

Observed: the windows that a start finds or brings back count as taken in its first seconds; usual() makes of 64 of them tens of calls a second, and each destination that is out is tried so often. Ruled out: the number of forwarders told (500). Change: with a store, what an earlier process took is not counted, until its destination has answered; what was counted as it was stored is not counted again. Without a store nothing changes.

--- a/choice/held.go
+++ b/choice/held.go
@@ -1,6 +1,9 @@
 package choice
 
-import "iter"
+import (
+	"iter"
+	"slices"
+)
 
 // heldList is the messages of a forwarder that are not answered, in the order of taking.
 type heldList struct {
@@ -236,9 +239,16 @@
 // Stored counts a message for a destination that is kept elsewhere from its taking on: it is asked for all the same.
 func (f *Forwarder) Stored(d *Destination) { d.taken++ }
 
+// Uncount takes a message off what a destination is asked for: it was counted before, or by an earlier process.
+func (f *Forwarder) Uncount(d *Destination) { d.taken-- }
+
+// Answered tells that a destination has answered as it should since the start.
+func (f *Forwarder) Answered(d *Destination) bool {
+	return slices.ContainsFunc(d.targets, func(t *Target) bool { return t.lastGood > 0 })
+}
+
 // TakeBack takes a message that was kept elsewhere, with its history, before anything newer of its key.
 func (f *Forwarder) TakeBack(d *Doc, typ int, left float64, past Past) {
-	d.Dest.taken-- // counted before
 	if past.Sent > 0 {
 		f.Recover(d, typ, left, past)
 	} else {
@@ -248,8 +258,8 @@
 
 // GiveUp takes a message that was kept elsewhere, with its history, and has the next settling answer it without a call.
 func (f *Forwarder) GiveUp(d *Doc, typ int, left float64, past Past) {
-	d.Dest.taken--
 	f.Recover(d, typ, left, past)
+	f.Uncount(d.Dest)
 	if !d.answered {
 		f.answer(d)
 	}
--- a/forward/backlog_moves.go
+++ b/forward/backlog_moves.go
@@ -175,10 +175,10 @@
 			o.leftMemory(p) // its notice may stay unheard for long
 		} else {
 			o.stored.counts.broughtBack++
-			if m.Seq < o.stored.firstSeq { // an earlier process counted it
-				o.f.Stored(p.doc.Dest)
-			}
 			o.f.TakeBack(p.doc, typ, left, past)
+			if m.Seq >= o.stored.firstSeq || !o.f.Answered(p.doc.Dest) {
+				o.f.Uncount(p.doc.Dest) // counted as it was stored, or a backlog of hours that is not asked for now
+			}
 		}
 		o.noteOutage(p.doc.Dest)
 	}
--- a/forward/backlog_test.go
+++ b/forward/backlog_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -254,3 +255,25 @@
 	require.Less(t, time.Since(begun), r.life+time.Second)
 	require.Zero(t, r.stored().Messages)
 }
+
+// A start finds the windows of destinations that are out: they are no demand of its first seconds, by which these would
+// be tried many times a second.
+func TestWindowsThatAStartFindsAreNoReasonToTryOften(t *testing.T) {
+	const count = 400
+	t.Parallel()
+	r := newBacklogRig(t)
+	r.change = func(b *forward.Backlog) { b.Window, b.Behind = 200, 200 }
+	var tries atomic.Int64
+	r.targets[0].Do(func(standin.Call) standin.Reply {
+		tries.Add(1)
+		return standin.Reply{Status: 500}
+	})
+	r.start()
+	r.fill(0, 0, count)
+	r.stop()
+	tries.Store(0)
+	r.start()
+	time.Sleep(4 * time.Second)
+	require.Positive(t, tries.Load())
+	require.Less(t, tries.Load(), int64(20), "about one a second")
+}
--- a/forward/recovery.go
+++ b/forward/recovery.go
@@ -51,6 +51,7 @@
 		o.f.GiveUp(p.doc, typ, left, past)
 	} else {
 		o.f.Recover(p.doc, typ, left, past)
+		o.uncountWindow(p)
 	}
 	if !past.Answered {
 		o.inMemory(p)
@@ -67,6 +68,14 @@
 	}
 }
 
+// uncountWindow takes a document off what its destination is asked for where a store is used: windows of many
+// destinations that are out, found by a start, are no demand of its first seconds, by which each would be tried often.
+func (o *owner) uncountWindow(p *paper) {
+	if o.stored != nil {
+		o.f.Uncount(p.doc.Dest)
+	}
+}
+
 // pastOf is what the module is told of a document's earlier transmissions. One that was out when that process ended
 // counts as ended with it, and may have run.
 func (o *owner) pastOf(e *ledger.Entry) choice.Past {
