--- a/lab/capacity/page/roles.go
+++ b/lab/capacity/page/roles.go
@@ -310,9 +310,13 @@
 		ofCurve("a scrape of the metrics: time", Seconds, scrape("time of a scrape", Seconds), nil, "`internal/meter`"),
 		ofCurve("a scrape of the metrics: processor time", Seconds, scrape("processor time of a scrape", Seconds), nil, "`internal/meter`"),
 		ofCurve("a scrape of the metrics: bytes", Bytes, scrape("bytes of a scrape", Bytes), nil, "`internal/meter`"),
-		ofCurve("a reload (SIGHUP): until a changed list is in force", Seconds, reload("time until a changed list is in force"), inForceWithin,
+		ofCurve("a reload (SIGHUP): until a changed list of the configuration is in force", Seconds,
+			reload("time until a changed list of the configuration is in force"), inForceWithin,
+			"`internal/config`, `forward`"),
+		ofCurve("a reload (SIGHUP): processor time of a changed list of the configuration", Seconds,
+			reload("processor time of a reload that changes the configuration's list"), nil, "`internal/config`, `forward`"),
+		ofCurve("a reload (SIGHUP): time, the list left to discovery", Seconds, reload("time of a reload that leaves the list to discovery"), nil,
 			"`internal/config`, `forward`"),
-		ofCurve("a reload (SIGHUP): processor time", Seconds, reload("processor time of a reload"), nil, "`internal/config`, `forward`"),
 		unmeasured("`spanflow ledger list` or `stat` of a whole backlog: time and memory (it reads the folder whole)", "`internal/ledger`, `internal/command`"),
 	}
 }
