--- a/forward/backlog_faults_test.go
+++ b/forward/backlog_faults_test.go
@@ -19,7 +19,6 @@
 // written: served all the same, it would be delivered twice.
 func TestAForwarderDoesNotStartWhileAMoveThatWasCutShortCannotBeEnded(t *testing.T) {
 	const count = 100
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.targets[0].Do(failing)
 	r.start()
@@ -63,7 +62,6 @@
 // Messages that are answered and whose notices nobody takes must not keep others out of memory.
 func TestUnheardNoticesOfManyThatExpiredDoNotHoldUpFreshOnes(t *testing.T) {
 	const count = 2500 // more than are held in memory
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.life = 8 * time.Second
 	r.targets[0].Do(failing)
@@ -93,7 +91,6 @@
 // The same where the messages expire in memory, none of them stored.
 func TestUnheardNoticesOfManyThatExpiredInMemoryDoNotHoldUpFreshOnes(t *testing.T) {
 	const count = 1900
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.life = 6 * time.Second
 	r.change = func(b *forward.Backlog) { b.Window, b.Behind = 1800, 1800 }
--- a/forward/backlog_keys_test.go
+++ b/forward/backlog_keys_test.go
@@ -20,7 +20,6 @@
 
 // A key may be used with several destinations: its messages still go one after another.
 func TestAKeyOfSeveralDestinationsKeepsItsOrderWhileOneIsStored(t *testing.T) {
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.targets[0].Do(func(standin.Call) standin.Reply { return standin.Reply{Status: 503} })
 	r.start()
@@ -48,7 +47,6 @@
 // A message is not stored while a later one of its key, for another destination, is in memory: that would go first.
 func TestAMessageIsNotStoredBeforeALaterOneOfItsKey(t *testing.T) {
 	const key, first, second, count = 50, 12, 13, 18
-	t.Parallel()
 	r := newBacklogRig(t)
 	gate := make(chan struct{})
 	r.targets[0].Do(func(c standin.Call) standin.Reply {
@@ -83,7 +81,6 @@
 // The same where one between them, of the earlier one's lane, has been answered and its notice is not heard.
 func TestAMessageIsNotStoredBeforeALaterOneOfItsKeyBehindAnAnsweredOne(t *testing.T) {
 	const key, first, expiring, second, count = 50, 12, 13, 14, 19
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.discovery.Deaf(true)
 	gate := make(chan struct{})
@@ -123,7 +120,6 @@
 // The same where the later one is stored, for a destination that comes back first.
 func TestAMessageIsNotStoredWhileALaterOneOfItsKeyIsStoredElsewhere(t *testing.T) {
 	const key, first, second, count, others = 50, 12, 13, 18, 40
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.targets[1].Do(failing)
 	gate := make(chan struct{})
--- a/forward/backlog_test.go
+++ b/forward/backlog_test.go
@@ -173,7 +173,6 @@
 
 func TestMessagesForADestinationThatIsOutWaitInTheStoreAndComeBackInOrder(t *testing.T) {
 	const count = 600
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.targets[0].Do(failing)
 	r.start()
@@ -192,7 +191,6 @@
 
 func TestARestartInTheMiddleOfADrainLosesNothing(t *testing.T) {
 	const count = 2000
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.targets[0].Do(failing)
 	r.start()
@@ -208,7 +206,6 @@
 }
 
 func TestABoundOfTheStoreTurnsAwayWithATimeToComeBack(t *testing.T) {
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.change = func(b *forward.Backlog) { b.DestinationBytes = 20_000 }
 	r.targets[0].Do(failing)
@@ -230,7 +227,6 @@
 
 func TestStoredMessagesAreAnsweredBeforeTheirTimeIsOver(t *testing.T) {
 	const count = 400
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.life = 12 * time.Second
 	r.targets[0].Do(failing)
@@ -260,7 +256,6 @@
 // be tried many times a second.
 func TestWindowsThatAStartFindsAreNoReasonToTryOften(t *testing.T) {
 	const count = 400
-	t.Parallel()
 	r := newBacklogRig(t)
 	r.change = func(b *forward.Backlog) { b.Window, b.Behind = 200, 200 }
 	var tries atomic.Int64
