--- a/cmd/spanflowctl/backlog_cases_test.go
+++ b/cmd/spanflowctl/backlog_cases_test.go
@@ -191,8 +191,7 @@
 
 func TestSIGTERMWithManyStoredEndsInTimeAndTheNextStartHasAll(t *testing.T) {
 	const (
-		endWithin   = 3700 * time.Millisecond // then the platform may kill it; judged where it is measured
-		hangs       = 30 * time.Second        // judged on any machine, however busy
+		endWithin   = 3700 * time.Millisecond // then the platform may kill it
 		readyWithin = 10 * time.Second
 	)
 	t.Parallel()
@@ -209,10 +208,7 @@
 		answer := s.put(s.client(), message{typ: "status", destination: 1, key: 5_000, number: life})
 		require.Equal(t, "+OK", answer)
 		ended := s.terminate()
-		require.Less(t, ended, hangs)
-		if os.Getenv(storedVariable) != "" {
-			require.Less(t, ended, endWithin)
-		}
+		require.Less(t, ended, endWithin)
 		require.Contains(t, s.log.String(), `"message":"end"`)
 		t.Logf("%d stored: ready after %v, ended %v after SIGTERM", count, ready.Round(time.Millisecond), ended.Round(time.Millisecond))
 	}
