State files are written apart from the event loop, and a stop counts from its signal

Callers saw: beside programs that write much to the same disk nobody was answered for up to 0.9 s every 3 s, and a stop took up to 5.1 s (bound 3.7 s; 7.96 s was seen once), so that the platform's kill came first. Cause: the event loop created and renamed the small files of the state folder (learned latencies every 3 s and at the end, the Retry-After state at the end), and a busy file system holds each back; what came after the deadline was in no time at all. Why it holds: a goroutine of its own writes them, the newest version of each, and is waited for up to 0.2 s behind the deadline; at a stop they are put at its beginning, at a hand-over once no call is left that could teach more. Failed on the way: the first version of the golden tests read the files at once; they now wait for the writer, and compare the same bytes. Left: after the line "end" the kernel closes the files, 0.02 to 0.6 s under that load; all that is owed is on record by then.

--- a/forwarder/event_loop.go
+++ b/forwarder/event_loop.go
@@ -30,11 +30,14 @@
 	operators operatorState
 	shutdown  shutdownState
 	telemetry telemetry
+
+	stateWriter *stateWriter
 }
 
 // newEventLoop returns an event loop that knows of no message and no endpoint. Its write-ahead log, admin requests and
 // drains are the caller's to set.
 func newEventLoop(config *Config, log zerolog.Logger, queue *eventQueue) *eventLoop {
+	stateWriter := newStateWriter(func(file string, err error) { queue.push(stateNotWritten{file, err}) })
 	return &eventLoop{
 		config:              config,
 		configuredScheduler: config.Scheduler,
@@ -43,6 +46,7 @@
 		messages:            newMessageTable(config.Names.Types),
 		endpoints:           newEndpointTable(),
 		telemetry:           newTelemetry(config.Log, log),
+		stateWriter:         stateWriter,
 	}
 }
 
@@ -94,6 +98,8 @@
 		loop.releaseAcknowledged(ev)
 	case stopRequested:
 		loop.scheduler.Stop(time.Duration(ev).Seconds())
+	case stateNotWritten:
+		loop.telemetry.log.Error().Err(ev.err).Msg(stateNotWrittenTexts[ev.file])
 	case operatorRequest:
 		loop.handleOperatorRequest(ev)
 	}
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -42,6 +42,12 @@
 	// stopRequested is the time that is left for the scheduler to finish calls before the process ends.
 	stopRequested time.Duration
 
+	// stateNotWritten is a file of the state folder that could not be written.
+	stateNotWritten struct {
+		file string
+		err  error
+	}
+
 	// operatorRequest is a request to the admin address, with the function that takes its response.
 	operatorRequest struct {
 		admin.Request
@@ -57,4 +63,5 @@
 func (noticesUnanswered) isEvent()   {}
 func (noticesAcknowledged) isEvent() {}
 func (stopRequested) isEvent()       {}
+func (stateNotWritten) isEvent()     {}
 func (operatorRequest) isEvent()     {}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,7 @@
 func Run(
 	ctx context.Context, config *Config, reload <-chan os.Signal, logTo io.Writer, ready func(addr string),
 ) error {
+	stop := newStopSignal(ctx)
 	own := *config
 	config = &own
 	log := config.Log.to(logTo, config.Name)
@@ -86,12 +87,12 @@
 	loop := newEventLoop(config, log, queue)
 	loop.configuredScheduler, loop.wal, loop.telemetry.output = configured, walLog, logTo
 	loop.operators = operatorState{requests: requests, drains: drains.New(statefile.ReadDrains(config.Folder))}
-	return loop.serve(ctx, reload, dialer, ready)
+	return loop.serve(stop, reload, dialer, ready)
 }
 
 // serve opens everything but the folder and the operators' address, serves until the process ends, and closes it again.
 func (loop *eventLoop) serve(
-	ctx context.Context, reload <-chan os.Signal, dialer *dial.Dialer, ready func(addr string),
+	stop *stopSignal, reload <-chan os.Signal, dialer *dial.Dialer, ready func(addr string),
 ) error {
 	log := loop.telemetry.log
 	if err := loop.openBacklog(); err != nil {
@@ -120,10 +121,9 @@
 	if ready != nil {
 		ready(loop.frontends.open[0].Addr())
 	}
-	loop.run(ctx, reload, dialer)
+	loop.run(stop, reload, dialer)
 	loop.answerRemaining()
-	loop.writeRetryAfter(loop.schedulerTime(time.Now()))
-	loop.writeLatencies()
+	loop.finishStateFiles()
 	loop.telemetry.counts.write(log.Info()).Int("owed", len(loop.wal.Pending())).Msg("end")
 	return nil
 }
--- a/forwarder/golden_test.go
+++ b/forwarder/golden_test.go
@@ -57,6 +57,7 @@
 	loop := goldenLatencyLoop(t, folder)
 	require.True(t, loop.scheduler.RestoreLatencies(loop.destination(goldenDestination), goldenTimes()))
 	loop.writeLatencies()
+	awaitStateFiles(t, loop)
 	golden.Compare(t, folder, goldenLatencies)
 }
 
@@ -75,7 +76,9 @@
 
 func TestKeepsLatenciesOfUnheardDestinationAsVersion1(t *testing.T) {
 	folder := golden.Copy(t, goldenLatencies)
-	goldenLatencyLoop(t, folder).writeLatencies()
+	loop := goldenLatencyLoop(t, folder)
+	loop.writeLatencies()
+	awaitStateFiles(t, loop)
 	golden.Compare(t, folder, goldenLatencies)
 }
 
@@ -96,6 +99,7 @@
 	loop.scheduler.BlockUntil(loop.endpoints.byUID["endpoint-1"].scheduled, goldenNow+12.3456)
 	loop.scheduler.BlockUntil(loop.endpoints.byUID["endpoint-2"].scheduled, goldenNow-1) // over
 	loop.writeRetryAfter(goldenNow)
+	awaitStateFiles(t, loop)
 	golden.Compare(t, folder, goldenRetryAfter)
 }
 
--- a/forwarder/learned_latencies.go
+++ b/forwarder/learned_latencies.go
@@ -19,7 +19,7 @@
 	return strconv.Quote(fmt.Sprint(c.Names.Kinds, c.Names.Types))
 }
 
-// writeLatencies writes the latencies measured at each destination, and those that an earlier process left for
+// writeLatencies has the state writer write the latencies measured at each destination, and those that an earlier process left for
 // destinations that are not known yet.
 func (loop *eventLoop) writeLatencies() {
 	var table statefile.LatencyTable
@@ -29,9 +29,8 @@
 	for number, counts := range loop.endpoints.restoredLatencies {
 		table.AddInherited(number, counts)
 	}
-	if err := table.Write(loop.config.Folder, loop.config.latencyDeployment()); err != nil {
-		loop.telemetry.log.Error().Err(err).Msg("learned latencies not written")
-	}
+	folder, deployment := loop.config.Folder, loop.config.latencyDeployment()
+	loop.stateWriter.put(statefile.LatenciesFile, func() error { return table.Write(folder, deployment) })
 }
 
 // readLatencies reads the latencies that an earlier process of this deployment left, by destination.
--- a/forwarder/learned_latencies_test.go
+++ b/forwarder/learned_latencies_test.go
@@ -41,6 +41,7 @@
 	require.True(t, old.scheduler.RestoreLatencies(old.destination(7), times))
 	old.destination(8) // nothing was measured there
 	old.writeLatencies()
+	awaitStateFiles(t, old)
 
 	fresh, _ := newLatencyLoop(folder)
 	require.Len(t, fresh.endpoints.restoredLatencies, 1)
@@ -50,6 +51,7 @@
 
 	unknown, _ := newLatencyLoop(folder) // a process that knows no destination keeps what it has read
 	unknown.writeLatencies()
+	awaitStateFiles(t, unknown)
 	again, _ := newLatencyLoop(folder)
 	require.Equal(t, old.endpoints.destinations[7].Latencies(), again.destination(7).Latencies())
 
--- a/forwarder/loop_fixture_test.go
+++ b/forwarder/loop_fixture_test.go
@@ -1,6 +1,9 @@
 package forwarder
 
 import (
+	"testing"
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"spanflow/internal/drains"
@@ -42,3 +45,20 @@
 func (discardHost) Wake(float64)                                          {}
 func (discardHost) WatchEndpoints()                                       {}
 func (discardHost) Log(string)                                            {}
+
+// awaitStateFiles waits until the state files that the event loop has given its writer are written.
+func awaitStateFiles(t *testing.T, loop *eventLoop) {
+	t.Helper()
+	w := loop.stateWriter
+	w.mu.Lock()
+	idle := w.idle
+	w.mu.Unlock()
+	if idle == nil {
+		return
+	}
+	select {
+	case <-idle:
+	case <-time.After(time.Minute):
+		t.Fatal("the state files are not written")
+	}
+}
--- a/forwarder/retry_after.go
+++ b/forwarder/retry_after.go
@@ -7,11 +7,11 @@
 )
 
 // The retry-after state says until when each endpoint gets no calls: for a Retry-After of its own, or as a backoff
-// after rejections. It is kept at the end of a process, and the process that takes over the folder observes it.
+// after rejections. It is written when a process hands over, and the process that takes over the folder observes it.
 // This guards against an upgrade that sends to an endpoint that has asked the old process to wait: to the endpoint the
 // two processes are one forwarder.
 
-// writeRetryAfter writes the state of the endpoints that are blocked beyond now, in seconds of the wall clock.
+// writeRetryAfter has the state writer write the state of the endpoints that are blocked beyond now, in seconds of the wall clock.
 func (loop *eventLoop) writeRetryAfter(now float64) {
 	var table statefile.RetryAfterTable
 	for _, t := range loop.endpoints.byNumber {
@@ -19,9 +19,8 @@
 			table.Add(t.uid, until)
 		}
 	}
-	if err := table.Write(loop.config.Folder); err != nil {
-		loop.telemetry.log.Error().Err(err).Msg("retry-after state not written")
-	}
+	folder := loop.config.Folder
+	loop.stateWriter.put(statefile.RetryAfterFile, func() error { return table.Write(folder) })
 }
 
 // restoreRetryAfter gives the scheduler the state that an earlier process left for the endpoints that are listed by
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"os"
 	"time"
 
@@ -15,7 +14,7 @@
 
 // run takes a turn whenever there is something to do, until the process may end. It reloads the configuration at each
 // signal on reload.
-func (loop *eventLoop) run(ctx context.Context, reload <-chan os.Signal, dialer *dial.Dialer) {
+func (loop *eventLoop) run(stop *stopSignal, reload <-chan os.Signal, dialer *dial.Dialer) {
 	timer := time.NewTimer(0)
 	counts := time.NewTicker(countsEvery)
 	defer counts.Stop()
@@ -28,7 +27,7 @@
 		spool = ticker.C
 	}
 	end := &loop.shutdown
-	end.requested = ctx.Done()
+	end.requested = stop.done
 	for {
 		loop.setTimer(timer)
 		select {
@@ -39,7 +38,9 @@
 			loop.logCounts(dialer)
 			continue
 		case <-latencies.C:
-			loop.writeLatencies()
+			if !end.begun {
+				loop.writeLatencies()
+			}
 			continue
 		case <-spool:
 			// Once this process hands over, its successor carries out the spooled commands.
@@ -50,14 +51,14 @@
 			loop.reload()
 			continue
 		case <-end.requested:
-			loop.beginShutdown()
+			loop.beginShutdown(stop.at)
 		case <-end.drain:
 			loop.drainFrontends()
 		case <-end.poll: // if the clients have gone
-		case <-end.deadline:
+		case <-end.deadlineReached:
 			return
 		}
-		if loop.turnUntilDone() {
+		if loop.turnUntilDone() || end.isOverdue() {
 			return
 		}
 	}
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"slices"
 	"time"
 )
@@ -8,6 +9,7 @@
 const (
 	killAfter      = 3700 * time.Millisecond // after SIGTERM a forwarder may be killed
 	killMargin     = 500 * time.Millisecond  // of it, left for closing after the last turn
+	closingTime    = 300 * time.Millisecond  // of killMargin, left for closing what is open after the state files
 	acceptFor      = 500 * time.Millisecond  // how long new connections are still expected
 	clientsPolling = 20 * time.Millisecond   // between two looks if the clients have gone
 )
@@ -18,17 +20,37 @@
 	requested        <-chan struct{}  // closed when the process is to stop
 	drain            <-chan time.Time // from then on no new connections are waited for
 	poll             <-chan time.Time // to see if the clients have gone
-	deadline         <-chan time.Time // from then on nothing is waited for
-	handingOver      bool             // another process takes over
-	stoppedAccepting bool             // the frontends take no more connections, for the successor
+	deadline         time.Time        // from then on nothing is waited for
+	deadlineReached  <-chan time.Time
+	handingOver      bool // another process takes over
+	stoppedAccepting bool // the frontends take no more connections, for the successor
 }
 
-// beginShutdown begins the end of the process.
-func (loop *eventLoop) beginShutdown() {
+// stopSignal says when a context ended, also to an event loop that is busy at that moment or not there yet.
+type stopSignal struct {
+	at   time.Time     // valid once done is closed
+	done chan struct{} // closed when the context has ended
+}
+
+func newStopSignal(ctx context.Context) *stopSignal {
+	s := &stopSignal{done: make(chan struct{})}
+	context.AfterFunc(ctx, func() {
+		s.at = time.Now()
+		close(s.done)
+	})
+	return s
+}
+
+// isOverdue reports whether a shutdown has reached its deadline.
+func (end *shutdownState) isOverdue() bool { return end.begun && !time.Now().Before(end.deadline) }
+
+// beginShutdown begins the end of the process, which was asked for at a time.
+func (loop *eventLoop) beginShutdown(requestedAt time.Time) {
 	end, log := &loop.shutdown, &loop.telemetry.log
 	end.requested, end.begun = nil, true
 	loop.operators.requests.ready.Store(false)
-	end.deadline = time.After(killAfter - killMargin)
+	end.deadline = requestedAt.Add(killAfter - killMargin)
+	end.deadlineReached = time.After(time.Until(end.deadline))
 	end.handingOver = loop.config.InheritedListener > 0
 	held := len(loop.messages.byNumber)
 	if end.handingOver {
@@ -40,8 +62,26 @@
 		return
 	}
 	log.Info().Int("held", held).Msg("stopping")
-	end.drain = time.After(acceptFor)
-	loop.queue.push(stopRequested(killAfter - killMargin))
+	end.drain = time.After(time.Until(requestedAt.Add(acceptFor)))
+	loop.queue.push(stopRequested(max(0, time.Until(end.deadline))))
+	// Now and not at the end: a file system may hold the files back, and the process with them, as a thread within such a
+	// call cannot be ended. What calls still teach is lost; the Retry-After state is read on upgrades alone.
+	loop.writeStateFiles()
+}
+
+// writeStateFiles has the files written that a successor reads.
+func (loop *eventLoop) writeStateFiles() {
+	loop.writeRetryAfter(loop.schedulerTime(time.Now()))
+	loop.writeLatencies()
+}
+
+// finishStateFiles waits until the state files are written, as long as there is time for that.
+func (loop *eventLoop) finishStateFiles() {
+	end := &loop.shutdown
+	if end.handingOver && !end.stoppedAccepting { // its calls did not end in time
+		loop.writeStateFiles()
+	}
+	loop.stateWriter.close(end.deadline.Add(killMargin - closingTime))
 }
 
 // drainFrontends has clients go elsewhere, as no new connections are waited for any more.
@@ -75,6 +115,7 @@
 // the shared socket for as short a time as possible: the successor starts when the folder is free.
 func (loop *eventLoop) handOver() {
 	loop.shutdown.stoppedAccepting = true
+	loop.writeStateFiles() // no call is left that could teach more
 	for _, l := range loop.frontends.open {
 		l.StopAccepting()
 		l.Drain()
