A reload reads its configuration outside the event loop

Callers saw: during a reload of 8,000 endpoints nobody was answered for 8.5 s, messages expired without an answer, and SIGTERM behind two SIGHUPs ended after 25.2 s (bound 3.7 s). Cause: the event loop read and checked the configuration itself. Why it holds: a goroutine does that, and an event brings the result; the loop compares and applies, without a file. While one reading is under way any number of signals leads to one more. A process that ends opens no frontends any more: with the reading apart, its result can come behind SIGTERM.

--- a/forwarder/event_loop.go
+++ b/forwarder/event_loop.go
@@ -32,6 +32,7 @@
 	telemetry telemetry
 
 	stateWriter *stateWriter
+	reloading   reloadState
 }
 
 // newEventLoop returns an event loop that knows of no message and no endpoint. Its write-ahead log, admin requests and
@@ -98,6 +99,8 @@
 		loop.releaseAcknowledged(ev)
 	case stopRequested:
 		loop.scheduler.Stop(time.Duration(ev).Seconds())
+	case configRead:
+		loop.handleConfigRead(ev)
 	case stateNotWritten:
 		loop.telemetry.log.Error().Err(ev.err).Msg(stateNotWrittenTexts[ev.file])
 	case operatorRequest:
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -42,6 +42,12 @@
 	// stopRequested is the time that is left for the scheduler to finish calls before the process ends.
 	stopRequested time.Duration
 
+	// configRead is the configuration as it was read again, or why it could not be.
+	configRead struct {
+		next *Config
+		err  error
+	}
+
 	// stateNotWritten is a file of the state folder that could not be written.
 	stateNotWritten struct {
 		file string
@@ -63,5 +69,6 @@
 func (noticesUnanswered) isEvent()   {}
 func (noticesAcknowledged) isEvent() {}
 func (stopRequested) isEvent()       {}
+func (configRead) isEvent()          {}
 func (stateNotWritten) isEvent()     {}
 func (operatorRequest) isEvent()     {}
--- a/forwarder/reload.go
+++ b/forwarder/reload.go
@@ -7,7 +7,7 @@
 	"slices"
 )
 
-// A configuration change is applied in steps: reload reads the configuration again, applyConfig compares it with the
+// A configuration change is applied in steps: reload has the configuration read again, applyConfig compares it with the
 // present one part by part (ConfigParts), and what may change in a running forwarder is applied, all of it or nothing.
 // What else differs waits for the next start and is only logged.
 
@@ -102,15 +102,42 @@
 	return p.When
 }
 
-// reload reads the configuration again and applies what has changed. One that cannot be read or applied changes
-// nothing.
+// reloadState says whether the configuration is being read again.
+type reloadState struct {
+	reading bool // by a goroutine of its own
+	again   bool // once more after that, as it may have changed meanwhile
+}
+
+// reload has the configuration read again, by a goroutine of its own: a file may be large, or on a file system that
+// does not answer, and the event loop would serve nobody meanwhile. The configRead event brings it back. While it is
+// being read any number of further calls lead to one more reading.
 func (loop *eventLoop) reload() {
 	if loop.config.Reload == nil {
 		return
 	}
-	next, err := loop.config.Reload()
+	if loop.reloading.reading {
+		loop.reloading.again = true
+		return
+	}
+	loop.reloading.reading = true
+	read, queue := loop.config.Reload, loop.queue
+	go func() {
+		next, err := read()
+		queue.push(configRead{next, err})
+	}()
+}
+
+// handleConfigRead applies what has changed in a configuration that was read again. One that cannot be read or applied
+// changes nothing.
+func (loop *eventLoop) handleConfigRead(ev configRead) {
+	loop.reloading.reading = false
+	if loop.reloading.again {
+		loop.reloading.again = false
+		loop.reload()
+	}
+	err := ev.err
 	if err == nil {
-		err = loop.applyConfig(next)
+		err = loop.applyConfig(ev.next)
 	}
 	if err != nil {
 		loop.telemetry.figures.invalid++
@@ -124,6 +151,10 @@
 // error nothing has changed.
 func (loop *eventLoop) applyConfig(next *Config) error {
 	changed, onRestart := loop.changedParts(next)
+	if changed[partListen] && loop.shutdown.begun { // a process that ends opens no frontends
+		delete(changed, partListen)
+		onRestart = append(onRestart, partListen)
+	}
 	if err := loop.checkSources(next, changed); err != nil {
 		return err
 	}
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -12,8 +12,8 @@
 	latenciesEvery = 3 * time.Second  // between two writes of the learned latencies
 )
 
-// run takes a turn whenever there is something to do, until the process may end. It reloads the configuration at each
-// signal on reload.
+// run takes a turn whenever there is something to do, until the process may end. It has the configuration reloaded at
+// each signal on reload.
 func (loop *eventLoop) run(stop *stopSignal, reload <-chan os.Signal, dialer *dial.Dialer) {
 	timer := time.NewTimer(0)
 	counts := time.NewTicker(countsEvery)
