Handing over does not wait for an accept that a shared socket's mode holds up

Callers saw: on an upgrade the old process, from its line "handing over" on, answered nobody until it was killed; the new one got the folder only then. Cause: closing the inherited listener waits for the accept that is under way. Its nonblocking mode is shared with the process that handed it down, which turns it off when it starts the next process; an accept that begins then waits in the system. The dump of a process that stood still shows the event loop in the close and the acceptor in the call. Why it holds: the close is not waited for beyond 20 ms; a connection that the accept still brings is served and drained as the others. The same close at the end of Run is not waited for either.

--- a/cmd/spanflow/upgrade_test.go
+++ b/cmd/spanflow/upgrade_test.go
@@ -63,6 +63,24 @@
 	require.True(t, first.Log.Has(logHandingOver))
 }
 
+// The mode of a socket belongs to all processes that share it. Here the one that handed it down puts it back into blocking
+// mode, as starting a second process with it does, so that accepting waits in the system for a connection that does not
+// come. Closing the socket waited for that: the event loop stood still from the line "handing over" on, to the kill.
+func TestProcessHandsOverThoughItsSocketWasPutIntoBlockingMode(t *testing.T) {
+	h := newHarness(t, "single")
+	socket := h.inheritedSocket()
+	first := h.startWithAdmin(socket)
+	first.AwaitReady(t)
+	require.NoError(t, syscall.SetNonblock(int(socket.Fd()), false))
+	c := h.client() // after it the process waits for the next connection
+	defer c.Close()
+	h.put(c, zero, "d1", "c=status,d=8000,dest=7", "+OK")
+	h.nextCall()
+	h.stop()
+	require.True(t, first.Log.Has(logHandingOver))
+	require.True(t, first.Log.Has(`"message":"end"`), first.Log.String())
+}
+
 // An endpoint that operators drain gets nothing new, also from the process that replaces the first, until it is
 // undrained; an unknown id is answered with an error.
 func TestDrainedEndpointStaysDrainedAcrossUpgrade(t *testing.T) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,7 +61,7 @@
 		if err != nil {
 			return err
 		}
-		defer listener.Close()
+		defer func() { go listener.Close() }() // see respserver.Server.StopAccepting
 		// This process can serve once the one that it replaces has gone, and the platform stops that one only when this
 		// one is ready.
 		requests.ready.Store(true)
--- a/internal/respserver/server.go
+++ b/internal/respserver/server.go
@@ -43,15 +43,16 @@
 }
 
 const (
-	acceptPause        = 20 * time.Millisecond // after a failed accept, for want of descriptors for example
-	stopTimeout        = 200 * time.Millisecond
-	sweepInterval      = 100 * time.Millisecond
-	closeDelay         = 200 * time.Millisecond // after the last answer, so that it is read before the connection ends
-	maxDiscardedBytes  = 1 << 20                // read and discarded during closeDelay
-	readBufferBytes    = 72 << 10
-	maxWriteQueueBytes = 256 << 10 // of one connection
-	maxReadsInARow     = 8         // of one connection, while others wait
-	stoppedReadPause   = 5 * time.Millisecond
+	acceptPause         = 20 * time.Millisecond // after a failed accept, for want of descriptors for example
+	stopTimeout         = 200 * time.Millisecond
+	closeListenerWithin = 20 * time.Millisecond
+	sweepInterval       = 100 * time.Millisecond
+	closeDelay          = 200 * time.Millisecond // after the last answer, so that it is read before the connection ends
+	maxDiscardedBytes   = 1 << 20                // read and discarded during closeDelay
+	readBufferBytes     = 72 << 10
+	maxWriteQueueBytes  = 256 << 10 // of one connection
+	maxReadsInARow      = 8         // of one connection, while others wait
+	stoppedReadPause    = 5 * time.Millisecond
 )
 
 // Open listens at a TCP address. For each connection over softLimit an idle one is closed, if there is one; over
@@ -117,8 +118,19 @@
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string { return s.engine.Addrs[0] }
 
-// StopAccepting closes the listener; open connections go on.
-func (s *Server) StopAccepting() { s.listener.Close() }
+// StopAccepting closes the listener; open connections go on. It does not wait for long: of a listener that other
+// processes share any of them may turn off the nonblocking mode, and then closing waits until the next connection comes.
+func (s *Server) StopAccepting() {
+	closed := make(chan struct{})
+	go func() {
+		s.listener.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeListenerWithin):
+	}
+}
 
 // Stop closes all connections and the listener.
 func (s *Server) Stop() {
