Signals are caught from a program's first line on, and SIGTERM ends a start

Callers saw: an operator's or supervisor's SIGHUP within half a second of a start ended the process (11 of 11 with 500 endpoints), and SIGTERM during a start ended it by the signal, or not before the start was over. Cause: spanflowctl caught signals only after reading its configuration, and the steps of a start did not look at them. Why it holds: signals are caught first, in both programs that serve; spanflow ignores SIGHUP while it becomes spanflowctl. One SIGHUP is kept, so that any number before clients are served lead to one reload. Reading the configuration, the log and the store are left at SIGTERM.

--- a/cmd/spanflow/main.go
+++ b/cmd/spanflow/main.go
@@ -4,20 +4,23 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 
 	"spanflow/forwarder"
+	"spanflow/internal/signals"
 )
 
 // commandsProgram is the name of the program that has the commands.
 const commandsProgram = "spanflowctl"
 
+// runCommand is the command of that program that serves.
+const runCommand = "run"
+
 func main() {
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "spanflow:", err)
@@ -27,6 +30,9 @@
 
 func run(args []string) error {
 	if len(args) > 0 {
+		if slices.Contains(args, runCommand) {
+			signals.IgnoreReloads()
+		}
 		return replaceProcess(commandsProgram, args)
 	}
 	return serve()
@@ -34,16 +40,17 @@
 
 // serve runs a forwarder until SIGTERM or SIGINT. SIGHUP reloads its configuration.
 func serve() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	config, err := forwarder.ConfigFromEnvironment(os.Getenv)
+	caught := signals.Catch()
+	read := func() (*forwarder.Config, error) { return forwarder.ConfigFromEnvironment(os.Getenv) }
+	config, err := signals.Interruptible(caught.Stop(), read, nil)
+	if caught.Stop().Err() != nil {
+		return nil // nobody was served
+	}
 	if err != nil {
 		return err
 	}
 	config.ApplyProcessLimits()
-	return forwarder.Run(ctx, config, reload, os.Stderr, nil)
+	return forwarder.Run(caught.Stop(), config, caught.Reloads(), os.Stderr, func(string) { caught.SetServing() })
 }
 
 // replaceProcess runs another program of the same build in the place of this one. It returns only with an error.
--- /dev/null
+++ b/cmd/spanflow/start_signals_test.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"spanflow/internal/emulator"
+)
+
+// SIGTERM and SIGHUP were caught before the configuration was read, but SIGTERM was heeded only once the start was over.
+
+const logWaitingForFolder = "waiting for the folder"
+
+// launch starts the forwarder with further variables and does not wait until it serves.
+func (h *harness) launch(files []*os.File, variables ...string) {
+	h.t.Helper()
+	command := exec.Command(program)
+	command.Env = append(os.Environ(), append(h.environment(), variables...)...)
+	command.ExtraFiles = files
+	h.process = emulator.StartProcess(h.t, command)
+}
+
+func TestSIGTERMWhileTheConfigurationIsReadEndsTheStart(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "single")
+	h.environment()
+	require.NoError(t, os.Rename(h.configFile, h.configFile+".old"))
+	require.NoError(t, syscall.Mkfifo(h.configFile, 0o600))
+	command := exec.Command(program)
+	command.Env = append(os.Environ(), "PROXY_CONFIG="+h.configFile, "PROXY_STATE="+h.stateFolder)
+	h.process = emulator.StartProcess(t, command)
+	writer, err := os.OpenFile(h.configFile, os.O_WRONLY, 0) // waits for the reader
+	require.NoError(t, err)
+	defer writer.Close()
+	require.NoError(t, h.process.Signal(syscall.SIGHUP))
+	h.stop()
+}
+
+func TestSignalsWhileAProcessWaitsForTheFolder(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "single")
+	socket := h.inheritedSocket()
+	first := h.startWithAdmin(socket)
+	first.AwaitReady(t)
+	h.launch([]*os.File{socket}, "PROXY_INHERITED_FD=3")
+	h.awaitLog(logWaitingForFolder)
+	for range 2 {
+		require.NoError(t, h.process.Signal(syscall.SIGHUP))
+	}
+	h.stop()
+	require.False(t, h.process.Log.Has(emulator.ReadyLine))
+
+	h.launch([]*os.File{socket}, "PROXY_INHERITED_FD=3")
+	h.awaitLog(logWaitingForFolder)
+	for range 2 {
+		require.NoError(t, h.process.Signal(syscall.SIGHUP))
+	}
+	second := h.process
+	h.process = first.Process
+	h.stop()
+	h.process = second
+	h.process.AwaitReady(t)
+	h.process.Log.AwaitCount(t, logReloaded, 1)
+	h.client()
+	h.stop()
+	require.Equal(t, 1, h.process.Log.Count(logReloaded), "one reload for all signals before")
+}
+
+func TestSIGTERMWhileItRecoversEndsTheStart(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t, "single")
+	require.NoError(t, syscall.Mkfifo(h.stateFolder+"/learnt", 0o600))
+	h.launch(nil)
+	var writer *os.File
+	require.Eventually(t, func() bool {
+		var err error
+		writer, err = os.OpenFile(h.stateFolder+"/learnt", os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	defer writer.Close()
+	h.stop()
+	require.False(t, h.process.Log.Has(emulator.ReadyLine))
+}
--- a/forwarder/backlog.go
+++ b/forwarder/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"context"
 	"errors"
 	"fmt"
 	"path/filepath"
@@ -9,6 +10,7 @@
 
 	"spanflow/internal/backlog"
 	"spanflow/internal/backlog/policy"
+	"spanflow/internal/signals"
 	"spanflow/internal/wal"
 )
 
@@ -57,8 +59,8 @@
 	gauges     backlogGauges
 }
 
-// openBacklog opens the store, if the configuration asks for one.
-func (loop *eventLoop) openBacklog() error {
+// openBacklog opens the store, if the configuration asks for one. A ctx that ends interrupts it.
+func (loop *eventLoop) openBacklog(ctx context.Context) error {
 	config := loop.config.Backlog
 	if config == nil {
 		return nil
@@ -72,7 +74,8 @@
 		return fmt.Errorf("backlog: folder: %w", err)
 	}
 	start := time.Now()
-	store, err := backlog.Open(backlog.OS{}, folder, config.storeBounds())
+	open := func() (*backlog.Store, error) { return backlog.Open(backlog.OS{}, folder, config.storeBounds()) }
+	store, err := signals.Interruptible(ctx, open, func(s *backlog.Store) { _ = s.Close() })
 	if err != nil {
 		return fmt.Errorf("backlog: %w", err)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 	"spanflow/internal/admin"
 	"spanflow/internal/dial"
 	"spanflow/internal/drains"
+	"spanflow/internal/signals"
 	"spanflow/internal/statefile"
 	"spanflow/internal/wal"
 )
@@ -67,12 +68,8 @@
 		requests.ready.Store(true)
 	}
 	walLog, err := openWAL(ctx, config, log)
-	if errors.Is(err, context.Canceled) {
-		log.Info().Msg("stopped while waiting for the folder")
-		return nil
-	}
 	if err != nil {
-		return err
+		return unlessStopped(ctx, log, err)
 	}
 	defer walLog.Close()
 	dialer, err := dial.New("outlet", (config.Sockets-reservedDescriptors)/3)
@@ -87,16 +84,16 @@
 	loop := newEventLoop(config, log, queue)
 	loop.configuredScheduler, loop.wal, loop.telemetry.output = configured, walLog, logTo
 	loop.operators = operatorState{requests: requests, drains: drains.New(statefile.ReadDrains(config.Folder))}
-	return loop.serve(stop, reload, dialer, ready)
+	return loop.serve(ctx, stop, reload, dialer, ready)
 }
 
 // serve opens everything but the folder and the operators' address, serves until the process ends, and closes it again.
 func (loop *eventLoop) serve(
-	stop *stopSignal, reload <-chan os.Signal, dialer *dial.Dialer, ready func(addr string),
+	ctx context.Context, stop *stopSignal, reload <-chan os.Signal, dialer *dial.Dialer, ready func(addr string),
 ) error {
 	log := loop.telemetry.log
-	if err := loop.openBacklog(); err != nil {
-		return err
+	if err := loop.openBacklog(ctx); err != nil {
+		return unlessStopped(ctx, log, err)
 	}
 	defer loop.closeBacklog()
 	if err := loop.connect(dialer); err != nil {
@@ -109,6 +106,9 @@
 	defer loop.telemetry.recorder.Stop()
 	lameDuck := loop.operators.requests.takeOver()
 	loop.recoverState(loop.epoch)
+	if ctx.Err() != nil { // before anybody is served
+		return unlessStopped(ctx, log, nil)
+	}
 	if err := loop.openConfiguredFrontends(); err != nil {
 		return err
 	}
@@ -128,6 +128,15 @@
 	return nil
 }
 
+// unlessStopped returns the error of a step of the start, or nil, with a log line, if the process was stopped meanwhile.
+func unlessStopped(ctx context.Context, log zerolog.Logger, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	log.Info().Msg("stopped before serving")
+	return nil
+}
+
 // openWAL opens the write-ahead log in the folder. A process that replaces another waits until that one releases it.
 func openWAL(ctx context.Context, config *Config, log zerolog.Logger) (*wal.Log, error) {
 	wait := time.Duration(0)
@@ -137,7 +146,10 @@
 			log.Info().Int("pid", pid).Msg("waiting for the folder")
 		}
 	}
-	walLog, err := wal.OpenWhenFree(ctx, config.Folder, int64(config.DiskMB)*1_000_000, wait)
+	open := func() (*wal.Log, error) {
+		return wal.OpenWhenFree(ctx, config.Folder, int64(config.DiskMB)*1_000_000, wait)
+	}
+	walLog, err := signals.Interruptible(ctx, open, func(l *wal.Log) { _ = l.Close() })
 	if err != nil {
 		return nil, fmt.Errorf("PROXY_STATE: %w", err)
 	}
--- a/internal/commands/run.go
+++ b/internal/commands/run.go
@@ -1,15 +1,11 @@
 package commands
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/spf13/cobra"
 
 	"spanflow/forwarder"
 	"spanflow/internal/cli"
+	"spanflow/internal/signals"
 )
 
 func (s *session) runCommand() *cobra.Command {
@@ -27,14 +23,14 @@
 }
 
 func (s *session) run() error {
-	c, err := s.forwarderConfig()
+	caught := signals.Catch() // first: a signal that is not caught ends the process
+	c, err := signals.Interruptible(caught.Stop(), s.forwarderConfig, nil)
+	if caught.Stop().Err() != nil {
+		return nil // nobody was served
+	}
 	if err != nil {
 		return s.reportProblems(err)
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	c.ApplyProcessLimits()
-	return forwarder.Run(ctx, c, reload, s.err, nil)
+	return forwarder.Run(caught.Stop(), c, caught.Reloads(), s.err, func(string) { caught.SetServing() })
 }
