drains: kept ids are sorted before they are looked for

Operators saw: of a file with ids out of order or written twice an id was kept twice; a restore brought the endpoint back, and the next start had it drained again. Cause: New looked for duplicates by binary search in a list that it sorted only afterwards. Why it holds: invalid ids go, then the list is sorted, then neighbours that are equal go. Measured: TestKeptIDsAreUniqueInWhateverOrder got s1, s1, s2, s3, s3 before, s1, s2, s3 now.

--- a/internal/drains/drains.go
+++ b/internal/drains/drains.go
@@ -56,14 +56,10 @@
 
 // New makes a set of the ids that were drained before, as kept; ids that cannot be kept are left out.
 func New(kept []string) *Set {
-	s := &Set{}
-	for _, id := range kept {
-		if len(s.ids) < MaxDrained && validID(id) && !s.Drained(id) {
-			s.ids = append(s.ids, id)
-		}
-	}
-	slices.Sort(s.ids)
-	return s
+	ids := slices.DeleteFunc(slices.Clone(kept), func(id string) bool { return !validID(id) })
+	slices.Sort(ids) // first: an id is looked for by binary search, and twice the same lie side by side
+	ids = slices.Compact(ids)
+	return &Set{ids: ids[:min(len(ids), MaxDrained)]}
 }
 
 // validID reports whether an id can be kept, one a line.
