wal: an end that could not be recorded is recorded later

A message that had gone to the backlog store was in both for good. Cause: RecordDone removed the entry from the index before it wrote the record. When that failed nobody knew of it any more, and a second call (the mover's Retry makes one) found nothing pending and reported success. Why it holds: the number stays known, with the segment of its record, until its end is recorded: by a further call, every 3 s, or at Close. A Restore under the same number supersedes it, and it goes with its segment. Measured: TestEndThatCouldNotBeRecordedIsRecordedLater, by a file whose writes fail: on the code before (with that file put in) two entries pending after each of the three ways, one now. Left: between a failed record and the next try (3 s) a kill finds the entry pending, as no disk has its end.

--- a/forwarder/messages.go
+++ b/forwarder/messages.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// retryDone records the ends of messages that could not be recorded before, as on a full disk.
+func (loop *eventLoop) retryDone() {
+	if err := loop.wal.RetryDone(); err != nil {
+		loop.logWALError(err)
+	}
+}
+
 // removeIfFinished removes a message if it has its final answer and no attempt or notice is outstanding.
 func (loop *eventLoop) removeIfFinished(m *trackedMessage) {
 	if !m.scheduled.Finished() {
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -41,6 +41,7 @@
 			if !end.begun {
 				loop.writeLatencies()
 			}
+			loop.retryDone()
 			continue
 		case <-spool:
 			// Once this process hands over, its successor carries out the spooled commands.
--- a/internal/wal/append.go
+++ b/internal/wal/append.go
@@ -34,6 +34,7 @@
 	if err := l.appendEntry(e); err != nil {
 		return err
 	}
+	delete(l.unrecorded, e.Seq) // that end was before this record
 	l.entries[e.Seq] = e
 	l.pending += e.Size() - replaced
 	l.Reserve(e.Seq)
@@ -88,15 +89,36 @@
 	return l.append(binary.LittleEndian.AppendUint32(b, uint32(retryAfter)))
 }
 
-// RecordDone records that a message is done. It does nothing for a message that is not pending.
+// RecordDone records that a message is done. It does nothing for a message that is not pending. With an error the
+// message is pending no longer, but would be after the next Open: the record is written by a further call, by RetryDone
+// or by Close.
 func (l *Log) RecordDone(seq uint64) error {
-	e := l.entries[seq]
-	if e == nil {
+	segment, left := l.unrecorded[seq]
+	if e := l.entries[seq]; e != nil {
+		delete(l.entries, seq)
+		l.pending -= e.Size()
+		segment = e.segment
+	} else if !left {
 		return nil
 	}
-	delete(l.entries, seq)
-	l.pending -= e.Size()
-	return l.append(binary.LittleEndian.AppendUint64(l.beginRecord(kindDone), seq))
+	if err := l.append(binary.LittleEndian.AppendUint64(l.beginRecord(kindDone), seq)); err != nil {
+		l.unrecorded[seq] = segment
+		return err
+	}
+	if left {
+		delete(l.unrecorded, seq)
+	}
+	return nil
+}
+
+// RetryDone records the ends that could not be recorded before.
+func (l *Log) RetryDone() error {
+	for seq := range l.unrecorded {
+		if err := l.RecordDone(seq); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // appendEntry records an entry whole in the last segment.
--- a/internal/wal/append_test.go
+++ b/internal/wal/append_test.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -115,3 +116,83 @@
 	require.NoError(t, l.RecordDone(1))
 	require.NoError(t, l.Restore(restored(seq, 60<<10)))
 }
+
+// failingFile is a segment's file whose writes fail while err is set.
+type failingFile struct {
+	segmentFile
+	err error
+}
+
+func (f *failingFile) Write(b []byte) (int, error) {
+	if f.err != nil {
+		return 0, f.err
+	}
+	return f.segmentFile.Write(b)
+}
+
+// failWrites has the log's writes fail until the result's err is cleared.
+func failWrites(l *Log) *failingFile {
+	f := &failingFile{l.head, syscall.EIO}
+	l.head = f
+	return f
+}
+
+// The log forgot an entry whose end could not be recorded, and took a second call for one that has nothing to do. The next
+// start found it pending: a message that was delivered was sent again, one that had its final answer got another, and one
+// that had gone to the backlog store was in both for good.
+func TestEndThatCouldNotBeRecordedIsRecordedLater(t *testing.T) {
+	for name, later := range map[string]func(*Log) error{
+		"asked again": func(l *Log) error { return l.RecordDone(1) },
+		"retried":     (*Log).RetryDone,
+		"closed":      func(*Log) error { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			l := openLog(t, dir)
+			appendMessage(t, l, "a", 3)
+			appendMessage(t, l, "b", 3)
+			disk := failWrites(l)
+			require.ErrorIs(t, l.RecordDone(1), syscall.EIO)
+			require.ErrorIs(t, l.RecordDone(1), syscall.EIO, "not done yet")
+			require.ErrorIs(t, l.RetryDone(), syscall.EIO)
+			require.Len(t, l.Pending(), 1)
+			disk.err = nil
+			require.NoError(t, later(l))
+			require.NoError(t, l.Close())
+			l = openLog(t, dir)
+			defer l.Close()
+			require.Len(t, l.Pending(), 1)
+			require.Equal(t, "b", l.Pending()[0].ID)
+		})
+	}
+}
+
+func TestRestoredEntryIsNotEndedByAnEarlierEnd(t *testing.T) {
+	dir := t.TempDir()
+	l := openLog(t, dir)
+	appendMessage(t, l, "a", 3)
+	disk := failWrites(l)
+	require.ErrorIs(t, l.RecordDone(1), syscall.EIO)
+	disk.err = nil
+	require.NoError(t, l.Restore(&Entry{Seq: 1, ID: "a", Type: "ticket"}))
+	require.NoError(t, l.RetryDone())
+	require.NoError(t, l.Close())
+	l = openLog(t, dir)
+	defer l.Close()
+	require.Len(t, l.Pending(), 1)
+}
+
+func TestEndsLeftToRecordGoWithTheirSegment(t *testing.T) {
+	l := openLog(t, t.TempDir())
+	defer l.Close()
+	appendMessage(t, l, "a", 3)
+	disk := failWrites(l)
+	require.ErrorIs(t, l.RecordDone(1), syscall.EIO)
+	disk.err = nil
+	require.Len(t, l.unrecorded, 1)
+	for first := l.segments[0].number; l.segments[0].number == first; {
+		m := appendMessage(t, l, "filling", 5000)
+		require.NoError(t, l.RecordDone(m.Seq))
+	}
+	require.Empty(t, l.unrecorded)
+}
--- a/internal/wal/log.go
+++ b/internal/wal/log.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -24,15 +25,19 @@
 // Log is a write-ahead log that is open for appending until Close. It is not safe for concurrent use.
 type Log struct {
 	dir      string
-	limit    int64     // bytes in the folder
-	segments []segment // oldest first; the last is written to
-	head     *os.File  // the last segment; nil if none could be made yet
+	limit    int64       // bytes in the folder
+	segments []segment   // oldest first; the last is written to
+	head     segmentFile // the last segment; nil if none could be made yet
 	entries  map[uint64]*Entry
 	pending  int // bytes of the entries
 	nextSeq  uint64
 	buf      []byte   // of the record that is being written
 	lock     *os.File // nil where the folder cannot be locked
 
+	// unrecorded are the numbers of entries that are done and whose end could not be recorded, with the segment that has
+	// their latest record: with it they go.
+	unrecorded map[uint64]int
+
 	// DroppedRecords is the number of records that Open could not read.
 	DroppedRecords int
 }
@@ -47,7 +52,7 @@
 // OpenWhenFree is Open that waits longer, up to wait, for a folder that another process holds, as a process that
 // replaces another does while the other ends. It returns the error of ctx if that ends first.
 func OpenWhenFree(ctx context.Context, dir string, limit int64, wait time.Duration) (*Log, error) {
-	l := &Log{dir: dir, limit: limit, entries: map[uint64]*Entry{}, nextSeq: 1}
+	l := &Log{dir: dir, limit: limit, entries: map[uint64]*Entry{}, nextSeq: 1, unrecorded: map[uint64]int{}}
 	if l.Capacity() <= 0 {
 		return nil, fmt.Errorf("%w: %d bytes", ErrLimitTooSmall, limit)
 	}
@@ -62,10 +67,18 @@
 	return l, nil
 }
 
+// segmentFile is the file of a segment that is written to.
+type segmentFile interface {
+	io.Writer
+	io.Closer
+	Truncate(size int64) error
+}
+
 // Close closes the log's files and releases the folder.
 func (l *Log) Close() error {
 	var errs []error
 	if l.head != nil {
+		errs = append(errs, l.RetryDone())
 		errs = append(errs, l.head.Close())
 	}
 	if l.lock != nil {
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -122,6 +123,7 @@
 		return err
 	}
 	l.segments = l.segments[1:]
+	maps.DeleteFunc(l.unrecorded, func(_ uint64, segment int) bool { return segment <= oldest.number })
 	return nil
 }
 
