wal: only a lock that is held names a holder

Operators saw: on a file system without locks, or when a signal interrupted the call, "spanflow check" and "wal" named a process as the folder's owner that may have ended long ago. Cause: any error of flock was taken for a lock that somebody has. Why it holds: only EWOULDBLOCK says that; EINTR asks again. Measured: TestOnlyAHeldLockNamesItsHolder, with a flock that returns each error.

--- a/internal/wal/lock.go
+++ b/internal/wal/lock.go
@@ -70,13 +70,19 @@
 
 // LockHolderOfFile is the pid of the running process that holds a lock file, as written in it, 0 if none is known. It
 // alters nothing, and keeps the lock from others for no longer than a moment.
-func LockHolderOfFile(lockFile string) int {
+func LockHolderOfFile(lockFile string) int { return lockHolder(lockFile, syscall.Flock) }
+
+// lockHolder is LockHolderOfFile with a flock of the caller's.
+func lockHolder(lockFile string, flock func(fd, how int) error) int {
 	f, err := os.Open(lockFile)
 	if err != nil {
 		return 0
 	}
 	defer func() { _ = f.Close() }() // it was only read
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB); err == nil {
+	for err = syscall.EINTR; errors.Is(err, syscall.EINTR); {
+		err = flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
+	}
+	if !errors.Is(err, syscall.EWOULDBLOCK) { // free, or a lock that nobody can hold
 		return 0
 	}
 	text, err := io.ReadAll(io.LimitReader(f, maxPIDLength))
--- a/internal/wal/lock_test.go
+++ b/internal/wal/lock_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -19,3 +21,21 @@
 	require.Zero(t, LockHolder(dir))
 	openLog(t, dir).Close()
 }
+
+// Any error of the lock was taken for a lock holder: on a file system without locks, or when a signal interrupted the
+// call, "spanflow check" named a process that may have ended long ago as the owner.
+func TestOnlyAHeldLockNamesItsHolder(t *testing.T) {
+	file := filepath.Join(t.TempDir(), lockFile)
+	require.NoError(t, os.WriteFile(file, []byte("4711\n"), filePerm))
+	for err, want := range map[error]int{syscall.EWOULDBLOCK: 4711, syscall.ENOLCK: 0, syscall.ENOSYS: 0, nil: 0} {
+		require.Equal(t, want, lockHolder(file, func(int, int) error { return err }), "%v", err)
+	}
+	interruptions := 3
+	interrupted := func(int, int) error {
+		if interruptions--; interruptions >= 0 {
+			return syscall.EINTR
+		}
+		return nil
+	}
+	require.Zero(t, lockHolder(file, interrupted))
+}
