respserver: an eviction is counted once it has happened

Operators saw: clients_closed_for_room counted connections that stayed, as a command had arrived at the same moment. Cause: the candidate was counted when it was chosen, before it was tried. Why it holds: the count stands behind the try, under the same lock as the table of connections.

--- a/internal/respserver/eviction.go
+++ b/internal/respserver/eviction.go
@@ -36,13 +36,16 @@
 	now := time.Now()
 	c := &Client{server: s, conn: conn, openedAt: now, lastReadAt: now}
 	conn.SetSession(c)
-	evicted := s.evictionCandidate()
+	evicted, rank := s.evictionCandidate()
 	if evicted != nil && evicted.refused.Load() {
 		evicted.conn.Close()
 	} else if evicted != nil && !evicted.closeIfIdle() { // a command arrived just now: it stays, over the limit
 		evicted = nil
 	}
 	s.mu.Lock()
+	if evicted != nil {
+		s.stats.Evicted[rank]++ // not before: the connection may have stayed
+	}
 	delete(s.clients, evicted) // only now: StopReading waits for all that may still be read from
 	s.clients[c] = struct{}{}
 	s.stats.Peak = max(s.stats.Peak, len(s.clients))
@@ -50,12 +53,12 @@
 }
 
 // evictionCandidate returns the connection to close if one more is opened: the first by rank, then the one that has
-// been silent longest. It is nil below the soft limit and if all are busy. It counts the eviction.
-func (s *Server) evictionCandidate() *Client {
+// been silent longest. It is nil below the soft limit and if all are busy.
+func (s *Server) evictionCandidate() (*Client, evictionRank) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.clients) < s.softLimit {
-		return nil
+		return nil, rankBusy
 	}
 	var first *Client
 	for c := range s.clients {
@@ -65,10 +68,9 @@
 	}
 	rank := first.rank()
 	if rank == rankBusy {
-		return nil
+		return nil, rankBusy
 	}
-	s.stats.Evicted[rank]++
-	return first
+	return first, rank
 }
 
 // closed forgets a connection that has ended.
