discovery: a line of the list may take a sixteenth of the memory, and its bound is named

Callers saw: at some 28,000 destinations a whole list was refused, and the forwarder went on with the one it had, which may be none: messages for the others were refused, and changes never came into force. Cause: one bound of 4 MiB on a line, whatever the memory; the log said "over the limit" and not which. Why it holds: what an endpoint takes in memory is some eight times its text, so that a sixteenth of the memory is a list that fits; below 64 MB of memory the bound stays at 4 MiB. Two tests compare the text of the reason and have the new one.

--- a/forwarder/config.go
+++ b/forwarder/config.go
@@ -27,7 +27,7 @@
 	Discovery        string                  // address of the discovery service; empty: the list is StaticEndpoints
 	StaticEndpoints  *transport.EndpointList // the configuration's own list
 	LastEndpoints    transport.EndpointList  // the list as last known
-	ListBytes        int                     // bound of one object of the watch, in bytes; 0: the default
+	ListBytes        int                     // bound of one object of the watch, in bytes; 0: by MemoryMB
 	DiscoveryMovable bool                    // frontends, endpoints, backlog bounds and logs may change on reload
 
 	MemoryMB int     // for the whole process
--- a/forwarder/discovery.go
+++ b/forwarder/discovery.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"spanflow/internal/dial"
+	"spanflow/internal/discovery"
 	"spanflow/internal/notify"
 	"spanflow/transport"
 )
@@ -17,12 +18,24 @@
 	listReceived bool                     // a list has come from the source since the start
 }
 
+// listMemoryShare is the share of the memory that one object of the list may take as text: what an endpoint takes in
+// memory is some eight times its text, so that a longer list would not fit.
+const listMemoryShare = 16
+
+// maxListBytes is the bound of one object of the watch, in bytes.
+func (c *Config) maxListBytes() int {
+	if c.ListBytes > 0 {
+		return c.ListBytes
+	}
+	return max(discovery.DefaultMaxLineBytes, c.MemoryMB<<20/listMemoryShare)
+}
+
 // openDiscovery opens the source of the list, discovery or a list of the configuration, and the notifier.
 func (loop *eventLoop) openDiscovery(dialer *dial.Dialer, connectTimeout time.Duration) {
 	config := loop.config
 	if config.Discovery != "" {
 		client := newControlPlane(dialer, config.Discovery, connectTimeout, loop.queue)
-		client.endpoints.MaxLineBytes = config.ListBytes
+		client.endpoints.MaxLineBytes = config.maxListBytes()
 		loop.discovery.source, loop.discovery.movable = client, client
 		if config.noticeAddress == "" {
 			loop.notices.notifier = client
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -20,9 +20,12 @@
 	promptAnswer      = 500 * time.Millisecond    // an answer within this did not wait behind other requests
 )
 
+// DefaultMaxLineBytes is the bound of one object of a watch, in bytes, where Client.MaxLineBytes is not set.
+const DefaultMaxLineBytes = maxLineBytes
+
 // Client watches the list at one address, on one connection at a time. It is safe for concurrent use.
 type Client struct {
-	// MaxLineBytes bounds one object of a watch, in bytes; 0: 4 MiB. It is set before the first Watch.
+	// MaxLineBytes bounds one object of a watch, in bytes; 0: DefaultMaxLineBytes. It is set before the first Watch.
 	MaxLineBytes int
 
 	dialer         *dial.Dialer
--- a/internal/discovery/objects.go
+++ b/internal/discovery/objects.go
@@ -4,11 +4,17 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 )
 
-// errLineTooLong says that an object of the list is longer than the client allows.
-var errLineTooLong = errors.New("a line of the list is over the limit")
+// lineTooLongError is the error for an object of the list that is longer than the client allows.
+type lineTooLongError struct{ maxBytes int }
+
+// Error names the bound, and what follows from it.
+func (e *lineTooLongError) Error() string {
+	return fmt.Sprintf("a line of the list is over %d bytes: nothing of it is applied", e.maxBytes)
+}
 
 // objectReader cuts the body of a watch into JSON objects. Each ends with its line; it may be indented over several. An
 // empty line counts as an empty object.
@@ -34,7 +40,7 @@
 	n, complete := r.scan(piece)
 	r.buffer = append(r.buffer, piece[:n]...)
 	if len(r.buffer) > r.maxBytes {
-		return nil, nil, false, errLineTooLong
+		return nil, nil, false, &lineTooLongError{r.maxBytes}
 	}
 	if !complete {
 		return nil, nil, false, r.checkFirstLine()
--- a/internal/discovery/objects_test.go
+++ b/internal/discovery/objects_test.go
@@ -41,7 +41,7 @@
 		if bytes == bound {
 			require.EqualValues(t, 1, h.nextRevision(t))
 		} else {
-			require.Equal(t, errLineTooLong.Error(), h.nextReason(t))
+			require.Equal(t, "a line of the list is over 1000 bytes: nothing of it is applied", h.nextReason(t))
 		}
 		conn.Close()
 		h.Stop()
--- a/lab/capacity/hollow/hollow_test.go
+++ b/lab/capacity/hollow/hollow_test.go
@@ -115,7 +115,7 @@
 		heard, err = f.await(100 * time.Millisecond)
 		require.NoError(t, err)
 	}
-	require.Contains(t, heard.endings, "a line of the list is over the limit")
+	require.Contains(t, heard.endings, "a line of the list is over 1000 bytes: nothing of it is applied")
 	require.Equal(t, 6, count(heard.inForce, 0))
 }
 
