--- a/cmd/spanflowctl/backlog_kills_test.go
+++ b/cmd/spanflowctl/backlog_kills_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -66,6 +68,9 @@
 		}
 		var err error
 		if answer, err = l.conn.Send(s.command()); err != nil { // it may have been accepted: not submitted again
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				l.h.history.unanswered(s)
+			}
 			l.disconnect()
 			return true
 		}
--- a/cmd/spanflowctl/history_check_test.go
+++ b/cmd/spanflowctl/history_check_test.go
@@ -25,6 +25,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	require.Empty(t, h.outOfOrder[:min(outOfOrderShown, len(h.outOfOrder))], "%d of %d calls", len(h.outOfOrder), h.calls)
+	require.Empty(t, h.silent, "submissions were not answered")
 	for id, m := range h.messages {
 		require.Empty(t, m.violations(id), "%s: %s", id, m)
 	}
--- a/cmd/spanflowctl/history_test.go
+++ b/cmd/spanflowctl/history_test.go
@@ -42,6 +42,7 @@
 	calls      int
 	ended      int // messages with a final answer
 	outOfOrder []string
+	silent     []string // submissions without an answer, on connections that stayed open
 }
 
 func newHistory() *history {
@@ -73,6 +74,13 @@
 	}
 }
 
+// unanswered notes that a client has waited for an answer for long, on a connection that stayed open.
+func (h *history) unanswered(s submission) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent = append(h.silent, s.id())
+}
+
 // run notes that an endpoint runs a call. No earlier message of its key that its client knows as accepted may be open.
 // The lock is held.
 func (h *history) run(c emulator.Call, delivered bool) {
