--- a/cmd/spanflow/start_signals_test.go
+++ b/cmd/spanflow/start_signals_test.go
@@ -3,13 +3,14 @@
 import (
 	"os"
 	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"spanflow/internal/emulator"
+	"spanflow/internal/statefile"
 )
 
 // SIGTERM and SIGHUP were caught before the configuration was read, but SIGTERM was heeded only once the start was over.
@@ -30,13 +31,11 @@
 	h := newHarness(t, "single")
 	h.environment()
 	require.NoError(t, os.Rename(h.configFile, h.configFile+".old"))
-	require.NoError(t, syscall.Mkfifo(h.configFile, 0o600))
+	file := emulator.NewSlowFile(t, h.configFile)
 	command := exec.Command(program)
 	command.Env = append(os.Environ(), "PROXY_CONFIG="+h.configFile, "PROXY_STATE="+h.stateFolder)
 	h.process = emulator.StartProcess(t, command)
-	writer, err := os.OpenFile(h.configFile, os.O_WRONLY, 0) // waits for the reader
-	require.NoError(t, err)
-	defer writer.Close()
+	defer file.AwaitReader().Close()
 	require.NoError(t, h.process.Signal(syscall.SIGHUP))
 	h.stop()
 }
@@ -74,15 +73,9 @@
 func TestSIGTERMWhileItRecoversEndsTheStart(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t, "single")
-	require.NoError(t, syscall.Mkfifo(h.stateFolder+"/learnt", 0o600))
+	file := emulator.NewSlowFile(t, filepath.Join(h.stateFolder, statefile.LatenciesFile))
 	h.launch(nil)
-	var writer *os.File
-	require.Eventually(t, func() bool {
-		var err error
-		writer, err = os.OpenFile(h.stateFolder+"/learnt", os.O_WRONLY|syscall.O_NONBLOCK, 0)
-		return err == nil
-	}, 10*time.Second, time.Millisecond)
-	defer writer.Close()
+	defer file.AwaitReader().Close()
 	h.stop()
 	require.False(t, h.process.Log.Has(emulator.ReadyLine))
 }
--- a/cmd/spanflowctl/slow_reload_test.go
+++ b/cmd/spanflowctl/slow_reload_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"errors"
 	"os"
 	"path/filepath"
-	"syscall"
 	"testing"
 	"time"
 
@@ -13,59 +11,27 @@
 	"spanflow/internal/emulator"
 )
 
-// slowFile is a file of the configuration that is a FIFO: a forwarder that reads its configuration waits until the test
-// writes it.
-type slowFile struct {
-	t    *testing.T
-	path string
-}
+// slowToken is a part of the configuration that a forwarder reads from a slow file.
+type slowToken struct{ *emulator.SlowFile }
 
-// addSlowFile has the configuration name a slow file, from the next reload on.
-func (h *singleHarness) addSlowFile() slowFile {
+// addSlowToken has the configuration name a slow file, from the next reload on.
+func (h *singleHarness) addSlowToken() slowToken {
 	h.t.Helper()
-	f := slowFile{h.t, filepath.Join(h.folder, "token")}
-	require.NoError(h.t, syscall.Mkfifo(f.path, 0o600))
+	f := emulator.NewSlowFile(h.t, filepath.Join(h.folder, "token"))
 	h.writeConfig("[metrics]\ntoken_file = \"token\"\n")
-	return f
-}
-
-// awaitReader waits until a forwarder reads the file, and returns it. The reader waits until it is closed.
-func (f slowFile) awaitReader() *os.File {
-	f.t.Helper()
-	var writer *os.File
-	require.Eventually(f.t, func() bool {
-		writer = f.openForReader()
-		return writer != nil
-	}, readyBound, time.Millisecond)
-	return writer
-}
-
-// openForReader opens the file if a forwarder reads it now; nil: none does.
-func (f slowFile) openForReader() *os.File {
-	writer, err := os.OpenFile(f.path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
-	if errors.Is(err, syscall.ENXIO) {
-		return nil
-	}
-	require.NoError(f.t, err)
-	return writer
+	return slowToken{f}
 }
 
-// finish lets the reader of the file go on, unless it has just closed the file.
-func (f slowFile) finish(writer *os.File) {
-	f.t.Helper()
-	if _, err := writer.WriteString("hush\n"); !errors.Is(err, syscall.EPIPE) {
-		require.NoError(f.t, err)
-	}
-	require.NoError(f.t, writer.Close())
-}
+// finish lets the reader of the file go on.
+func (f slowToken) finish(reader *os.File) { f.Finish(reader, "hush\n") }
 
 // finishUntil lets all readers of the file go on until the forwarder has reloaded so often.
-func (f slowFile) finishUntil(log *emulator.Log, reloads int) {
-	f.t.Helper()
+func (f slowToken) finishUntil(t *testing.T, log *emulator.Log, reloads int) {
+	t.Helper()
 	for deadline := time.Now().Add(readyBound); log.Count(logReloaded) < reloads; time.Sleep(time.Millisecond) {
-		require.True(f.t, time.Now().Before(deadline), "%d reloads: %s", reloads, log)
-		if writer := f.openForReader(); writer != nil {
-			f.finish(writer)
+		require.True(t, time.Now().Before(deadline), "%d reloads: %s", reloads, log)
+		if reader := f.Reader(); reader != nil {
+			f.finish(reader)
 		}
 	}
 }
@@ -76,12 +42,12 @@
 	t.Parallel()
 	h := startSingle(t)
 	h.endpoint.Do(reject)
-	file := h.addSlowFile()
+	file := h.addSlowToken()
 
 	h.put("a", "c=status,d=1000,dest=7")
 	expires := time.Now().Add(time.Second)
 	h.sendReload()
-	first := file.awaitReader()
+	first := file.AwaitReader()
 	n := <-h.discovery.Notices
 	require.Equal(t, []string{"a", "returned"}, []string{n.ID, n.State})
 	require.Less(t, time.Since(expires), answerWithin)
@@ -89,11 +55,11 @@
 	h.sendReload() // while one is under way: one more follows
 	h.sendReload()
 	file.finish(first)
-	file.finishUntil(h.process.Log, 2)
-	require.Never(t, func() bool { return file.openForReader() != nil }, 300*time.Millisecond, 10*time.Millisecond)
+	file.finishUntil(t, h.process.Log, 2)
+	require.Never(t, func() bool { return file.Reader() != nil }, 300*time.Millisecond, 10*time.Millisecond)
 
 	h.sendReload()
-	last := file.awaitReader()
+	last := file.AwaitReader()
 	defer last.Close()
 	require.Less(t, h.terminate(), endBound)
 	require.Equal(t, 2, h.process.Log.Count(logReloaded))
--- a/cmd/spanflowctl/start_signals_test.go
+++ b/cmd/spanflowctl/start_signals_test.go
@@ -23,13 +23,12 @@
 	h.process = emulator.StartProcess(h.t, exec.Command(filepath.Join(programFolder, "spanflow"), "run", "-c", h.configFile))
 }
 
-// slowRecovery puts a FIFO in the place of the learned latencies: the forwarder waits while it recovers.
-func (h *harness) slowRecovery() slowFile {
+// slowRecovery puts a slow file in the place of the learned latencies: the forwarder waits while it recovers.
+func (h *harness) slowRecovery() *emulator.SlowFile {
 	h.t.Helper()
-	f := slowFile{h.t, filepath.Join(h.folder, "state", statefile.LatenciesFile)}
-	require.NoError(h.t, os.Mkdir(filepath.Dir(f.path), 0o700))
-	require.NoError(h.t, syscall.Mkfifo(f.path, 0o600))
-	return f
+	path := filepath.Join(h.folder, "state", statefile.LatenciesFile)
+	require.NoError(h.t, os.Mkdir(filepath.Dir(path), 0o700))
+	return emulator.NewSlowFile(h.t, path)
 }
 
 // signal sends signals in their order.
@@ -43,12 +42,12 @@
 func TestReloadsDuringAStartLeadToOneAfterIt(t *testing.T) {
 	t.Parallel()
 	h := newSingleHarness(t)
-	configuration := h.addSlowFile()
+	configuration := h.addSlowToken()
 	h.launch()
-	reader := configuration.awaitReader()
+	reader := configuration.AwaitReader()
 	h.signal(syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP)
 	configuration.finish(reader)
-	configuration.finishUntil(h.process.Log, 1)
+	configuration.finishUntil(t, h.process.Log, 1)
 	h.process.AwaitReady(t)
 	h.put("a", "c=status,d=5000,dest=7")
 	require.Equal(t, "a", (<-h.endpoint.Calls).ID)
@@ -66,9 +65,9 @@
 			t.Run("reading its configuration", func(t *testing.T) {
 				t.Parallel()
 				h := newSingleHarness(t)
-				file := h.addSlowFile()
+				file := h.addSlowToken()
 				h.launch()
-				defer file.awaitReader().Close()
+				defer file.AwaitReader().Close()
 				h.signal(before...)
 				require.Less(t, h.terminate(), endBound)
 			})
@@ -77,7 +76,7 @@
 				h := newSingleHarness(t)
 				file := h.slowRecovery()
 				h.launch()
-				defer file.awaitReader().Close()
+				defer file.AwaitReader().Close()
 				h.signal(before...)
 				require.Less(t, h.terminate(), endBound)
 				require.NotContains(t, h.process.Log.String(), emulator.ReadyLine)
--- a/cmd/spanflowctl/state_files_test.go
+++ b/cmd/spanflowctl/state_files_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"path/filepath"
-	"syscall"
 	"testing"
 	"time"
 
@@ -29,7 +28,7 @@
 	h := startSingle(t)
 	go discard(h.endpoint.Calls)
 	for _, name := range []string{statefile.LatenciesFile, statefile.RetryAfterFile} {
-		require.NoError(t, syscall.Mkfifo(filepath.Join(h.folder, "state", name+".new"), 0o600))
+		emulator.NewSlowFile(t, filepath.Join(h.folder, "state", name+".new"))
 	}
 	c := h.client()
 	for began := time.Now(); time.Since(began) < servedFor; time.Sleep(50 * time.Millisecond) {
