--- a/cmd/spanflowctl/history_test.go
+++ b/cmd/spanflowctl/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,11 @@
 	noticeReturned = "returned" // the client may submit the message again
 )
 
+const (
+	answerMargin       = time.Second // from a run at an endpoint until its forwarder has heard the answer
+	numbersOfForwarder = 1_000_000   // so many numbers of messages belong to each forwarder, where there are several
+)
+
 // messageHistory is what is known of one message.
 type messageHistory struct {
 	submission
@@ -29,6 +35,7 @@
 	notices   []string // states, in order
 	noticedAt time.Time
 	deadline  time.Time // at the latest, by the client's clock when it read +OK
+	cutOff    bool      // its forwarder's process ended right behind the last run: the answer may not have been heard
 }
 
 func (m *messageHistory) ended() bool { return m.delivered > 0 || len(m.notices) > 0 }
@@ -42,7 +49,8 @@
 	calls      int
 	ended      int // messages with a final answer
 	outOfOrder []string
-	silent     []string // submissions without an answer, on connections that stayed open
+	ends       map[int][]time.Time // of the processes of each forwarder, by its number, as far as a test notes them
+	silent     []string            // submissions without an answer, on connections that stayed open
 }
 
 func newHistory() *history {
@@ -50,6 +58,7 @@
 		messages:   map[string]*messageHistory{},
 		keys:       map[int][]*messageHistory{},
 		endedOfKey: map[int]int{},
+		ends:       map[int][]time.Time{},
 	}
 }
 
@@ -81,6 +90,21 @@
 	h.silent = append(h.silent, s.id())
 }
 
+// processEnded notes that a process of a forwarder has ended, in whichever way.
+func (h *history) processEnded(forwarder int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ends[forwarder] = append(h.ends[forwarder], time.Now())
+}
+
+// isCutOff reports whether a process of the message's forwarder ended within answerMargin of its last run. The lock is
+// held.
+func (h *history) isCutOff(m *messageHistory) bool {
+	return slices.ContainsFunc(h.ends[m.number/numbersOfForwarder], func(end time.Time) bool {
+		return end.After(m.lastRun) && end.Before(m.lastRun.Add(answerMargin))
+	})
+}
+
 // run notes that an endpoint runs a call. No earlier message of its key that its client knows as accepted may be open.
 // The lock is held.
 func (h *history) run(c emulator.Call, delivered bool) {
