--- a/cmd/spanflow/upgrade_soak_test.go
+++ b/cmd/spanflow/upgrade_soak_test.go
@@ -176,7 +176,9 @@
 
 // upgradeOnce starts a process beside the present one and ends one of them, or both.
 func (s *upgradeSoak) upgradeOnce() {
-	s.pause(500 * time.Millisecond)
+	if s.random.IntN(2) == 0 { // else right behind the start of the present one
+		s.pause(500 * time.Millisecond)
+	}
 	s.next = s.startWithAdmin(s.socket)
 	if s.random.IntN(4) > 0 {
 		require.Eventually(s.t, s.next.isReady, readyBound, 5*time.Millisecond)
