Log each failed call by ids, undelivered messages by reason, refusals, and the hand-over

Now each call that does not deliver all its messages is logged with their ids and its result, each undelivered message with its reason (scheduler.AnswerReason), a refused submission at most once a second, and the end of the last call on a hand-over. The decisions are the same: endExpired asks the same conditions in the same order. TestLogsFailedCallsAndUndeliveredMessagesWithIDsAndReasons; ./scheduler and ./forwarder pass.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -38,11 +38,28 @@
 	if typ, known := loop.messages.types[r.Submission.Type]; known && reply.Status == transport.StatusOverloaded {
 		loop.telemetry.figures.count(&loop.telemetry.figures.throttled, typ)
 	}
-	if reply.Status != transport.StatusAccepted && !r.From.Disconnected() {
+	if reply.Status == transport.StatusAccepted {
+		return
+	}
+	if loop.telemetry.mayLog("refused") {
+		loop.logRefusal(r.Submission, reply)
+	}
+	if !r.From.Disconnected() {
 		r.From.Answer(reply)
 	}
 }
 
+// logRefusal logs the answer to a submission that is not accepted, with what a refusal for lack of space rests on.
+func (loop *eventLoop) logRefusal(s *transport.Submission, reply transport.Reply) {
+	line := loop.telemetry.log.Info().Str("id", s.ID).Uint64("destination", s.Destination).
+		Float64("left_s", s.SecondsLeft).Int("refused", loop.telemetry.counts.refused).
+		Int("held", len(loop.messages.byNumber)).Int64("disk", loop.wal.Used())
+	if reply.Reason != "" {
+		line = line.Str("reason", reply.Reason)
+	}
+	line.Int("retry_after_ms", reply.RetryAfter).Msg("submission refused")
+}
+
 // admit accepts a message if the scheduler has capacity for it, and answers its caller then. If the reply is not
 // StatusAccepted the caller has not been answered yet.
 func (loop *eventLoop) admit(r *request) transport.Reply {
--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -15,10 +15,34 @@
 			}
 		}
 	}
+	loop.logFailedCall(result)
+}
+
+// logFailedCall logs a call that did not deliver all its messages, by the first result that is no delivery.
+func (loop *eventLoop) logFailedCall(result *transport.CallResult) {
+	var failed []string
+	code := transport.ResultOK
+	for i, message := range result.Call.Messages {
+		if result.Codes[i] == transport.ResultOK {
+			continue
+		}
+		if len(failed) == 0 {
+			code = result.Codes[i]
+		}
+		failed = append(failed, message.ID)
+	}
+	if len(failed) == 0 {
+		return
+	}
+	line := loop.telemetry.log.Info().Str("endpoint", result.Call.Address).Strs("ids", failed).
+		Stringer("result", code).Dur("took_ms", result.Latency)
 	if result.Reason != "" {
-		loop.telemetry.log.Info().Str("endpoint", result.Call.Address).Stringer("result", result.Codes[0]).
-			Dur("took_ms", result.Latency).Str("reason", result.Reason).Msg("call failed")
+		line = line.Str("reason", result.Reason)
+	}
+	if result.RetryAfter > 0 {
+		line = line.Float64("retry_after_s", result.RetryAfter)
 	}
+	line.Msg("call failed")
 }
 
 // handleAttemptEnd handles the end of the attempt for one message of a call.
--- a/forwarder/notices.go
+++ b/forwarder/notices.go
@@ -21,6 +21,8 @@
 	if answer == wal.Rejected {
 		outcome = transport.Rejected
 	}
+	loop.telemetry.log.Info().Str("id", m.ID).Stringer("outcome", outcome).
+		Stringer("reason", m.scheduled.AnswerReason()).Msg("not delivered")
 	loop.countFinalAnswer(m, outcome)
 	loop.noteLeftMemory(m) // its notice may stay unacknowledged for long
 	loop.sendFinalAnswer(m, outcome, retryAfter)
@@ -52,6 +54,7 @@
 func (loop *eventLoop) releaseAcknowledged(numbers noticesAcknowledged) {
 	for _, number := range numbers {
 		if m := loop.messages.byNumber[number]; m != nil {
+			loop.telemetry.log.Debug().Str("id", m.ID).Msg("notice acknowledged")
 			loop.recordDone(m)
 			loop.scheduler.NoticeAcknowledged(m.scheduled)
 			loop.removeIfFinished(m)
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -115,6 +115,8 @@
 // the shared socket for as short a time as possible: the successor starts when the folder is free.
 func (loop *eventLoop) handOver() {
 	loop.shutdown.stoppedAccepting = true
+	loop.telemetry.log.Info().Int("held", len(loop.messages.byNumber)).
+		Msg("all calls have ended, leaving clients to the next process")
 	loop.writeStateFiles() // no call is left that could teach more
 	for _, l := range loop.frontends.open {
 		l.StopAccepting()
--- a/forwarder/telemetry_test.go
+++ b/forwarder/telemetry_test.go
@@ -72,3 +72,16 @@
 	defer recorder.mu.Unlock()
 	require.Equal(t, []transport.Outcome{transport.Delivered, transport.Failed}, recorder.seen)
 }
+
+// An incident left open who had ended which call and why: time-outs and final answers were on no line of the log.
+func TestLogsFailedCallsAndUndeliveredMessagesWithIDsAndReasons(t *testing.T) {
+	f := newFixture(t).start()
+	f.submit(transport.Submission{ID: "p1", Type: "payment", Destination: 7})
+	f.finishNext(transport.ResultTimeout)
+	call := f.log.Await(t, `"message":"call failed"`)
+	require.Contains(t, call, `"ids":["p1"],"result":"given up"`)
+	answer := f.log.Await(t, `"message":"not delivered"`)
+	require.Contains(t, answer, `"id":"p1","outcome":"abandoned","reason":"a repeat is not safe"`)
+	f.submit(transport.Submission{ID: "x1", Type: "payment", Destination: 8})
+	require.Contains(t, f.log.Await(t, `"message":"submission refused"`), `"reason":"unknown destination"`)
+}
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -100,7 +100,7 @@
 	s.Recover(message, messageType, left, recovered)
 	s.Uncount(message.Dest)
 	if !message.answered {
-		s.rejectOrFail(message)
+		s.rejectOrFail(message, GivenUp)
 	}
 }
 
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if s.now > message.deadline-noticeMargin {
-		message.action, message.awaitingAcknowledgement = actionFail, true
+		message.action, message.reason, message.awaitingAcknowledgement = actionFail, DeliveredLate, true
 		s.changed = append(s.changed, message)
 	}
 }
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -36,13 +36,25 @@
 		if message.answered || message.call != nil && s.now < message.deadline+deadlineGrace {
 			continue
 		}
-		noAttemptLeft := s.settings.MaxAttempts > 0 && message.attempts >= s.settings.MaxAttempts
-		if s.repeatUnsafe(message) || s.tooLate(message) || noAttemptLeft {
-			s.rejectOrFail(message)
+		if reason := s.undeliverable(message); reason != NoReason {
+			s.rejectOrFail(message, reason)
 		}
 	}
 }
 
+// undeliverable returns why no further attempt of a message is made, NoReason if one may be.
+func (s *Scheduler) undeliverable(message *Message) AnswerReason {
+	switch {
+	case s.repeatUnsafe(message):
+		return RepeatUnsafe
+	case s.tooLate(message):
+		return OutOfTime
+	case s.settings.MaxAttempts > 0 && message.attempts >= s.settings.MaxAttempts:
+		return AttemptsExhausted
+	}
+	return NoReason
+}
+
 // repeatUnsafe reports whether a message may have run and a further attempt could run a second time.
 func (s *Scheduler) repeatUnsafe(message *Message) bool {
 	messageType := message.messageType
@@ -57,8 +69,9 @@
 }
 
 // rejectOrFail gives a message its final answer: a rejection where a second try is harmless, else a failure.
-func (s *Scheduler) rejectOrFail(message *Message) {
+func (s *Scheduler) rejectOrFail(message *Message, reason AnswerReason) {
 	messageType := message.messageType
+	message.reason = reason
 	ran := message.mayHaveRun() || message.call != nil
 	keyForgotten := messageType.DeduplicatedPerZone || s.now > message.firstRanAt+messageType.DeduplicationWindow
 	message.action = actionReject
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -46,6 +46,7 @@
 	keyExpiring, considered bool
 
 	action     action // what the host is to do with it
+	reason     AnswerReason
 	endpoint   *Endpoint
 	timeout    float64
 	retryAfter float64
@@ -60,6 +61,9 @@
 // Waiting reports whether the message waits for a call: Withdraw may then take it back without a trace.
 func (m *Message) Waiting() bool { return m.queued }
 
+// AnswerReason says why the message has a final answer though it was not delivered, or not surely in time.
+func (m *Message) AnswerReason() AnswerReason { return m.reason }
+
 // NextOfKey returns the next unfinished message of the same ordering key in the order of admission; nil if there is
 // none or the message's type does not keep the order of keys.
 func (m *Message) NextOfKey() *Message { return m.keyNext }
@@ -82,6 +86,33 @@
 	actionFail
 )
 
+// AnswerReason is why a message got a final answer by Host.Reject or Host.Fail.
+type AnswerReason uint8
+
+// The reasons of final answers.
+const (
+	NoReason          AnswerReason = iota
+	OutOfTime                      // too little time is left for a call, or its endpoints are blocked for longer
+	RepeatUnsafe                   // it may have run, and a further attempt could run a second time
+	AttemptsExhausted              // it has had all its attempts
+	LoadShed                       // the queue is nearly full
+	GivenUp                        // the adapter had it given up
+	DeliveredLate                  // delivered so close to its deadline that its client may not count it
+)
+
+var answerReasonNames = [...]string{
+	NoReason:          "none",
+	OutOfTime:         "out of time",
+	RepeatUnsafe:      "a repeat is not safe",
+	AttemptsExhausted: "no attempt left",
+	LoadShed:          "load shed",
+	GivenUp:           "given up",
+	DeliveredLate:     "delivered close to its deadline",
+}
+
+// String returns the reason as logs have it.
+func (r AnswerReason) String() string { return answerReasonNames[r] }
+
 // heldList is the messages of a forwarder that have no final answer, in the order of admission.
 type heldList struct {
 	first, last *Message
--- a/scheduler/shedding.go
+++ b/scheduler/shedding.go
@@ -14,7 +14,7 @@
 		if message == nil {
 			return
 		}
-		s.rejectOrFail(message)
+		s.rejectOrFail(message, LoadShed)
 	}
 }
 
