--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -22,6 +22,7 @@
 	IdempotencyKey string
 	Body           string
 	Path           string
+	Done           <-chan struct{} // closed once the call is answered, or its connection has ended before
 }
 
 // Reply is what an endpoint does with a call. The zero value answers 200.
@@ -70,6 +71,7 @@
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Body:           string(body),
 		Path:           r.URL.Path,
+		Done:           r.Context().Done(),
 	}
 	call.IDs = []string{call.ID}
 	if r.URL.Path == batchPath {
