Every ordering key pauses after a start, as an earlier process's attempt may still run

Cause: the end of a key's cooldown is in keyQueue.cooldownUntil, in the memory of the process that saw the attempt end. A process that hands over does so at the end of its last call, which is just the one that ended without an answer; the next one takes the folder within 20 ms, finds the later message first of its key and sends it. What is finished is on no record, so that the log could not tell it which keys have to wait. The same after a kill and after a restart at once. Fix: scheduler.PauseKeys, called at the start, has every key wait for a cooldown from the moment at which the process has the folder. By then all connections of the process before are closed: it closes them before it releases the lock, and a kill releases both. No record and no clock is needed, so that neither a failed write nor a stepped clock matters. Price: what is in order and waits, or comes within the first 0.1 s, is sent up to 0.1 s later after a start. Retries of the message whose turn it is do not wait.

--- a/cmd/spanflow/key_order_test.go
+++ b/cmd/spanflow/key_order_test.go
@@ -30,11 +30,7 @@
 	h.endpoint.Do(func(c emulator.Call) emulator.Reply {
 		switch c.ID {
 		case earlier:
-			go func() {
-				<-c.Done
-				k.ended <- time.Now()
-			}()
-			return emulator.Reply{Hold: make(chan struct{})}
+			return emulator.Reply{Hold: make(chan struct{}), Ended: func() { k.ended <- time.Now() }}
 		case later:
 			k.later <- time.Now()
 		}
--- a/forwarder/recovery.go
+++ b/forwarder/recovery.go
@@ -13,6 +13,7 @@
 // unfinished.
 func (loop *eventLoop) recoverState(now time.Time) {
 	loop.scheduler = scheduler.New(loop.config.Scheduler, loop.config.Seed, loop.schedulerTime(now), loop)
+	loop.scheduler.PauseKeys()
 	loop.readLearnedState(now)
 	loop.updateEndpoints(&loop.config.LastEndpoints, true)
 	loop.runSpooledCommands()
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -22,7 +22,6 @@
 	IdempotencyKey string
 	Body           string
 	Path           string
-	Done           <-chan struct{} // closed once the call is answered, or its connection has ended before
 }
 
 // Reply is what an endpoint does with a call. The zero value answers 200.
@@ -32,6 +31,7 @@
 	Body   string        // if empty, a call with several messages is answered "ok" for each
 	Break  bool          // end the connection without an answer
 	Hold   chan struct{} // answer once this is closed, or never if the connection ends before
+	Ended  func()        // if not nil, called if the connection ends before that
 }
 
 // Endpoint serves calls. It is safe for concurrent use.
@@ -71,7 +71,6 @@
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Body:           string(body),
 		Path:           r.URL.Path,
-		Done:           r.Context().Done(),
 	}
 	call.IDs = []string{call.ID}
 	if r.URL.Path == batchPath {
@@ -87,6 +86,9 @@
 		select {
 		case <-reply.Hold:
 		case <-r.Context().Done():
+			if reply.Ended != nil {
+				reply.Ended()
+			}
 			return
 		}
 	}
--- a/scheduler/keyqueue.go
+++ b/scheduler/keyqueue.go
@@ -10,9 +10,20 @@
 	cooldownUntil float64 // no first attempt before
 }
 
+// PauseKeys reports that attempts of an earlier process of this forwarder may have been in flight until now. Which keys
+// they had is not known any more, as messages that have their final answer are on no record: every key pauses. It
+// is called before the first message.
+//
+// Trade-off: the next message of a key is not called while the one before may still run; what is in order and waits, or
+// comes within a cooldown of the start, is sent that much later.
+func (s *Scheduler) PauseKeys() { s.keysPausedUntil = s.cooldownEnd() }
+
+// cooldownEnd returns when a cooldown that begins now ends.
+func (s *Scheduler) cooldownEnd() float64 { return s.now + s.settings.KeyCooldown + cooldownMargin }
+
 // pauseKey starts the cooldown of an ordering key, as one of its messages may still run.
 func (s *Scheduler) pauseKey(queue *keyQueue) {
-	queue.cooldownUntil = math.Max(queue.cooldownUntil, s.now+s.settings.KeyCooldown+cooldownMargin)
+	queue.cooldownUntil = math.Max(queue.cooldownUntil, s.cooldownEnd())
 }
 
 // joinKeyQueue puts a message behind the earlier ones of its key.
@@ -22,7 +33,7 @@
 	}
 	if message.keyQueue = s.keyQueues[message.Key]; message.keyQueue == nil {
 		s.dropIdleKeys()
-		message.keyQueue = &keyQueue{}
+		message.keyQueue = &keyQueue{cooldownUntil: s.keysPausedUntil}
 		s.keyQueues[message.Key] = message.keyQueue
 	}
 	queue := message.keyQueue
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -199,3 +199,26 @@
 		}
 	}
 }
+
+// Guards against report 54762d: after a restart the next message of a key was sent at once, though an attempt of the one
+// before could have been in flight until then. A retry of the message whose turn it is does not wait.
+func TestPausesKeysAfterRestart(t *testing.T) {
+	h := newHarness(testSettings)
+	h.PauseKeys()
+	d := h.addDestination(0, 0)
+	tried, next := &Message{Dest: d, Key: 5}, &Message{Dest: d, Key: 6}
+	h.Recover(tried, ticket, 20, RecoveredState{Attempts: 1, FirstRanAt: h.now - 1})
+	h.Recover(next, ticket, 20, RecoveredState{})
+	fresh, unordered := h.accept(d, ticket, 7), h.accept(d, status, 0)
+	h.reconcile()
+	require.ElementsMatch(t, []*Message{tried, unordered}, []*Message{h.sent[0].message, h.sent[1].message})
+	h.endAttempts(d, Delivered)
+	h.advance(testSettings.KeyCooldown - 0.01)
+	require.Len(t, h.sent, 2)
+	h.advance(0.05)
+	require.ElementsMatch(t, []*Message{next, fresh}, []*Message{h.sent[2].message, h.sent[3].message})
+	h.endAttempts(d, Delivered)
+	late := h.accept(d, ticket, 8)
+	h.reconcile()
+	require.Same(t, late, h.sent[4].message, "only what comes within the cooldown waits")
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,9 +3,9 @@
 //
 // Events go in, one Reconcile follows, and calls to the Host come out. The adapter is the program around a Scheduler:
 // it reports the events and implements Host. For all that happens at one moment it calls SetTime, then one method for
-// each event in the order of arrival (UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent, Accept, Recover,
-// TakeBack, GiveUp, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop), and then Reconcile once. The event
-// methods only update the state; Reconcile decides what follows from it and calls the Host for what differs. Admit says
+// each event in the order of arrival (PauseKeys, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent, Accept,
+// Recover, TakeBack, GiveUp, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop), and then Reconcile once. The
+// event methods only update the state; Reconcile decides what follows from it and calls the Host for what differs. Admit says
 // before Accept whether a message may be accepted. A Scheduler, and everything it was given, belongs to one goroutine.
 //
 // Times are seconds on the caller's clock, rates are calls a second unless messages are named. The request path is
@@ -43,6 +43,7 @@
 
 	ring                ring // destinations with waiting messages
 	keyQueues           map[uint64]*keyQueue
+	keysPausedUntil     float64        // no first attempt of a message in order before
 	held                heldList       // messages without a final answer, in the order of admission
 	lastRank            uint64         // latest number in the order of admission and of coming back as a retry
 	updatedDestinations []*Destination // with events since the last Reconcile
