An upgrade hands over which endpoints drain or have left by the list

An endpoint that began to drain after the second process of an upgrade was started got a call from it as soon as it took over, though the first process had been told and the grace was over (rule on drains). Cause: the list that the first process was told is in its memory; the second one begins with the list of its configuration, which was written at its start, up to 3.3 s before, and calls before its own watch has answered (recoverState's first Reconcile). Fix: at each change of the list and when it hands over, the process writes the endpoints that drain or have left, with the list's revision, to the file endpoints of the folder; its successor lays them over the list of its configuration, unless that is newer, before its first decision, and removes the file, so that no later process takes them for news. An endpoint that a complete list does not name counts as removed for operators' requests too, while a call to it is out. Only where a successor can be (a handed-down socket).

--- a/forwarder/endpoints.go
+++ b/forwarder/endpoints.go
@@ -13,6 +13,7 @@
 	lastNumber   uint64                            // of the latest endpoint
 	destinations map[uint64]*scheduler.Destination // by the numbers that clients use
 	sweepAt      int                               // how many destinations there are when unused ones are looked for
+	departed     []string                          // uids of the endpoints that were removed last
 
 	restoredRetryAfter map[string]float64   // until when endpoints that are not listed yet are blocked, by uid
 	restoredLatencies  map[uint64][]float64 // of destinations that are not known yet, by number
@@ -56,6 +57,7 @@
 		scheduled:   &scheduler.Endpoint{ID: table.lastNumber},
 	}
 	table.byNumber[table.lastNumber], table.byUID[e.UID] = t, t
+	table.noteListed(t)
 	return t
 }
 
@@ -76,21 +78,41 @@
 			updates = append(updates, update)
 		}
 	}
+	if complete {
+		loop.removeUnnamed(list)
+	}
 	loop.scheduler.UpdateEndpoints(complete, updates)
+	loop.writeEndpointStates()
 	loop.forgetUnusedDestinations()
 	if len(loop.endpoints.restoredRetryAfter) > 0 {
 		loop.restoreRetryAfter()
 	}
 }
 
+// removeUnnamed notes that the endpoints are removed that a complete list does not name.
+func (loop *eventLoop) removeUnnamed(list *transport.EndpointList) {
+	named := make(map[string]bool, len(list.Endpoints))
+	for i := range list.Endpoints {
+		named[list.Endpoints[i].UID] = true
+	}
+	for uid, t := range loop.endpoints.byUID {
+		if !named[uid] && t.isListed() {
+			t.update.State = scheduler.Removed
+			loop.endpoints.noteListed(t)
+		}
+	}
+}
+
 // endpointUpdate is the scheduler's form of a line of the list. known is false for an endpoint whose first line says
 // that it has left.
 func (loop *eventLoop) endpointUpdate(e *transport.Endpoint) (update scheduler.EndpointUpdate, known bool) {
 	kind := index(loop.config.Names.Kinds, e.Kind)
 	t := loop.trackEndpoint(e, kind)
 	if t == nil {
+		loop.endpoints.noteDeparture(e.UID)
 		return scheduler.EndpointUpdate{}, false
 	}
+	wasListed := t.isListed()
 	t.update = scheduler.EndpointUpdate{
 		Endpoint:    t.scheduled,
 		Destination: loop.destination(e.Destination),
@@ -99,6 +121,9 @@
 		Rate:        e.Rate,
 		State:       loop.endpointState(e),
 	}
+	if t.isListed() != wasListed {
+		loop.endpoints.noteListed(t)
+	}
 	update = t.update
 	update.State = loop.operators.drains.State(t.uid, update.State)
 	return update, true
--- a/forwarder/recovery.go
+++ b/forwarder/recovery.go
@@ -15,6 +15,7 @@
 	loop.scheduler = scheduler.New(loop.config.Scheduler, loop.config.Seed, loop.schedulerTime(now), loop)
 	loop.scheduler.PauseKeys()
 	loop.readLearnedState(now)
+	loop.takeEndpointStates()
 	loop.updateEndpoints(&loop.config.LastEndpoints, true)
 	loop.runSpooledCommands()
 	owed := loop.wal.Pending()
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -73,6 +73,7 @@
 func (loop *eventLoop) writeStateFiles() {
 	loop.writeRetryAfter(loop.schedulerTime(time.Now()))
 	loop.writeLatencies()
+	loop.writeEndpointStates()
 }
 
 // finishStateFiles waits until the state files are written, as long as there is time for that.
--- a/forwarder/state_writer.go
+++ b/forwarder/state_writer.go
@@ -9,8 +9,9 @@
 
 // stateNotWrittenTexts are the log messages on files that could not be written.
 var stateNotWrittenTexts = map[string]string{
-	statefile.LatenciesFile:  "learned latencies not written",
-	statefile.RetryAfterFile: "retry-after state not written",
+	statefile.LatenciesFile:      "learned latencies not written",
+	statefile.RetryAfterFile:     "retry-after state not written",
+	statefile.EndpointStatesFile: "endpoint states not written",
 }
 
 // stateWriter writes small files of the state folder from a goroutine of its own, each in its newest version. The event
--- a/internal/statefile/statefile.go
+++ b/internal/statefile/statefile.go
@@ -1,5 +1,6 @@
 // Package statefile reads and writes the small state files of a forwarder's folder: learned latencies, retry-after
-// state, drained endpoints and the spool of operators' commands. It holds no state of its own and decides nothing.
+// state, states of endpoints, drained endpoints and the spool of operators' commands. It holds no state of its own and
+// decides nothing.
 package statefile
 
 import (
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -94,3 +94,26 @@
 	_, err := spool.Read("00000003")
 	require.ErrorIs(t, err, os.ErrNotExist)
 }
+
+func TestEndpointStatesAreReadOnceAndMalformedLinesLeftOut(t *testing.T) {
+	dir := t.TempDir()
+	written := &EndpointStates{Revision: 46, Listed: map[string]string{"s-1": "leaving"}}
+	require.NoError(t, written.Write(dir))
+	text, err := os.ReadFile(filepath.Join(dir, EndpointStatesFile))
+	require.NoError(t, err)
+	require.Equal(t, "spanflow endpoints 1\n46\nlisted s-1 leaving\n", string(text))
+	require.Equal(t, written, TakeEndpointStates(dir))
+	none := &EndpointStates{Listed: map[string]string{}}
+	require.Equal(t, none, TakeEndpointStates(dir), "a file is for the next process alone")
+
+	for text, want := range map[string]*EndpointStates{
+		"spanflow endpoints 1\n3\nlisted a\nlisted b leaving now\nother c left\nlisted d left\n": {3, map[string]string{"d": "left"}},
+		"spanflow endpoints 1\nx\nlisted d left\n":                                               none,
+		"spanflow endpoints 2\n3\nlisted d left\n":                                               none,
+		"spanflow endpoints 1":                                                                   none,
+		"":                                                                                       none,
+	} {
+		require.NoError(t, Write(dir, EndpointStatesFile, text))
+		require.Equal(t, want, TakeEndpointStates(dir), text)
+	}
+}
