An upgrade hands over which endpoints are ejected or brought back slowly

Cause: health, the begin of the slow start and the usual rate are in the scheduler of one process; the successor takes every endpoint for healthy, and what it recovers for demand. Fix: the file endpoints also has the endpoints that are ejected or recovering, with the time since the recovery began and the rate of calls that this forwarder makes as a rule. Both are durations and rates, not times of a clock, so that a step between the two processes does not matter: the successor counts from its own start, which is later and so slower. The handed-over rate counts like 30 s of the successor's own observation, and recovered messages are not counted as demand again where it is known. An endpoint that its list does not have yet gets its health when it is listed. The path without a hand-over decides as before.

--- a/forwarder/endpoint_states.go
+++ b/forwarder/endpoint_states.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"slices"
 
 	"spanflow/internal/statefile"
@@ -18,7 +19,8 @@
 
 // endpointStates are the states that a successor has to observe.
 func (loop *eventLoop) endpointStates() *statefile.EndpointStates {
-	states := &statefile.EndpointStates{Revision: loop.discovery.revision, Listed: map[string]string{}}
+	states := statefile.NewEndpointStates()
+	states.Revision = loop.discovery.revision
 	for _, uid := range loop.endpoints.departed {
 		states.Listed[uid] = stateLeft
 	}
@@ -26,7 +28,11 @@
 		if t.update.State == scheduler.Draining {
 			states.Listed[t.uid] = stateLeaving
 		}
+		if health, impaired := loop.scheduler.Health(t.scheduled); impaired && t.isListed() {
+			states.Health[t.uid] = statefile.Health(health)
+		}
 	}
+	maps.Copy(states.Health, loop.endpoints.restoredHealth)
 	return states
 }
 
@@ -50,9 +56,21 @@
 	if states.Revision >= config.LastEndpoints.Revision {
 		config.LastEndpoints = withStates(config.LastEndpoints, states.Listed)
 	}
-	if len(states.Listed) > 0 {
+	loop.endpoints.restoredHealth = states.Health
+	if len(states.Listed)+len(states.Health) > 0 {
 		loop.telemetry.log.Info().Int64("revision", states.Revision).Int("without_calls", len(states.Listed)).
-			Msg("endpoint states taken over")
+			Int("ejected_or_recovering", len(states.Health)).Msg("endpoint states taken over")
+	}
+}
+
+// restoreHealth gives the scheduler the health that the process before this one has left of the endpoints that are
+// listed by now.
+func (loop *eventLoop) restoreHealth() {
+	for uid, health := range loop.endpoints.restoredHealth {
+		if t := loop.endpoints.byUID[uid]; t != nil {
+			loop.scheduler.RestoreHealth(t.scheduled, scheduler.EndpointHealth(health))
+			delete(loop.endpoints.restoredHealth, uid)
+		}
 	}
 }
 
--- a/forwarder/endpoint_states_test.go
+++ b/forwarder/endpoint_states_test.go
@@ -55,7 +55,8 @@
 
 // Guards against a state of an earlier list that is laid over a newer one, or read by a process after the next.
 func TestEndpointStatesAreTakenOnceAndNotOverANewerList(t *testing.T) {
-	states := &statefile.EndpointStates{Revision: 5, Listed: map[string]string{"a": "leaving"}}
+	states := statefile.NewEndpointStates()
+	states.Revision, states.Listed["a"] = 5, "leaving"
 	for _, c := range []struct {
 		revision int64 // of the list in the configuration
 		want     string
@@ -69,3 +70,27 @@
 		}
 	}
 }
+
+// Guards against a successor that takes an ejected or recovering endpoint for a healthy one. What it has not met yet when
+// it hands over itself, it hands on.
+func TestHealthOfEndpointsIsHandedOn(t *testing.T) {
+	loop := newListLoop(t, t.TempDir())
+	handedOver := statefile.NewEndpointStates()
+	handedOver.Health["a"] = statefile.Health{Ejected: true, UsualRate: 3}
+	handedOver.Health["b"] = statefile.Health{RecoveringFor: 4, UsualRate: 3}
+	handedOver.Health["later"] = statefile.Health{RecoveringFor: 1, UsualRate: 2}
+	require.NoError(t, handedOver.Write(loop.config.Folder))
+	loop.config.LastEndpoints = *endpointList(1, true, "a", "active", "b", "active", "c", "active")
+	loop.takeEndpointStates()
+	loop.updateEndpoints(&loop.config.LastEndpoints, true)
+	require.True(t, loop.endpoints.byUID["a"].scheduled.Ejected())
+	got := loop.endpointStates().Health
+	require.Len(t, got, 3)
+	for uid, want := range handedOver.Health {
+		require.Equal(t, want.Ejected, got[uid].Ejected, uid)
+		require.InDelta(t, want.RecoveringFor, got[uid].RecoveringFor, 0.001, uid)
+	}
+	loop.updateEndpoints(endpointList(2, false, "later", "active"), false)
+	require.Empty(t, loop.endpoints.restoredHealth)
+	require.Len(t, loop.endpointStates().Health, 3)
+}
--- a/forwarder/endpoints.go
+++ b/forwarder/endpoints.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"spanflow/internal/statefile"
 	"spanflow/scheduler"
 	"spanflow/transport"
 )
@@ -15,8 +16,9 @@
 	sweepAt      int                               // how many destinations there are when unused ones are looked for
 	departed     []string                          // uids of the endpoints that were removed last
 
-	restoredRetryAfter map[string]float64   // until when endpoints that are not listed yet are blocked, by uid
-	restoredLatencies  map[uint64][]float64 // of destinations that are not known yet, by number
+	restoredRetryAfter map[string]float64          // until when endpoints that are not listed yet are blocked, by uid
+	restoredHealth     map[string]statefile.Health // of endpoints that are not listed yet, by uid
+	restoredLatencies  map[uint64][]float64        // of destinations that are not known yet, by number
 }
 
 func newEndpointTable() endpointTable {
@@ -82,6 +84,7 @@
 		loop.removeUnnamed(list)
 	}
 	loop.scheduler.UpdateEndpoints(complete, updates)
+	loop.restoreHealth()
 	loop.writeEndpointStates()
 	loop.forgetUnusedDestinations()
 	if len(loop.endpoints.restoredRetryAfter) > 0 {
--- a/forwarder/recovery.go
+++ b/forwarder/recovery.go
@@ -76,10 +76,11 @@
 	}
 }
 
-// discountWindow takes a recovered message off its destination's demand where a backlog store is used. Otherwise a
-// start that finds the windows of many unreachable destinations would take them for demand and try each often.
+// discountWindow takes a recovered message off its destination's demand where a backlog store is used, or where that
+// demand was handed over. Otherwise a start that finds the windows of many unreachable destinations would take them for
+// demand and try each often.
 func (loop *eventLoop) discountWindow(m *trackedMessage) {
-	if loop.backlog != nil {
+	if loop.backlog != nil || m.scheduled.Dest.InheritsDemand() {
 		loop.scheduler.Uncount(m.scheduled.Dest)
 	}
 }
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -97,21 +98,30 @@
 
 func TestEndpointStatesAreReadOnceAndMalformedLinesLeftOut(t *testing.T) {
 	dir := t.TempDir()
-	written := &EndpointStates{Revision: 46, Listed: map[string]string{"s-1": "leaving"}}
+	written := &EndpointStates{
+		Revision: 46,
+		Listed:   map[string]string{"s-1": "leaving"},
+		Health:   map[string]Health{"s-2": {Ejected: true, UsualRate: 0.25}, "s-3": {RecoveringFor: 2.5, UsualRate: 4}},
+	}
 	require.NoError(t, written.Write(dir))
 	text, err := os.ReadFile(filepath.Join(dir, EndpointStatesFile))
 	require.NoError(t, err)
-	require.Equal(t, "spanflow endpoints 1\n46\nlisted s-1 leaving\n", string(text))
+	lines := strings.Split(string(text), "\n")
+	require.Equal(t, []string{"spanflow endpoints 1", "46", "listed s-1 leaving"}, lines[:3])
+	require.ElementsMatch(t, []string{"health s-2 ejected 0.000 0.2500", "health s-3 recovering 2.500 4.0000", ""}, lines[3:])
 	require.Equal(t, written, TakeEndpointStates(dir))
-	none := &EndpointStates{Listed: map[string]string{}}
+	none := NewEndpointStates()
 	require.Equal(t, none, TakeEndpointStates(dir), "a file is for the next process alone")
 
+	one := NewEndpointStates()
+	one.Revision, one.Listed["d"], one.Health["g"] = 3, "left", Health{true, 1, 2}
 	for text, want := range map[string]*EndpointStates{
-		"spanflow endpoints 1\n3\nlisted a\nlisted b leaving now\nother c left\nlisted d left\n": {3, map[string]string{"d": "left"}},
-		"spanflow endpoints 1\nx\nlisted d left\n":                                               none,
-		"spanflow endpoints 2\n3\nlisted d left\n":                                               none,
-		"spanflow endpoints 1":                                                                   none,
-		"":                                                                                       none,
+		"spanflow endpoints 1\n3\nlisted a\nlisted b leaving now\nother c left\nlisted d left\nhealth e ejected 1\n" +
+			"health f ejected x 2\nhealth f ejected 1 -2\nhealth f ill 1 2\nhealth f ejected NaN 1\nhealth g ejected 1 2\n": one,
+		"spanflow endpoints 1\nx\nlisted d left\n": none,
+		"spanflow endpoints 2\n3\nlisted d left\n": none,
+		"spanflow endpoints 1":                     none,
+		"":                                         none,
 	} {
 		require.NoError(t, Write(dir, EndpointStatesFile, text))
 		require.Equal(t, want, TakeEndpointStates(dir), text)
--- a/scheduler/coldreturn_test.go
+++ b/scheduler/coldreturn_test.go
@@ -135,3 +135,36 @@
 		}
 	}
 }
+
+// Guards against an upgrade that pushes over what the process before had ejected or brought back slowly: its successor
+// finds all that waited and sends it at once.
+func TestSuccessorKeepsEjectionAndSlowStart(t *testing.T) {
+	const waiting, usualRate = 30, 2.0
+	for name, handedOver := range map[string]EndpointHealth{
+		"ejected":    {Ejected: true, UsualRate: usualRate},
+		"recovering": {RecoveringFor: 1, UsualRate: usualRate},
+	} {
+		for seed := range uint64(20) {
+			h := newSeededHarness(testSettings, seed)
+			d := h.addDestination(0, 0)
+			h.RestoreHealth(d.endpoints[0], handedOver)
+			for range waiting {
+				h.Recover(&Message{Dest: d, Tenant: 9}, status, 15, RecoveredState{})
+				require.True(t, d.InheritsDemand())
+				h.Uncount(d)
+			}
+			for range int(coldWindow / coldStep) {
+				h.advance(coldStep)
+				h.endAttempts(d, Delivered)
+			}
+			share := testSettings.SlowStartShare + (1-testSettings.SlowStartShare)*0.2 // at the end of the window
+			n := testSettings.OverloadMultiple * usualRate * share * coldWindow
+			require.LessOrEqual(t, float64(len(h.sent)), n+3*math.Sqrt(n)+3, "%s, seed %d", name, seed)
+			require.NotEmpty(t, h.sent, "%s, seed %d: it is tried", name, seed)
+			again, impaired := h.Health(d.endpoints[0])
+			require.True(t, impaired, "%s, seed %d", name, seed)
+			require.False(t, again.Ejected, "%s, seed %d: it answers", name, seed)
+			require.InDelta(t, usualRate, again.UsualRate, usualRate/2, "%s, seed %d", name, seed)
+		}
+	}
+}
--- a/scheduler/destination.go
+++ b/scheduler/destination.go
@@ -31,6 +31,7 @@
 	callsInFlight int
 
 	accepted, attempts, calls float64 // since the start: messages accepted, attempts made, calls made
+	inheritedRate             float64 // usual calls a second as an earlier process handed it over; 0: it did not
 	healthyDeliveries         float64 // messages delivered while the destination was not degraded
 	healthySeconds            float64 // how long that was
 	healthyCountedAt          float64 // up to when healthySeconds is counted
@@ -78,6 +79,10 @@
 // Uncount takes a message off the demand of its destination: it was counted before, or by an earlier process.
 func (s *Scheduler) Uncount(destination *Destination) { destination.accepted-- }
 
+// InheritsDemand reports whether an earlier process handed over the usual rate of a destination: what it had accepted is
+// part of that.
+func (d *Destination) InheritsDemand() bool { return d.inheritedRate > 0 }
+
 // markUpdated notes an event of a destination for the next Reconcile.
 func (s *Scheduler) markUpdated(destination *Destination) {
 	s.due.touch(destination)
@@ -101,7 +106,7 @@
 
 // lowVolume reports whether a destination gets few messages.
 func (s *Scheduler) lowVolume(destination *Destination) bool {
-	return destination.accepted/(s.now-s.startedAt+startWindow) < lowVolumeRate
+	return s.acceptedRate(destination) < lowVolumeRate
 }
 
 // mode is the state of a destination as operators see it in the log.
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -72,8 +72,7 @@
 		s.cancelUnsent = append(s.cancelUnsent, endpoint)
 	}
 	if update.WarmingUp && update.State == Ready {
-		endpoint.health, endpoint.recoveringSince, endpoint.concurrencyLimit = recovering, s.now, 1
-		endpoint.notBefore = math.Max(endpoint.notBefore, s.now+s.probeInterval(endpoint)*s.random.uniform())
+		s.beginSlowStart(endpoint, s.now)
 	}
 	endpoint.zone, endpoint.state = update.Zone, update.State
 	destination.batchSize, destination.kind = 1, update.Kind
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -28,6 +28,40 @@
 // Ejected reports whether an endpoint gets probes only, after it failed.
 func (e *Endpoint) Ejected() bool { return e.health == ejected }
 
+// EndpointHealth is what one process of a forwarder hands over to the next of an endpoint that is ejected or recovering.
+type EndpointHealth struct {
+	Ejected       bool    // else it is recovering
+	RecoveringFor float64 // seconds
+	UsualRate     float64 // calls a second that this forwarder makes to its destination as a rule
+}
+
+// Health returns the health of an endpoint that is ejected or recovering; impaired is false for any other.
+func (s *Scheduler) Health(endpoint *Endpoint) (state EndpointHealth, impaired bool) {
+	if endpoint.health == healthy {
+		return EndpointHealth{}, false
+	}
+	state = EndpointHealth{Ejected: endpoint.health == ejected, UsualRate: s.usualRate(endpoint)}
+	if !state.Ejected {
+		state.RecoveringFor = s.now - endpoint.recoveringSince
+	}
+	return state, true
+}
+
+// RestoreHealth gives a listed endpoint the health that an earlier process of this forwarder handed over.
+//
+// Trade-off: an upgrade does not push over what the earlier process was bringing back slowly; an endpoint that has become
+// well meanwhile is probed or slowed down for a while longer.
+func (s *Scheduler) RestoreHealth(endpoint *Endpoint, state EndpointHealth) {
+	destination := endpoint.destination
+	destination.inheritedRate = math.Max(destination.inheritedRate, state.UsualRate)
+	if state.Ejected {
+		s.eject(endpoint)
+	} else {
+		s.beginSlowStart(endpoint, s.now-state.RecoveringFor)
+	}
+	s.markUpdated(destination)
+}
+
 // recordResult learns from the end of a call. It is called once for each call.
 func (s *Scheduler) recordResult(endpoint *Endpoint, call *call, result AttemptResult) {
 	s.recordReports(endpoint, result)
--- a/scheduler/slowstart.go
+++ b/scheduler/slowstart.go
@@ -12,8 +12,15 @@
 	minGuaranteedRate     = 1    // calls a second that a route is assumed to take, of all forwarders together
 	healthyCallsAssumed   = 1    // added to the calls of a destination's healthy time
 	healthySecondsAssumed = 2    // added to that time, so that the first calls give no extreme rate
+	inheritedWindow       = 30   // seconds of its own that an earlier process's usual rate counts like
 )
 
+// beginSlowStart has an endpoint recover since a time, with one call at first.
+func (s *Scheduler) beginSlowStart(endpoint *Endpoint, since float64) {
+	endpoint.health, endpoint.recoveringSince, endpoint.concurrencyLimit = recovering, since, 1
+	endpoint.notBefore = math.Max(endpoint.notBefore, s.now+s.probeInterval(endpoint)*s.random.uniform())
+}
+
 // probeInterval returns a random time between two calls to an endpoint that is ejected or recovering, in seconds.
 func (s *Scheduler) probeInterval(endpoint *Endpoint) float64 {
 	return (minProbeSpread + probeSpread*s.random.uniform()) / s.recoveryRate(endpoint)
@@ -45,7 +52,7 @@
 // destination's capacity is not known yet.
 func (s *Scheduler) usualRate(endpoint *Endpoint) float64 {
 	destination := endpoint.destination
-	rate := destination.accepted / (s.now - s.startedAt + startWindow)
+	rate := s.acceptedRate(destination)
 	if destination.healthyDeliveries > 0 {
 		healthyRate := (destination.healthyDeliveries + healthyCallsAssumed) /
 			(destination.healthySeconds + healthySecondsAssumed)
@@ -54,6 +61,16 @@
 	return math.Max(rate*(destination.calls+1)/(destination.attempts+1), s.guaranteedRate(endpoint))
 }
 
+// acceptedRate returns the messages a second that were accepted for a destination since the start. What an earlier
+// process handed over as its usual rate counts as so many seconds more of it.
+func (s *Scheduler) acceptedRate(destination *Destination) float64 {
+	window := s.now - s.startedAt + startWindow
+	if destination.inheritedRate == 0 {
+		return destination.accepted / window
+	}
+	return (destination.accepted + destination.inheritedRate*inheritedWindow) / (window + inheritedWindow)
+}
+
 // cooldown returns how long a route is blocked after repeated failures or rejections, in seconds: the usual time of two
 // calls, at most half of a message's time to live.
 func (s *Scheduler) cooldown(endpoint *Endpoint) float64 {
