--- a/cmd/spanflow/upgrade_state_test.go
+++ b/cmd/spanflow/upgrade_state_test.go
@@ -126,3 +126,35 @@
 		}
 	}
 }
+
+// Guards against an upgrade in which the first process is killed before its calls have ended, so that it never comes to
+// write what it knows: the second one called an endpoint that had asked for time.
+func TestRetryAfterIsKeptWhenFirstProcessIsKilledWhileHandingOver(t *testing.T) {
+	const wait = 3 * time.Second
+	h := newHarness(t, "single")
+	h.listenSocket = h.inheritedSocket()
+	other, err := emulator.NewEndpoint("", func(emulator.Call) emulator.Reply { return emulator.Reply{Hold: make(chan struct{})} })
+	require.NoError(t, err)
+	h.discovery.Set(emulator.Entry{UID: "hanging", Endpoint: other.Addr, Zone: "a", Kind: "single", Destination: 8, State: "active"})
+	h.endpoint.Do(func(emulator.Call) emulator.Reply {
+		return emulator.Reply{Status: http.StatusTooManyRequests, Fields: map[string]string{"Retry-After": "3"}}
+	})
+	first := h.startWithAdmin(h.listenSocket)
+	first.AwaitReady(t)
+	second := h.startBeside(h.listenSocket)
+	c := h.client()
+	h.put(c, zero, "out", "c=status,d=20000,dest=8", "+OK")
+	h.put(c, zero, "d1", "c=status,d=20000,dest=7", "+OK")
+	c.Close()
+	require.Equal(t, "d1", h.nextCall().ID)
+	told := time.Now()
+	h.endpoint.Do(nil)
+	first.Log.Await(t, `"result":"waiting"`)
+	require.NoError(t, first.Signal(syscall.SIGTERM))
+	first.Log.Await(t, logHandingOver)
+	time.Sleep(200 * time.Millisecond)
+	first.Kill()
+	second.AwaitReady(t)
+	require.Equal(t, "d1", h.nextCall().ID)
+	require.GreaterOrEqual(t, time.Since(told), wait)
+}
