The state for a successor is written when a hand-over begins, not only at its end

What callers saw: none has reported it; an endpoint that asked the first process of an upgrade to wait was called by the second one 0.2 s later if the first was killed while a call was out (rule on waits; to endpoints the two are one forwarder). Cause: on an upgrade the state files were written in handOver, behind the end of the last call, or at the deadline 3.2 s after SIGTERM; a kill before leaves those of an earlier life, or none. On a plain stop they are written at its beginning. Fix: beginShutdown writes them on an upgrade too, and each Retry-After that comes while the process hands over is written at once, by the state writer.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"time"
+
 	"spanflow/scheduler"
 	"spanflow/transport"
 )
@@ -16,6 +18,9 @@
 		}
 	}
 	loop.logFailedCall(result)
+	if result.RetryAfter > 0 && loop.shutdown.handingOver {
+		loop.writeRetryAfter(loop.schedulerTime(time.Now())) // the process may be killed before all calls have ended
+	}
 }
 
 // logFailedCall logs a call that did not deliver all its messages, by the first result that is no delivery.
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -59,6 +59,7 @@
 		log.Info().Int("held", held).Int("in_flight", loop.scheduler.CallsInFlight()).Msg("handing over")
 		loop.queue.push(stopRequested(0))
 		end.poll = time.Tick(clientsPolling)
+		loop.writeStateFiles() // and again once its calls have ended: it may be killed before
 		return
 	}
 	log.Info().Int("held", held).Msg("stopping")
