A failing test: no cooldown of a key after an answer that cannot be read

After a time-out without any byte the cooldown is kept. The emulator's endpoint can send bytes in place of an answer.

--- a/cmd/spanflow/key_order_test.go
+++ b/cmd/spanflow/key_order_test.go
@@ -26,11 +26,17 @@
 }
 
 func (h *harness) hangOn(earlier, later string) *hangingKey {
+	return h.replyOn(earlier, later, emulator.Reply{Hold: make(chan struct{})})
+}
+
+// replyOn is hangOn with another reply to the calls of the earlier message.
+func (h *harness) replyOn(earlier, later string, reply emulator.Reply) *hangingKey {
 	k := &hangingKey{ended: make(chan time.Time, 16), later: make(chan time.Time, 16)}
+	reply.Ended = func() { k.ended <- time.Now() }
 	h.endpoint.Do(func(c emulator.Call) emulator.Reply {
 		switch c.ID {
 		case earlier:
-			return emulator.Reply{Hold: make(chan struct{}), Ended: func() { k.ended <- time.Now() }}
+			return reply
 		case later:
 			k.later <- time.Now()
 		}
@@ -50,14 +56,34 @@
 	return later.Sub(ended)
 }
 
-// Within one life of a process the later message of a key waits out the cooldown.
+// Within one life of a process the later message of a key waits out the cooldown after an attempt that got no answer.
 func TestCooldownOfKeyIsKeptWithinALife(t *testing.T) {
-	h := newHarness(t, "single")
-	k := h.hangOn("a", "b")
-	c := h.start()
-	h.put(c, "5", "a", "c=ticket,d=1500,dest=7,k=a", "+OK")
-	h.put(c, "5", "b", "c=ticket,d=20000,dest=7,k=b", "+OK")
-	require.GreaterOrEqual(t, k.gap(h), keyCooldown)
+	h := newOrderedHarness(t)
+	h.requireCooldownAfter(emulator.Reply{Hold: make(chan struct{})})
+}
+
+// Guards against a key that goes on while an attempt may still run, as its answer could not be read: the forwarder gives
+// the call up by closing the connection, as after a time-out.
+func TestCooldownOfKeyIsKeptAfterAnAnswerThatCannotBeRead(t *testing.T) {
+	for name, raw := range map[string]string{
+		"no HTTP":      "\x00\xff noise\r\n\r\n",
+		"never ending": "HTTP/1.1 500 Error\r\nContent-Length: 9\r\n\r\nx",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			newOrderedHarness(t).requireCooldownAfter(emulator.Reply{Raw: raw})
+		})
+	}
+}
+
+// requireCooldownAfter has the endpoint give a reply to the first message of a key, which is given up then, and requires
+// that the second one waits out the cooldown.
+func (h *harness) requireCooldownAfter(reply emulator.Reply) {
+	h.t.Helper()
+	k := h.replyOn("a", "b", reply)
+	h.startWithAdmin(h.listenSocket).AwaitReady(h.t)
+	h.submitKeyInOrder("payment", 1500*time.Millisecond)
+	require.GreaterOrEqual(h.t, k.gap(h), keyCooldown)
 }
 
 // Guards against report 54762d: the process that took over called the next message of a key before the cooldown after the
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -32,6 +32,7 @@
 	Break  bool          // end the connection without an answer
 	Hold   chan struct{} // answer once this is closed, or never if the connection ends before
 	Ended  func()        // if not nil, called if the connection ends before that
+	Raw    string        // if not empty, sent in place of an answer; the connection stays open
 }
 
 // Endpoint serves calls. It is safe for concurrent use.
@@ -82,6 +83,10 @@
 	}
 	reply := e.decide(call)
 	e.Calls <- call
+	if reply.Raw != "" {
+		reply.writeRaw(w)
+		return
+	}
 	if reply.Hold != nil {
 		select {
 		case <-reply.Hold:
@@ -136,6 +141,20 @@
 	_, _ = io.WriteString(w, body) // the forwarder may have closed the connection
 }
 
+// writeRaw sends the reply's bytes and waits for the end of the connection.
+func (r Reply) writeRaw(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, r.Raw) // the forwarder may have closed the connection
+	_, _ = io.Copy(io.Discard, conn)
+	if r.Ended != nil {
+		r.Ended()
+	}
+}
+
 // allDelivered returns the body of an answer with the state "ok" for each message.
 func allDelivered(ids []string) string {
 	var states []string
