A key pauses after an answer that cannot be read, as after a time-out

The next message of a key was called 1 to 19 ms after the forwarder had closed the connection of the one before over an answer that cannot be read or never ends (rule on order: a call that is called off may still be executing). Cause: transport mapped ResultMalformed to scheduler.ServerError, an outcome after which nothing can still run; it stands for two facts, that the endpoint is up and that the attempt is over, of which only the first is known here. Fix: an outcome of its own, Malformed: as ServerError for the endpoint's health and for repeats, and mayStillRun. Left: in a batch's answer that is complete, a message that is missing or has an unknown state counts as an error, and its key goes on.

--- a/lab/sim/baseline.go
+++ b/lab/sim/baseline.go
@@ -200,7 +200,7 @@
 		return
 	}
 	switch result.Outcome {
-	case scheduler.ServerError, scheduler.TimedOut, scheduler.Reset, scheduler.Cancelled:
+	case scheduler.ServerError, scheduler.Malformed, scheduler.TimedOut, scheduler.Reset, scheduler.Cancelled:
 		if m.firstRanAt == 0 {
 			m.firstRanAt, m.zone = b.now-result.Latency, m.endpoint.zone
 		}
--- a/lab/sim/call.go
+++ b/lab/sim/call.go
@@ -106,7 +106,7 @@
 // outcomeKnown tells whether a result says what became of the message.
 func outcomeKnown(code transport.ResultCode) bool {
 	outcome, _ := code.Outcome()
-	return outcome != scheduler.Reset && outcome != scheduler.TimedOut
+	return outcome != scheduler.Reset && outcome != scheduler.TimedOut && outcome != scheduler.Malformed
 }
 
 // abort ends the call from the forwarder's side.
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -129,7 +129,7 @@
 	if outcome.mayStillRun() && message.keyQueue != nil {
 		s.pauseKey(message.keyQueue)
 	}
-	if (outcome.mayStillRun() || outcome == ServerError) && message.firstRanAt == 0 {
+	if (outcome.mayStillRun() || outcome.isError()) && message.firstRanAt == 0 {
 		message.firstRanAt, message.firstRanZone = call.began, call.endpoint.zone
 	}
 }
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -38,10 +38,16 @@
 	Reset                // may have run, may still run
 	Cancelled            // may have run, may still run
 	NotSent              // not sent
+	Malformed            // an answer that cannot be read, so that the call was given up; may have run, may still run
 )
 
 // mayStillRun reports whether the destination may still be processing the message.
-func (o Outcome) mayStillRun() bool { return o == TimedOut || o == Reset || o == Cancelled }
+func (o Outcome) mayStillRun() bool {
+	return o == TimedOut || o == Reset || o == Cancelled || o == Malformed
+}
+
+// isError reports whether the destination answered, and with anything but a delivery or a rejection: it is up.
+func (o Outcome) isError() bool { return o == ServerError || o == Malformed }
 
 // AttemptResult is the event that an attempt ended.
 type AttemptResult struct {
--- a/scheduler/idempotency_test.go
+++ b/scheduler/idempotency_test.go
@@ -71,7 +71,7 @@
 }
 
 func TestAtMostOnceOverEveryOutcomeAndRestart(t *testing.T) {
-	mayRun := map[Outcome]bool{ServerError: true, TimedOut: true, Reset: true, Cancelled: true,
+	mayRun := map[Outcome]bool{ServerError: true, TimedOut: true, Reset: true, Cancelled: true, Malformed: true,
 		Overloaded: false, NoConnection: false, NotSent: false}
 	for o, may := range mayRun {
 		h := newHarness(testSettings)
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -68,7 +68,7 @@
 	switch result.Outcome {
 	case Delivered:
 		s.recordSuccess(endpoint, call, result.Latency)
-	case ServerError, TimedOut, NoConnection, Reset:
+	case ServerError, Malformed, TimedOut, NoConnection, Reset:
 		s.recordFailure(endpoint, call, result)
 	case Overloaded:
 		if endpoint.route.consecutiveFailures > 0 {
@@ -132,7 +132,7 @@
 	weight := s.failureWeight(endpoint, call, result.Outcome)
 	endpoint.failureRate += weight * (1 - endpoint.failureRate)
 	endpoint.lastFailure, endpoint.concurrencyLimit = s.now, math.Max(1, endpoint.concurrencyLimit/2)
-	if result.Outcome != ServerError {
+	if !result.Outcome.isError() {
 		s.closeIdle = append(s.closeIdle, endpoint) // its connections may be dead, or too many
 		s.recordIdleReuse(call, true)
 	}
@@ -140,7 +140,7 @@
 	if result.Outcome == NoConnection && result.Latency > initialLatency {
 		route.consecutiveFailures++ // not even refused: silence
 	}
-	route.fastFailure = route.fastFailure || result.Outcome == ServerError || result.Outcome == NoConnection
+	route.fastFailure = route.fastFailure || result.Outcome.isError() || result.Outcome == NoConnection
 	if endpoint.failureRate > ejectionThreshold || weight > failureWeight && endpoint.routeHasEjected() {
 		s.eject(endpoint)
 	}
--- a/scheduler/scheduling_test.go
+++ b/scheduler/scheduling_test.go
@@ -178,3 +178,19 @@
 	h.advance(0.1)
 	require.Equal(t, []*Message{fresh, late}, []*Message{h.sent[0].message, h.sent[1].message})
 }
+
+// Guards against a key that goes on while one of its messages may still run: all outcomes, not only that of a time-out.
+func TestKeyPausesAfterEachOutcomeAfterWhichAMessageMayStillRun(t *testing.T) {
+	for outcome, pauses := range map[Outcome]bool{TimedOut: true, Reset: true, Cancelled: true, Malformed: true,
+		ServerError: false, Overloaded: false, NoConnection: false, NotSent: false, Delivered: false} {
+		h := newHarness(testSettings)
+		d := h.addDestination(0, 0)
+		first, second := h.accept(d, ticket, 5), h.accept(d, ticket, 5)
+		h.reconcile()
+		h.Withdraw(first) // so that the next one's turn comes with the end of the call
+		h.endAttempt(first, outcome, 0)
+		require.Equal(t, pauses, h.keyQueues[5].cooldownUntil >= h.now+h.settings.KeyCooldown, "outcome %d", outcome)
+		h.advance(9)
+		require.Same(t, second, h.sent[1].message, "outcome %d", outcome)
+	}
+}
--- a/transport/result.go
+++ b/transport/result.go
@@ -72,8 +72,10 @@
 	switch c {
 	case ResultOK:
 		return scheduler.Delivered, true
-	case ResultServerError, ResultMalformed: // an endpoint that answers, even malformed, is up and may have run the call
+	case ResultServerError:
 		return scheduler.ServerError, false
+	case ResultMalformed:
+		return scheduler.Malformed, false
 	case ResultRetryAfter, ResultOverloaded:
 		return scheduler.Overloaded, false
 	case ResultNoSlot, ResultAttemptsExhausted, ResultBadRequest, ResultNotStarted, ResultCancelled:
--- a/transport/result_test.go
+++ b/transport/result_test.go
@@ -27,7 +27,7 @@
 		ResultClosedBeforeSent:  {scheduler.NoConnection, false, false},
 		ResultTimeoutBeforeSent: {scheduler.NoConnection, false, false},
 		ResultClosed:            {scheduler.Reset, false, true},
-		ResultMalformed:         {scheduler.ServerError, false, true},
+		ResultMalformed:         {scheduler.Malformed, false, true},
 		ResultTimeout:           {scheduler.TimedOut, false, true},
 		ResultNotStarted:        {scheduler.NotSent, false, false},
 		ResultCancelled:         {scheduler.NotSent, false, false},
