A connection that comes up while the process ends carries no call

Cause: dial.Dialer.Stop closes the connections that the engine has. One that is still coming up is handed to the engine afterwards and is sent what was written to it: a call of which the scheduler's stop and the next process's recovery know only that it was begun. Until the process has exited it is out beside the next process's call (a second copy, or a key's earlier message behind the cooldown). Fix: Stop marks the dialer under a lock that is held for reading while a connection is handed over; later ones are closed.

--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -64,6 +64,11 @@
 		return err
 	}
 	socket.SetSession(c)
+	c.dialer.stopping.RLock()
+	defer c.dialer.stopping.RUnlock()
+	if c.dialer.stopped {
+		return errors.Join(ErrStopped, socket.Close())
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == ended {
--- a/internal/dial/dialer.go
+++ b/internal/dial/dialer.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,6 +19,9 @@
 // ErrConnectTimeout is the cause of a connection that was not established in time.
 var ErrConnectTimeout = errors.New("connection did not come up in time")
 
+// ErrStopped is the cause of a connection that was established after the dialer had stopped.
+var ErrStopped = errors.New("the dialer has stopped")
+
 // ErrTooManyConnections is the cause of a connection beyond the dialer's limit.
 var ErrTooManyConnections = errors.New("all descriptors for connections are taken")
 
@@ -41,6 +45,9 @@
 	// network does not do on demand.
 	Connect func(ctx context.Context, addr string) (net.Conn, error)
 
+	stopping sync.RWMutex // held for reading while a connection is handed to the engine
+	stopped  bool         // no further one is; guarded by stopping
+
 	engine  *nbio.Engine
 	maxOpen int64
 	open    atomic.Int64
@@ -75,8 +82,11 @@
 	return d, d.engine.Start()
 }
 
-// Stop closes all connections and the engine.
+// Stop closes all connections and the engine. What is established later is closed and carries nothing.
 func (d *Dialer) Stop() {
+	d.stopping.Lock()
+	d.stopped = true
+	d.stopping.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	d.engine.Shutdown(ctx)
