The test of drains across an upgrade waits until the first process has the list

TestEndpointThatBeganToDrainDuringUpgradeGetsNoCall failed in 3 of 32 runs beside twelve busy processes, in its first half: it submitted a message some milliseconds after the list changed, and the first process called the endpoint before it was told, within the grace. The test now waits until a later entry of the list is in force.

--- a/cmd/spanflow/upgrade_state_test.go
+++ b/cmd/spanflow/upgrade_state_test.go
@@ -31,6 +31,7 @@
 			leaving.State = "leaving"
 			h.discovery.Set(leaving)
 			c := h.client()
+			h.awaitList(c)
 			h.put(c, zero, "d1", "c=status,d=20000,dest=7", "+OK")
 			c.Close()
 			h.requireNoCall() // the first process was told
@@ -43,6 +44,20 @@
 	}
 }
 
+// awaitList waits until the forwarder has the present list.
+func (h *harness) awaitList(c *emulator.Client) {
+	h.t.Helper()
+	const destination = 8 // new: messages for it are refused until its endpoint is known
+	h.discovery.Set(h.activeEntry("latest", destination))
+	known := func() bool {
+		answer, err := c.Put(zero, "latest", fmt.Sprintf("c=status,d=20000,dest=%d", destination), "b")
+		require.NoError(h.t, err)
+		return answer == "+OK"
+	}
+	require.Eventually(h.t, known, arrivalTimeout, 5*time.Millisecond)
+	require.Equal(h.t, "latest", h.nextCall().ID)
+}
+
 const (
 	capacity       = 5.0                     // calls a second that the endpoint takes when it is warm
 	submitInterval = 200 * time.Millisecond  // between two messages: its capacity
