The soak of upgrades judges keys' cooldowns, second copies and drains by the list, beside hanging calls

Now one call in twelve is left without an answer, a second endpoint drains by the list and comes back, and the checker also notes a message sent within a key's cooldown, a second copy beside a call that is out, and a call to an endpoint that drains. The ends of connections are seen by the test with 50 ms of slack, as it runs beside load; the exact cooldown is held to by TestCooldownOfKeyIsKept*.

--- a/cmd/spanflow/upgrade_soak_test.go
+++ b/cmd/spanflow/upgrade_soak_test.go
@@ -17,7 +17,9 @@
 )
 
 // The soak of upgrades plays one process after another on the same socket and folder under load, and draws from one
-// seed which of the two gets which signals and when. Clients use their connections until these end, and the kill comes
+// seed which of the two gets which signals and when. Of two endpoints, both leave calls without an answer now and then, and
+// one drains by the list and comes back. It is judged by final answers, effects, order and cooldown of keys, and drains.
+// Clients use their connections until these end, and the kill comes
 // at the platform's earliest.
 //
 //	TEST_SOAK_SEEDS=50 go test ./cmd/spanflow -run SoakOfUpgrades -timeout 60m     # seeds 1 to 50
@@ -28,6 +30,7 @@
 
 	soakUpgrades  = 10
 	soakClients   = 3                // at most
+	soakDrained   = 3 * time.Second  // until an endpoint drains or comes back, at most
 	soakAnswersIn = 30 * time.Second // after the last upgrade, for all that is owed
 )
 
@@ -57,6 +60,7 @@
 	*harness
 	random  *rand.Rand
 	checker *ruleChecker
+	drained *emulator.Endpoint // drains by the list now and then
 	socket  *os.File
 	current *adminProcess // holds the folder
 	next    *adminProcess // waits for it
@@ -69,12 +73,19 @@
 
 func newUpgradeSoak(t *testing.T, seed uint64) *upgradeSoak {
 	s := &upgradeSoak{harness: newHarness(t, "single"), random: rand.New(rand.NewPCG(seed, 0)), checker: newRuleChecker()}
+	s.checker.hangs = true
 	s.endpoint.Do(s.checker.reply)
 	s.discovery.OnNotice = s.checker.notice
-	go func() {
-		for range s.endpoint.Calls { // nobody waits for single calls
-		}
-	}()
+	var err error
+	s.drained, err = emulator.NewEndpoint("", s.checker.reply)
+	require.NoError(t, err)
+	s.listDrained("active")
+	for _, endpoint := range []*emulator.Endpoint{s.endpoint, s.drained} {
+		go func() {
+			for range endpoint.Calls { // nobody waits for single calls
+			}
+		}()
+	}
 	go func() {
 		for range s.discovery.Notices {
 		}
@@ -92,6 +103,8 @@
 	for range s.random.IntN(soakClients + 1) { // without any, nothing wakes a process that waits for a connection
 		clients.Go(func() { s.submitAll(end) })
 	}
+	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
+	clients.Go(func() { s.changeList(random, end) })
 	for range soakUpgrades {
 		s.upgradeOnce()
 		if s.t.Failed() {
@@ -104,12 +117,14 @@
 		return
 	}
 	require.Empty(s.t, s.silent, "submissions were not answered")
-	s.endpoint.Do(func(c emulator.Call) emulator.Reply {
-		s.checker.mu.Lock()
-		defer s.checker.mu.Unlock()
-		s.checker.run(c, true)
-		return emulator.Reply{}
-	})
+	for _, endpoint := range []*emulator.Endpoint{s.endpoint, s.drained} {
+		endpoint.Do(func(c emulator.Call) emulator.Reply {
+			s.checker.mu.Lock()
+			defer s.checker.mu.Unlock()
+			s.checker.run(c, true)
+			return emulator.Reply{}
+		})
+	}
 	require.Eventually(s.t, func() bool { return s.checker.allEnded(s.accepted) }, soakAnswersIn, 10*time.Millisecond)
 	require.Empty(s.t, s.checker.violations)
 	s.process = s.current.Process
@@ -117,6 +132,25 @@
 	s.t.Logf("%d messages", len(s.accepted))
 }
 
+// listDrained lists the endpoint that drains now and then with a state.
+func (s *upgradeSoak) listDrained(state string) {
+	s.discovery.Set(emulator.Entry{UID: "s2", Endpoint: s.drained.Addr, Zone: "a", Kind: "single", Destination: 7, State: state})
+	s.checker.setDrained(s.drained.Addr, state != "active")
+}
+
+// changeList has an endpoint drain and come back until end is closed.
+func (s *upgradeSoak) changeList(random *rand.Rand, end <-chan struct{}) {
+	for i := 0; ; i++ {
+		s.listDrained([]string{"leaving", "active"}[i%2])
+		select {
+		case <-end:
+			s.listDrained("active")
+			return
+		case <-time.After(time.Duration(random.Int64N(int64(soakDrained)))):
+		}
+	}
+}
+
 // submitAll submits messages over one connection after another, each with a key of its own, until end is closed.
 func (s *upgradeSoak) submitAll(end <-chan struct{}) {
 	for {
