The soak of starts, ends and signals judges keys' cooldowns

As for the soak of upgrades: a key's next message may not come within its cooldown after a call whose connection ended without an answer, over all lives of a process and with the backlog store. The cooldown is 200 ms there, of which 50 ms are slack for what the test sees late beside load.

--- a/cmd/spanflowctl/history_test.go
+++ b/cmd/spanflowctl/history_test.go
@@ -51,14 +51,27 @@
 	outOfOrder []string
 	ends       map[int][]time.Time // of the processes of each forwarder, by its number, as far as a test notes them
 	silent     []string            // submissions without an answer, on connections that stayed open
+
+	keyCooldown time.Duration         // of the configuration; 0: not judged
+	broken      map[int]brokenAttempt // by key
+}
+
+// brokenAttempt is the latest call with a message of a key whose connection ended without an answer.
+type brokenAttempt struct {
+	number int
+	at     time.Time
 }
 
+// observationSlack is by how much the history, beside load, may see the end of a connection or a call late.
+const observationSlack = 50 * time.Millisecond
+
 func newHistory() *history {
 	return &history{
 		messages:   map[string]*messageHistory{},
 		keys:       map[int][]*messageHistory{},
 		endedOfKey: map[int]int{},
 		ends:       map[int][]time.Time{},
+		broken:     map[int]brokenAttempt{},
 	}
 }
 
@@ -131,6 +144,10 @@
 	for h.endedOfKey[key] < len(ofKey) && ofKey[h.endedOfKey[key]].ended() {
 		h.endedOfKey[key]++
 	}
+	last := h.broken[key]
+	if rested := time.Since(last.at); key != 0 && number > last.number && rested < h.keyCooldown-observationSlack {
+		h.outOfOrder = append(h.outOfOrder, fmt.Sprintf("%s runs %v after a call of number %d was cut off", id, rested, last.number))
+	}
 	if first := h.endedOfKey[key]; key != 0 && first < len(ofKey) && ofKey[first].number < number {
 		h.outOfOrder = append(h.outOfOrder, fmt.Sprintf("%s runs before %s has ended", id, ofKey[first].id()))
 	}
@@ -160,6 +177,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.run(c, false)
+	if reply.Break {
+		key, number := orderOf(c.ID)
+		h.broken[key] = brokenAttempt{number, time.Now()}
+	}
 	return reply
 }
 
--- a/cmd/spanflowctl/soak_test.go
+++ b/cmd/spanflowctl/soak_test.go
@@ -34,6 +34,7 @@
 	soakFDMargin     = 64               // descriptors that a later life may have more than the first ones
 	soakMemoryFactor = 1.5              // times the peak memory of the first lives that a later one may have
 	soakMemoryKB     = 16 << 10         // and this much more
+	soakKeyCooldown  = 200 * time.Millisecond
 )
 
 func TestSoakOfStartsEndsAndSignals(t *testing.T) {
@@ -68,6 +69,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), shared: newBacklogHarness(t, soakEndpoints)}
+	s.shared.history.keyCooldown = soakKeyCooldown
 	for i, endpoint := range s.shared.endpoints {
 		s.shared.discovery.Set(soakEntry(i, endpoint, "active"))
 	}
@@ -94,7 +96,8 @@
 	})
 	h := &harness{t: s.t, folder: folder, configFile: filepath.Join(folder, "c.toml"),
 		listen: emulator.FreeAddress(s.t), discovery: s.shared.discovery}
-	form := strings.Replace(backlogForm, "notices =", "address =", 1)
+	form := strings.NewReplacer("notices =", "address =", `key_rest = "10ms"`, fmt.Sprintf("key_rest = %q", soakKeyCooldown)).
+		Replace(backlogForm)
 	if s.random.IntN(2) == 0 {
 		form += "[backlog]\nfolder = \"stored\"\ndisk = \"8MiB\"\nwindow = 4\nbehind = 40\n"
 	}
