History check: a notice counts when it was decided, a cut-off answer by its own run

The check took the arrival for the decision. The check looked for the process's end behind the last run only. It now looks behind each delivered run: stricter where an earlier delivery was heard and a later run failed. Both cases and their opposites are in TestHistoryViolationsAreFound and TestDeliveryIsCutOffByTheEndOfItsProcess.

--- a/cmd/spanflowctl/backlog_kills_test.go
+++ b/cmd/spanflowctl/backlog_kills_test.go
@@ -258,7 +258,7 @@
 	h.awaitAnswers(time.Minute)
 	h.history.mu.Lock()
 	for _, id := range storedIDs(t, out) {
-		require.Zero(t, h.history.messages[id].delivered, id)
+		require.Empty(t, h.history.messages[id].delivered, id)
 		require.Equal(t, noticeFailed, h.history.messages[id].notices[0], id)
 	}
 	h.history.mu.Unlock()
--- a/cmd/spanflowctl/history_check_test.go
+++ b/cmd/spanflowctl/history_check_test.go
@@ -60,13 +60,18 @@
 // idempotency key may be returned after its last run, while its destination knows the key: its client may repeat it,
 // and the destination drops the repeat. All others have to be reported as failed. The test sees when the notice
 // arrived, not when it was decided: the scheduler may decide up to 0.05 s before the key is forgotten, and the notice
-// takes time to arrive, as a repeat does.
+// takes time to arrive, as a repeat does. Where the forwarder's log has the decision, that counts: an answer that is on
+// record is told as it is by every later process, as nobody knows whether the one before has told it.
 func (m *messageHistory) noticeAllowedAfterRun(typ string) bool {
 	switch {
 	case typ == "status":
-		return m.delivered == 0 || m.cutOff
+		return len(m.delivered) == 0 || m.cutOff
 	case typ == "ticket" && m.notices[0] == noticeReturned:
-		return !m.noticedAt.Before(m.lastRun) && !m.noticedAt.After(m.firstRun.Add(deduplicationWindow+noticeMargin))
+		decidedAt := m.noticedAt
+		if !m.decidedAt.IsZero() {
+			decidedAt = m.decidedAt
+		}
+		return !m.noticedAt.Before(m.lastRun) && !decidedAt.After(m.firstRun.Add(deduplicationWindow+noticeMargin))
 	default:
 		return m.notices[0] == noticeFailed
 	}
@@ -75,7 +80,7 @@
 // String gives times since the first run.
 func (m *messageHistory) String() string {
 	return fmt.Sprintf("%d runs within %v, %d of them delivered, notices %q, the first %v after the first run",
-		m.runs, m.lastRun.Sub(m.firstRun), m.delivered, m.notices, m.noticedAt.Sub(m.firstRun))
+		m.runs, m.lastRun.Sub(m.firstRun), len(m.delivered), m.notices, m.noticedAt.Sub(m.firstRun))
 }
 
 func TestHistoryViolationsAreFound(t *testing.T) {
@@ -85,8 +90,15 @@
 	start := time.Now()
 	at := func(after time.Duration) time.Time { return start.Add(after) }
 	seen := func(delivered int, lastRun, notice time.Duration, notices ...string) *messageHistory {
-		return &messageHistory{runs: 1, firstRun: start, lastRun: at(lastRun), delivered: delivered,
-			noticedAt: at(notice), notices: notices}
+		m := &messageHistory{runs: 1, firstRun: start, lastRun: at(lastRun), noticedAt: at(notice), notices: notices}
+		if delivered > 0 {
+			m.delivered = []time.Time{m.lastRun}
+		}
+		return m
+	}
+	decided := func(m *messageHistory, after time.Duration) *messageHistory {
+		m.decidedAt = at(after)
+		return m
 	}
 	cutOff := func(m *messageHistory) *messageHistory {
 		m.cutOff = true
@@ -120,6 +132,10 @@
 		{"key known from the first run, not from a repeat", "ticket-1",
 			repeated(seen(1, window/2, known+1, "returned")), []string{answer}},
 		{"returned, then run", "ticket-1", seen(1, window/2, window/4, "returned"), []string{answer}},
+		{"returned on record while the key was known, told by a later process", "ticket-1",
+			decided(seen(0, 0, known+time.Hour, "returned"), window), nil},
+		{"returned on record when the key was forgotten", "ticket-1",
+			decided(seen(0, 0, known+2*time.Second, "returned"), known+time.Second), []string{answer}},
 		{"key forgotten, failed", "ticket-1", seen(1, 0, time.Hour, "failed"), nil},
 		{"key known, failed", "ticket-1", seen(1, 0, window/2, "failed"), nil},
 		{"an unknown state", "ticket-1", seen(1, 0, window/2, "delivered"), []string{answer}},
@@ -146,3 +162,22 @@
 		require.Equal(t, c.breaks, c.history.violations(c.id), c.what)
 	}
 }
+
+// A delivery is cut off if its forwarder's process ended right behind it, whatever ran later.
+func TestDeliveryIsCutOffByTheEndOfItsProcess(t *testing.T) {
+	start := time.Now()
+	h := newHistory()
+	h.ends[0] = []time.Time{start.Add(answerMargin / 2)}
+	first, later := start, start.Add(2*answerMargin)
+	for _, c := range []struct {
+		delivered []time.Time
+		cutOff    bool
+	}{
+		{[]time.Time{first}, true},
+		{[]time.Time{later}, false},
+		{[]time.Time{first, later}, false},
+		{nil, false},
+	} {
+		require.Equal(t, c.cutOff, h.isCutOff(&messageHistory{delivered: c.delivered, lastRun: later}), "%v", c.delivered)
+	}
+}
--- a/cmd/spanflowctl/history_test.go
+++ b/cmd/spanflowctl/history_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -19,6 +20,8 @@
 	noticeReturned = "returned" // the client may submit the message again
 )
 
+const logNotDelivered = `"message":"not delivered"`
+
 const (
 	answerMargin       = time.Second // from a run at an endpoint until its forwarder has heard the answer
 	numbersOfForwarder = 1_000_000   // so many numbers of messages belong to each forwarder, where there are several
@@ -31,14 +34,15 @@
 	runs      int  // calls that the endpoint ran, as if it dropped no repeat
 	firstRun  time.Time
 	lastRun   time.Time
-	delivered int      // runs answered 200
-	notices   []string // states, in order
+	delivered []time.Time // runs answered 200
+	notices   []string    // states, in order
 	noticedAt time.Time
+	decidedAt time.Time // when its forwarder decided on the notice, by its log; zero: not known
 	deadline  time.Time // at the latest, by the client's clock when it read +OK
-	cutOff    bool      // its forwarder's process ended right behind the last run: the answer may not have been heard
+	cutOff    bool      // its forwarder's process ended right behind each delivered run: no answer may have been heard
 }
 
-func (m *messageHistory) ended() bool { return m.delivered > 0 || len(m.notices) > 0 }
+func (m *messageHistory) ended() bool { return len(m.delivered) > 0 || len(m.notices) > 0 }
 
 // history is what clients, endpoints and the receiver of notices have seen. It is safe for concurrent use.
 type history struct {
@@ -110,12 +114,33 @@
 	h.ends[forwarder] = append(h.ends[forwarder], time.Now())
 }
 
-// isCutOff reports whether a process of the message's forwarder ended within answerMargin of its last run. The lock is
-// held.
+// isCutOff reports whether a process of the message's forwarder ended within answerMargin of each delivered run. The
+// lock is held.
 func (h *history) isCutOff(m *messageHistory) bool {
-	return slices.ContainsFunc(h.ends[m.number/numbersOfForwarder], func(end time.Time) bool {
-		return end.After(m.lastRun) && end.Before(m.lastRun.Add(answerMargin))
-	})
+	heard := func(run time.Time) bool {
+		return !slices.ContainsFunc(h.ends[m.number/numbersOfForwarder], func(end time.Time) bool {
+			return end.After(run) && end.Before(run.Add(answerMargin))
+		})
+	}
+	return len(m.delivered) > 0 && !slices.ContainsFunc(m.delivered, heard)
+}
+
+// readDecisions notes when a process decided on the notices of messages, by its log.
+func (h *history) readDecisions(log string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for line := range strings.Lines(log) {
+		var decision struct {
+			Message, ID string
+			Time        time.Time
+		}
+		if !strings.Contains(line, logNotDelivered) || json.Unmarshal([]byte(line), &decision) != nil {
+			continue
+		}
+		if m := h.message(decision.ID); m.decidedAt.IsZero() {
+			m.decidedAt = decision.Time
+		}
+	}
 }
 
 // run notes that an endpoint runs a call. No earlier message of its key that its client knows as accepted may be open.
@@ -133,7 +158,7 @@
 		if !m.ended() {
 			h.ended++
 		}
-		m.delivered++
+		m.delivered = append(m.delivered, now)
 	}
 }
 
@@ -146,7 +171,8 @@
 	}
 	last := h.broken[key]
 	if rested := time.Since(last.at); key != 0 && number > last.number && rested < h.keyCooldown-observationSlack {
-		h.outOfOrder = append(h.outOfOrder, fmt.Sprintf("%s runs %v after a call of number %d was cut off", id, rested, last.number))
+		h.outOfOrder = append(h.outOfOrder,
+			fmt.Sprintf("%s runs %v after a call of number %d was cut off", id, rested, last.number))
 	}
 	if first := h.endedOfKey[key]; key != 0 && first < len(ofKey) && ofKey[first].number < number {
 		h.outOfOrder = append(h.outOfOrder, fmt.Sprintf("%s runs before %s has ended", id, ofKey[first].id()))
@@ -209,7 +235,7 @@
 func (h *history) delivered(s submission) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.message(s.id()).delivered > 0
+	return len(h.message(s.id()).delivered) > 0
 }
 
 // open returns the ids of accepted messages that have no final answer.
--- a/cmd/spanflowctl/soak_test.go
+++ b/cmd/spanflowctl/soak_test.go
@@ -279,7 +279,10 @@
 			f.peaks = append(f.peaks, f.usage())
 		}
 	}
-	defer f.history.processEnded(f.number)
+	defer func() {
+		f.history.processEnded(f.number)
+		f.history.readDecisions(f.process.Log.String())
+	}()
 	return f.end(series)
 }
 
