After an upgrade the list is polled within two seconds, whatever the size of the fleet

Cause: recordListArrival knows of a start only, not of a watch that another process of the forwarder had held until then. Fix: scheduler.ContinueWatch, called on upgrades, bounds the spread to 2 s; the grace of 1 s is left for the answer. Price: 48 forwarders upgraded at once ask 24 times a second in place of 10.

--- a/forwarder/endpoint_states.go
+++ b/forwarder/endpoint_states.go
@@ -52,6 +52,7 @@
 	if config.InheritedListener == 0 || loop.discovery.static != nil {
 		return
 	}
+	loop.scheduler.ContinueWatch()
 	states := statefile.TakeEndpointStates(config.Folder)
 	if states.Revision >= config.LastEndpoints.Revision {
 		config.LastEndpoints = withStates(config.LastEndpoints, states.Listed)
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -10,6 +10,7 @@
 	minPollWait             = 1   // seconds, before doubling
 	minPollSpread           = 0.3 // a wait is 0.3 to 1.3 times as long
 	maxPollSpreadDivisor    = 2   // polls spread over PollWithin divided by this at most
+	successorPollSpread     = 2   // seconds over which the first polls after an upgrade are spread at most
 )
 
 // PollTimedOut reports that a poll for the endpoint list failed or that the list stopped coming. Each failure in a row
@@ -50,12 +51,20 @@
 	return math.Min(float64(s.settings.Forwarders-1)/fleetPollRate, s.settings.PollWithin/maxPollSpreadDivisor)
 }
 
+// ContinueWatch reports, before the first list, that another process of this forwarder has watched the list until now.
+// Changes count as known to the forwarder two seconds after this process was ready, so that the first poll cannot wait
+// for longer.
+//
+// Trade-off: an endpoint that drains during an upgrade gets no calls; where a large fleet is upgraded at once,
+// discovery has more polls to answer at a time.
+func (s *Scheduler) ContinueWatch() { s.maxFirstPoll = successorPollSpread }
+
 // recordListArrival notes that the endpoint list arrived. One that arrives at the start is the last known list; the
 // first poll can then wait, and the list stays stale.
 func (s *Scheduler) recordListArrival(hasEndpoints bool) {
 	atStart := s.now == s.startedAt
 	s.failedPolls, s.failedWatches, s.listStale = 0, 0, s.listStale && atStart
 	if atStart && s.nextPoll == s.now && hasEndpoints {
-		s.nextPoll += s.pollSpread() * s.random.uniform()
+		s.nextPoll += math.Min(s.pollSpread(), s.maxFirstPoll) * s.random.uniform()
 	}
 }
--- a/scheduler/discovery_test.go
+++ b/scheduler/discovery_test.go
@@ -93,3 +93,17 @@
 	h.advance(1.3*asks.PollWithin/2 + 0.1) // the first failure after a list counts as the first
 	require.Equal(t, 22, h.polls)
 }
+
+// Guards against an upgrade after which changes of the list are heard too late: they count as known to the forwarder two
+// seconds after the successor is ready, while a fleet's first polls are spread over more.
+func TestSuccessorPollsForTheListSoon(t *testing.T) {
+	fleet := testSettings
+	fleet.PollEndpoints, fleet.PollWithin, fleet.Forwarders = true, 10, 48
+	for seed := range uint64(40) {
+		h := newSeededHarness(fleet, seed)
+		h.ContinueWatch()
+		h.addDestination(0, 0)
+		h.advance(successorPollSpread + 0.05)
+		require.Equal(t, 1, h.polls, "seed %d", seed)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,8 +3,8 @@
 //
 // Events go in, one Reconcile follows, and calls to the Host come out. The adapter is the program around a Scheduler:
 // it reports the events and implements Host. For all that happens at one moment it calls SetTime, then one method for
-// each event in the order of arrival (PauseKeys, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent, Accept,
-// Recover, TakeBack, GiveUp, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop), and then Reconcile once. The
+// each event in the order of arrival (PauseKeys, ContinueWatch, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent,
+// Accept, Recover, TakeBack, GiveUp, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop), and then Reconcile once. The
 // event methods only update the state; Reconcile decides what follows from it and calls the Host for what differs. Admit says
 // before Accept whether a message may be accepted. A Scheduler, and everything it was given, belongs to one goroutine.
 //
@@ -64,6 +64,7 @@
 	shortestObjective  float64 // least LatencyObjective of all message types
 	shortestTimeToLive float64
 
+	maxFirstPoll  float64 // seconds over which the first poll is spread at most
 	nextPoll      float64 // when to ask for the endpoint list; infinite while it is watched
 	listStale     bool    // the present list counts as known to the forwarder but has not arrived
 	failedPolls   int     // in a row
@@ -75,7 +76,7 @@
 func New(settings Settings, seed uint64, now float64, host Host) *Scheduler {
 	s := &Scheduler{settings: settings, host: host, random: newRandomSource(seed), now: now, startedAt: now,
 		keyQueues: map[uint64]*keyQueue{}, noIdleKindUntil: map[int]float64{}, wakeAt: math.Inf(1),
-		nextPoll: math.Inf(1), quotaUsedUntil: make([]float64, len(settings.TenantRate))}
+		nextPoll: math.Inf(1), maxFirstPoll: math.Inf(1), quotaUsedUntil: make([]float64, len(settings.TenantRate))}
 	if settings.PollEndpoints {
 		s.nextPoll = now
 	}
