--- a/cmd/spanflow/key_order_test.go
+++ b/cmd/spanflow/key_order_test.go
@@ -56,14 +56,13 @@
 	return later.Sub(ended)
 }
 
-// Within one life of a process the later message of a key waits out the cooldown after an attempt that got no answer.
+// Within one life the later message of a key waits out the cooldown after an attempt that got no answer.
 func TestCooldownOfKeyIsKeptWithinALife(t *testing.T) {
 	h := newOrderedHarness(t)
 	h.requireCooldownAfter(emulator.Reply{Hold: make(chan struct{})})
 }
 
-// Guards against a key that goes on while an attempt may still run, as its answer could not be read: the forwarder gives
-// the call up by closing the connection, as after a time-out.
+// Guards against a key that goes on though its call, given up over an unreadable answer, may still run.
 func TestCooldownOfKeyIsKeptAfterAnAnswerThatCannotBeRead(t *testing.T) {
 	for name, raw := range map[string]string{
 		"no HTTP":      "\x00\xff noise\r\n\r\n",
@@ -76,8 +75,8 @@
 	}
 }
 
-// requireCooldownAfter has the endpoint give a reply to the first message of a key, which is given up then, and requires
-// that the second one waits out the cooldown.
+// requireCooldownAfter has the endpoint give a reply to the first message of a key, which is given up then, and
+// requires that the second one waits out the cooldown.
 func (h *harness) requireCooldownAfter(reply emulator.Reply) {
 	h.t.Helper()
 	k := h.replyOn("a", "b", reply)
@@ -86,8 +85,7 @@
 	require.GreaterOrEqual(h.t, k.gap(h), keyCooldown)
 }
 
-// Guards against report 54762d: the process that took over called the next message of a key before the cooldown after the
-// attempt of the one before, which had ended without an answer, was over.
+// Guards against report 54762d: after a hand-over or restart a key went on before its cooldown was over.
 func TestCooldownOfKeyIsKeptByTheProcessThatTakesOver(t *testing.T) {
 	const long = 20 * time.Second
 	for _, c := range []struct {
@@ -135,8 +133,8 @@
 // restart starts a process on a socket of its own.
 func (h *harness) restart() { h.startWithAdmin(nil).AwaitReady(h.t) }
 
-// newOrderedHarness is a harness with a handed-down socket, in which payments, which must not run twice, are in order by
-// key too.
+// newOrderedHarness is a harness with a handed-down socket, in which payments, which must not run twice, are in order
+// by key too.
 func newOrderedHarness(t *testing.T) *harness {
 	h := newHarness(t, "single")
 	h.replacements = []string{`"Idempotency":"fragile"`, `"Idempotency":"fragile","Sequential":true`}
--- a/cmd/spanflow/repeated_kills_test.go
+++ b/cmd/spanflow/repeated_kills_test.go
@@ -17,8 +17,8 @@
 	roundsOfLife = 6 // of messages that a process accepts before it is killed
 	keys         = 3
 
-	// observationSlack is by how much the checker, beside load, may see the end of a connection late. The cooldown itself is
-	// held to by TestCooldownOfKeyIsKept*.
+	// observationSlack is by how much the checker, beside load, may see the end of a connection late. The cooldown
+	// itself is held to by TestCooldownOfKeyIsKept*.
 	observationSlack = 50 * time.Millisecond
 
 	drainGrace = time.Second // after the list says that an endpoint drains
@@ -131,7 +131,8 @@
 			r.violations = append(r.violations, id+" before "+before)
 		}
 		if rested := time.Since(r.unanswered[before]); rested < keyCooldown-observationSlack {
-			r.violations = append(r.violations, fmt.Sprintf("%s %v after a call of %s ended without an answer", id, rested, before))
+			r.violations = append(r.violations,
+				fmt.Sprintf("%s %v after a call of %s ended without an answer", id, rested, before))
 		}
 	}
 }
--- a/cmd/spanflow/upgrade_soak_test.go
+++ b/cmd/spanflow/upgrade_soak_test.go
@@ -17,10 +17,9 @@
 )
 
 // The soak of upgrades plays one process after another on the same socket and folder under load, and draws from one
-// seed which of the two gets which signals and when. Of two endpoints, both leave calls without an answer now and then, and
-// one drains by the list and comes back. It is judged by final answers, effects, order and cooldown of keys, and drains.
-// Clients use their connections until these end, and the kill comes
-// at the platform's earliest.
+// seed which of the two gets which signals and when. Of two endpoints, both leave calls without an answer now and then,
+// and one drains by the list and comes back. It is judged by final answers, effects, order and cooldown of keys, and
+// drains. Clients use their connections until these end, and the kill comes at the platform's earliest.
 //
 //	TEST_SOAK_SEEDS=50 go test ./cmd/spanflow -run SoakOfUpgrades -timeout 60m     # seeds 1 to 50
 //	TEST_SOAK_FIRST=17 TEST_SOAK_SEEDS=1 go test ./cmd/spanflow -run SoakOfUpgrades # one seed
@@ -134,7 +133,9 @@
 
 // listDrained lists the endpoint that drains now and then with a state.
 func (s *upgradeSoak) listDrained(state string) {
-	s.discovery.Set(emulator.Entry{UID: "s2", Endpoint: s.drained.Addr, Zone: "a", Kind: "single", Destination: 7, State: state})
+	entry := s.activeEntry("s2", 7)
+	entry.Endpoint, entry.State = s.drained.Addr, state
+	s.discovery.Set(entry)
 	s.checker.setDrained(s.drained.Addr, state != "active")
 }
 
--- a/cmd/spanflow/upgrade_state_test.go
+++ b/cmd/spanflow/upgrade_state_test.go
@@ -13,11 +13,10 @@
 	"spanflow/internal/emulator"
 )
 
-// To endpoints, discovery and operators the two processes of an upgrade are one forwarder: what the first was told binds
-// the second, which has the list as it was when its configuration was written.
+// To endpoints, discovery and operators the two processes of an upgrade are one forwarder: what the first was told
+// binds the second, which has the list as it was when its configuration was written.
 
-// Guards against an upgrade that forgets what the first process was told by the list: the second one has an older list in
-// its configuration and called an endpoint that had begun to drain, before the watch told it so.
+// Guards against an upgrade that forgets a drain by the list, of which the first process was told.
 func TestEndpointThatBeganToDrainDuringUpgradeGetsNoCall(t *testing.T) {
 	for _, reachable := range []bool{true, false} {
 		t.Run(fmt.Sprint("discovery reachable ", reachable), func(t *testing.T) {
@@ -74,8 +73,7 @@
 	return int(n + 3*math.Sqrt(n) + 3)
 }
 
-// Guards against an upgrade that forgets which endpoints come back from an outage: the first process knew of it, and the
-// second sent all that waited at once.
+// Guards against an upgrade that forgets ejections and slow starts: all that waited went out at once.
 func TestReturningEndpointIsNotOverloadedAcrossUpgrade(t *testing.T) {
 	for name, play := range map[string]func(*harness, *adminProcess) *adminProcess{
 		"failing until the upgrade":                upgradeWhileFailing,
@@ -142,15 +140,18 @@
 	}
 }
 
-// Guards against an upgrade in which the first process is killed before its calls have ended, so that it never comes to
-// write what it knows: the second one called an endpoint that had asked for time.
+// Guards against an upgrade that forgets a Retry-After if the first process is killed before its calls end.
 func TestRetryAfterIsKeptWhenFirstProcessIsKilledWhileHandingOver(t *testing.T) {
 	const wait = 3 * time.Second
 	h := newHarness(t, "single")
 	h.listenSocket = h.inheritedSocket()
-	other, err := emulator.NewEndpoint("", func(emulator.Call) emulator.Reply { return emulator.Reply{Hold: make(chan struct{})} })
+	hanging, err := emulator.NewEndpoint("", func(emulator.Call) emulator.Reply {
+		return emulator.Reply{Hold: make(chan struct{})}
+	})
 	require.NoError(t, err)
-	h.discovery.Set(emulator.Entry{UID: "hanging", Endpoint: other.Addr, Zone: "a", Kind: "single", Destination: 8, State: "active"})
+	entry := h.activeEntry("hanging", 8)
+	entry.Endpoint = hanging.Addr
+	h.discovery.Set(entry)
 	h.endpoint.Do(func(emulator.Call) emulator.Reply {
 		return emulator.Reply{Status: http.StatusTooManyRequests, Fields: map[string]string{"Retry-After": "3"}}
 	})
--- a/cmd/spanflowctl/soak_test.go
+++ b/cmd/spanflowctl/soak_test.go
@@ -96,8 +96,8 @@
 	})
 	h := &harness{t: s.t, folder: folder, configFile: filepath.Join(folder, "c.toml"),
 		listen: emulator.FreeAddress(s.t), discovery: s.shared.discovery}
-	form := strings.NewReplacer("notices =", "address =", `key_rest = "10ms"`, fmt.Sprintf("key_rest = %q", soakKeyCooldown)).
-		Replace(backlogForm)
+	cooldown := fmt.Sprintf("key_rest = %q", soakKeyCooldown)
+	form := strings.NewReplacer("notices =", "address =", `key_rest = "10ms"`, cooldown).Replace(backlogForm)
 	if s.random.IntN(2) == 0 {
 		form += "[backlog]\nfolder = \"stored\"\ndisk = \"8MiB\"\nwindow = 4\nbehind = 40\n"
 	}
--- a/forwarder/endpoint_states_test.go
+++ b/forwarder/endpoint_states_test.go
@@ -39,7 +39,8 @@
 		apply(endpointList(3, false, "a", "left", "x", "left")), "also one that was never listed here")
 	require.Equal(t, map[string]string{"a": "left", "x": "left", "b": "left"},
 		apply(endpointList(4, true, "c", "active")), "a complete list does not name b")
-	require.Equal(t, map[string]string{"x": "left", "b": "left"}, apply(endpointList(5, false, "a", "active")), "a is back")
+	require.Equal(t, map[string]string{"x": "left", "b": "left"},
+		apply(endpointList(5, false, "a", "active")), "a is back")
 	require.Equal(t, int64(5), loop.endpointStates().Revision)
 }
 
@@ -71,8 +72,7 @@
 	}
 }
 
-// Guards against a successor that takes an ejected or recovering endpoint for a healthy one. What it has not met yet when
-// it hands over itself, it hands on.
+// Guards against a successor that takes an ejected or recovering endpoint for a healthy one.
 func TestHealthOfEndpointsIsHandedOn(t *testing.T) {
 	loop := newListLoop(t, t.TempDir())
 	handedOver := statefile.NewEndpointStates()
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -65,8 +65,8 @@
 	log.Info().Int("held", held).Msg("stopping")
 	end.drain = time.After(time.Until(requestedAt.Add(acceptFor)))
 	loop.queue.push(stopRequested(max(0, time.Until(end.deadline))))
-	// Now and not at the end: a file system may hold the files back, and the process with them, as a thread within such a
-	// call cannot be ended. What calls still teach is lost; the Retry-After state is read on upgrades alone.
+	// Now and not at the end: a file system may hold the files back, and the process with them, as a thread within such
+	// a call cannot be ended. What calls still teach is lost; the Retry-After state is read on upgrades alone.
 	loop.writeStateFiles()
 }
 
--- a/forwarder/telemetry_test.go
+++ b/forwarder/telemetry_test.go
@@ -73,7 +73,7 @@
 	require.Equal(t, []transport.Outcome{transport.Delivered, transport.Failed}, recorder.seen)
 }
 
-// An incident left open who had ended which call and why: time-outs and final answers were on no line of the log.
+// Guards against an incident whose log does not say who ended a call, and why a message was given up.
 func TestLogsFailedCallsAndUndeliveredMessagesWithIDsAndReasons(t *testing.T) {
 	f := newFixture(t).start()
 	f.submit(transport.Submission{ID: "p1", Type: "payment", Destination: 7})
--- a/internal/dial/dialer_test.go
+++ b/internal/dial/dialer_test.go
@@ -36,8 +36,7 @@
 	require.EqualValues(t, 2*len("answer"), d.Received.Load())
 }
 
-// Guards against a call that reaches its endpoint after the process has given it up: what comes up while the dialer stops
-// carried what was written to it, and the next process had the folder already.
+// Guards against a call that reaches its endpoint after its process has given the folder to the next one.
 func TestConnectionEstablishedAfterStopCarriesNothing(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -62,7 +61,7 @@
 	require.NoError(t, err, "the connection is closed")
 }
 
-// A process releases its folder once its dialer has stopped: from then on another one may call.
+// Guards against calls that are still out when the next process has the folder.
 func TestStopClosesEstablishedConnectionsBeforeItReturns(t *testing.T) {
 	const connections = 200
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -82,7 +82,8 @@
 	d.unresponsive = on
 }
 
-// SetListUnavailable makes discovery end each request for the list without an answer, open watches too, or answer again.
+// SetListUnavailable makes discovery end each request for the list without an answer, open watches too, or answer
+// again.
 func (d *Discovery) SetListUnavailable(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -108,7 +108,8 @@
 	require.NoError(t, err)
 	lines := strings.Split(string(text), "\n")
 	require.Equal(t, []string{"spanflow endpoints 1", "46", "listed s-1 leaving"}, lines[:3])
-	require.ElementsMatch(t, []string{"health s-2 ejected 0.000 0.2500", "health s-3 recovering 2.500 4.0000", ""}, lines[3:])
+	health := []string{"health s-2 ejected 0.000 0.2500", "health s-3 recovering 2.500 4.0000", ""}
+	require.ElementsMatch(t, health, lines[3:])
 	require.Equal(t, written, TakeEndpointStates(dir))
 	none := NewEndpointStates()
 	require.Equal(t, none, TakeEndpointStates(dir), "a file is for the next process alone")
--- a/scheduler/coldreturn_test.go
+++ b/scheduler/coldreturn_test.go
@@ -136,8 +136,7 @@
 	}
 }
 
-// Guards against an upgrade that pushes over what the process before had ejected or brought back slowly: its successor
-// finds all that waited and sends it at once.
+// Guards against an upgrade that overloads an endpoint which the process before was bringing back slowly.
 func TestSuccessorKeepsEjectionAndSlowStart(t *testing.T) {
 	const waiting, usualRate = 30, 2.0
 	for name, handedOver := range map[string]EndpointHealth{
--- a/scheduler/destination.go
+++ b/scheduler/destination.go
@@ -79,8 +79,8 @@
 // Uncount takes a message off the demand of its destination: it was counted before, or by an earlier process.
 func (s *Scheduler) Uncount(destination *Destination) { destination.accepted-- }
 
-// InheritsDemand reports whether an earlier process handed over the usual rate of a destination: what it had accepted is
-// part of that.
+// InheritsDemand reports whether an earlier process handed over the usual rate of a destination: what it had accepted
+// is part of that.
 func (d *Destination) InheritsDemand() bool { return d.inheritedRate > 0 }
 
 // markUpdated notes an event of a destination for the next Reconcile.
--- a/scheduler/discovery_test.go
+++ b/scheduler/discovery_test.go
@@ -94,8 +94,7 @@
 	require.Equal(t, 22, h.polls)
 }
 
-// Guards against an upgrade after which changes of the list are heard too late: they count as known to the forwarder two
-// seconds after the successor is ready, while a fleet's first polls are spread over more.
+// Guards against changes of the list that a large fleet hears over two seconds after its upgrade.
 func TestSuccessorPollsForTheListSoon(t *testing.T) {
 	fleet := testSettings
 	fleet.PollEndpoints, fleet.PollWithin, fleet.Forwarders = true, 10, 48
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -28,7 +28,8 @@
 // Ejected reports whether an endpoint gets probes only, after it failed.
 func (e *Endpoint) Ejected() bool { return e.health == ejected }
 
-// EndpointHealth is what one process of a forwarder hands over to the next of an endpoint that is ejected or recovering.
+// EndpointHealth is what one process of a forwarder hands over to the next of an endpoint that is ejected or
+// recovering.
 type EndpointHealth struct {
 	Ejected       bool    // else it is recovering
 	RecoveringFor float64 // seconds
@@ -49,8 +50,8 @@
 
 // RestoreHealth gives a listed endpoint the health that an earlier process of this forwarder handed over.
 //
-// Trade-off: an upgrade does not push over what the earlier process was bringing back slowly; an endpoint that has become
-// well meanwhile is probed or slowed down for a while longer.
+// Trade-off: an upgrade does not push over what the earlier process was bringing back slowly; an endpoint that has
+// become well meanwhile is probed or slowed down for a while longer.
 func (s *Scheduler) RestoreHealth(endpoint *Endpoint, state EndpointHealth) {
 	destination := endpoint.destination
 	destination.inheritedRate = math.Max(destination.inheritedRate, state.UsualRate)
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -200,8 +200,7 @@
 	}
 }
 
-// Guards against report 54762d: after a restart the next message of a key was sent at once, though an attempt of the one
-// before could have been in flight until then. A retry of the message whose turn it is does not wait.
+// Guards against report 54762d: after a restart the next message of a key was sent at once.
 func TestPausesKeysAfterRestart(t *testing.T) {
 	h := newHarness(testSettings)
 	h.PauseKeys()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,12 +1,13 @@
-// Package scheduler decides which message is sent when, to which endpoint, and which is given up. It does no I/O,
-// reads no clock and starts no goroutine.
+// Package scheduler decides which message is sent when, to which endpoint, and which is given up. It does no I/O, reads
+// no clock and starts no goroutine.
 //
 // Events go in, one Reconcile follows, and calls to the Host come out. The adapter is the program around a Scheduler:
 // it reports the events and implements Host. For all that happens at one moment it calls SetTime, then one method for
-// each event in the order of arrival (PauseKeys, ContinueWatch, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent,
-// Accept, Recover, TakeBack, GiveUp, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop), and then Reconcile once. The
-// event methods only update the state; Reconcile decides what follows from it and calls the Host for what differs. Admit says
-// before Accept whether a message may be accepted. A Scheduler, and everything it was given, belongs to one goroutine.
+// each event in the order of arrival (PauseKeys, ContinueWatch, UpdateEndpoints, PollTimedOut, WatchBroken,
+// WatchSilent, Accept, Recover, TakeBack, GiveUp, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop), and
+// then Reconcile once. The event methods only update the state; Reconcile decides what follows from it and calls the
+// Host for what differs. Admit says before Accept whether a message may be accepted. A Scheduler, and everything it was
+// given, belongs to one goroutine.
 //
 // Times are seconds on the caller's clock, rates are calls a second unless messages are named. The request path is
 // described in docs/design.md. Each concern has a file:
--- a/scheduler/scheduling_test.go
+++ b/scheduler/scheduling_test.go
@@ -179,7 +179,7 @@
 	require.Equal(t, []*Message{fresh, late}, []*Message{h.sent[0].message, h.sent[1].message})
 }
 
-// Guards against a key that goes on while one of its messages may still run: all outcomes, not only that of a time-out.
+// Guards against a key that goes on while one of its messages may still run, by any outcome.
 func TestKeyPausesAfterEachOutcomeAfterWhichAMessageMayStillRun(t *testing.T) {
 	for outcome, pauses := range map[Outcome]bool{TimedOut: true, Reset: true, Cancelled: true, Malformed: true,
 		ServerError: false, Overloaded: false, NoConnection: false, NotSent: false, Delivered: false} {
