A name for processes that replace each other on one socket and folder

That a handed-down socket stands for upgrades beside a running process was asked for in eight places by its descriptor's number. Config.upgradesInPlace says it, handsOverEndpoints what the state of endpoints needs beside it. No change of behaviour: ./forwarder and the tests of upgrades in ./cmd/spanflow pass.

--- a/forwarder/endpoint_states.go
+++ b/forwarder/endpoint_states.go
@@ -17,6 +17,12 @@
 // the watch answers.
 const maxDepartedEndpoints = 1024
 
+// handsOverEndpoints reports whether the processes before and after this one share what they know of endpoints. A list
+// of the configuration's own is read anew by each.
+func (loop *eventLoop) handsOverEndpoints() bool {
+	return loop.config.upgradesInPlace() && loop.discovery.static == nil
+}
+
 // endpointStates are the states that a successor has to observe.
 func (loop *eventLoop) endpointStates() *statefile.EndpointStates {
 	states := statefile.NewEndpointStates()
@@ -38,7 +44,7 @@
 
 // writeEndpointStates has the state writer write the states of endpoints, if another process may take over.
 func (loop *eventLoop) writeEndpointStates() {
-	if loop.config.InheritedListener == 0 || loop.discovery.static != nil {
+	if !loop.handsOverEndpoints() {
 		return
 	}
 	states, folder := loop.endpointStates(), loop.config.Folder
@@ -49,7 +55,7 @@
 // the last known list, unless that is newer.
 func (loop *eventLoop) takeEndpointStates() {
 	config := loop.config
-	if config.InheritedListener == 0 || loop.discovery.static != nil {
+	if !loop.handsOverEndpoints() {
 		return
 	}
 	loop.scheduler.ContinueWatch()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,7 +57,7 @@
 		}
 		defer server.Stop()
 	}
-	if config.InheritedListener > 0 {
+	if config.upgradesInPlace() {
 		listener, err := config.listenInherited()
 		if err != nil {
 			return err
@@ -141,7 +141,7 @@
 // openWAL opens the write-ahead log in the folder. A process that replaces another waits until that one releases it.
 func openWAL(ctx context.Context, config *Config, log zerolog.Logger) (*wal.Log, error) {
 	wait := time.Duration(0)
-	if config.InheritedListener > 0 {
+	if config.upgradesInPlace() {
 		wait = handOverTimeout
 		if pid := wal.LockHolder(config.Folder); pid != 0 {
 			log.Info().Int("pid", pid).Msg("waiting for the folder")
--- a/forwarder/inherited_listener.go
+++ b/forwarder/inherited_listener.go
@@ -13,6 +13,10 @@
 // replaces: the platform's 6 s until the new one is ready, 3.7 s from SIGTERM to SIGKILL, and a moment for the kernel.
 const handOverTimeout = 15 * time.Second
 
+// upgradesInPlace reports whether a process on the same socket and folder replaces this one while it runs, and this one
+// may have replaced another: to endpoints, discovery and operators they are one forwarder.
+func (c *Config) upgradesInPlace() bool { return c.InheritedListener > 0 }
+
 // listenInherited opens the socket that the platform hands down and has the first frontend use it. The caller closes
 // it.
 func (c *Config) listenInherited() (net.Listener, error) {
--- a/forwarder/operators.go
+++ b/forwarder/operators.go
@@ -26,7 +26,7 @@
 
 func newAdminRequests(config *Config, queue *eventQueue) *adminRequests {
 	a := &adminRequests{queue: queue}
-	if config.InheritedListener > 0 {
+	if config.upgradesInPlace() {
 		a.standby.Store(newStandby(config))
 	}
 	return a
--- a/forwarder/recovery.go
+++ b/forwarder/recovery.go
@@ -30,7 +30,7 @@
 // readLearnedState reads what an earlier process has learned of endpoints and destinations, for when these are known.
 func (loop *eventLoop) readLearnedState(now time.Time) {
 	config, log := loop.config, &loop.telemetry.log
-	if config.InheritedListener > 0 { // this process and the one before are one forwarder; a restart ends it
+	if config.upgradesInPlace() { // a restart ends a Retry-After
 		loop.endpoints.restoredRetryAfter = statefile.ReadRetryAfter(config.Folder, loop.schedulerTime(now))
 	}
 	loop.endpoints.restoredLatencies = readLatencies(config.Folder, config.latencyDeployment(), log)
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -21,7 +21,7 @@
 	latencies := time.NewTicker(latenciesEvery)
 	defer latencies.Stop()
 	var spool <-chan time.Time
-	if loop.config.InheritedListener > 0 { // a process that replaces this one may spool commands
+	if loop.config.upgradesInPlace() { // the next process may spool commands
 		ticker := time.NewTicker(spoolPollInterval)
 		defer ticker.Stop()
 		spool = ticker.C
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -51,7 +51,7 @@
 	loop.operators.requests.ready.Store(false)
 	end.deadline = requestedAt.Add(killAfter - killMargin)
 	end.deadlineReached = time.After(time.Until(end.deadline))
-	end.handingOver = loop.config.InheritedListener > 0
+	end.handingOver = loop.config.upgradesInPlace()
 	held := len(loop.messages.byNumber)
 	if end.handingOver {
 		// Another process takes over the clients from the shared socket and the messages from the folder, once the
