--- a/forwarder/endpoint_states_test.go
+++ b/forwarder/endpoint_states_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -20,9 +21,12 @@
 	return list
 }
 
+// newListLoop is an event loop of an upgrade. It has written its state files when the test ends, before the folder goes.
 func newListLoop(t *testing.T, folder string) *eventLoop {
 	config := &Config{Folder: folder, InheritedListener: 3}
-	return newTestLoop(config, 7, &recordingHost{}, zerolog.New(zerolog.NewTestWriter(t)))
+	loop := newTestLoop(config, 7, &recordingHost{}, zerolog.New(zerolog.NewTestWriter(t)))
+	t.Cleanup(func() { loop.stateWriter.close(time.Now().Add(time.Minute)) })
+	return loop
 }
 
 // Guards against a successor that calls an endpoint which this process was told has left or drains.
