--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -35,6 +36,12 @@
 	Addr     string       // listen address
 	Notices  chan Notice  // receives each notice before it is answered
 	OnNotice func(Notice) // if not nil, called with each notice before Notices receives it; set before the first notice
+	// OnNotices, if not nil, decides how a request with notices is answered. The notices of a request that is not answered
+	// with a status of 2xx count as not received. Set before the first notice.
+	OnNotices func([]Notice) Reply
+	// CopyAfter, if not 0, is the time after which everything that was written on a watch is written once more. Set before
+	// the first watch.
+	CopyAfter time.Duration
 
 	mu              sync.Mutex
 	revision        int
@@ -125,6 +132,7 @@
 		if d.isListUnavailable() {
 			panic(http.ErrAbortHandler) // ends the connection without an answer
 		}
+		sendAfterAnswer(r, LateBytes{After: d.CopyAfter})
 		_, _ = w.Write(append(list, '\n'))
 		w.(http.Flusher).Flush()
 		select {
@@ -146,17 +154,43 @@
 	if unresponsive {
 		panic(http.ErrAbortHandler) // ends the connection without an answer
 	}
-	decoder := json.NewDecoder(r.Body)
-	for decoder.More() {
-		var n Notice
-		if decoder.Decode(&n) != nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
+	notices, err := readNotices(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	reply := Reply{}
+	if d.OnNotices != nil {
+		reply = d.OnNotices(notices)
+	}
+	if reply.Status == 0 {
+		reply.Status = http.StatusNoContent
+	}
+	if reply.Status < http.StatusMultipleChoices && !reply.Break {
+		d.receive(notices)
+	}
+	sendAfterAnswer(r, reply.Late)
+	reply.write(w, Call{})
+}
+
+// receive passes the notices of a request to the test.
+func (d *Discovery) receive(notices []Notice) {
+	for _, n := range notices {
 		if d.OnNotice != nil {
 			d.OnNotice(n)
 		}
 		d.Notices <- n
 	}
-	w.WriteHeader(http.StatusNoContent)
+}
+
+// readNotices reads the body of a request, which has one notice in each line.
+func readNotices(body io.Reader) (notices []Notice, err error) {
+	for decoder := json.NewDecoder(body); decoder.More(); {
+		var n Notice
+		if err := decoder.Decode(&n); err != nil {
+			return nil, err
+		}
+		notices = append(notices, n)
+	}
+	return notices, nil
 }
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -28,6 +28,7 @@
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = http.Serve(listener, handler) }()
+	server := &http.Server{Handler: handler, ConnContext: withConnection}
+	go func() { _ = server.Serve(lateListener{listener}) }()
 	return listener.Addr().String(), nil
 }
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -33,6 +33,7 @@
 	Hold   chan struct{} // answer once this is closed, or not at all if the connection ends first
 	Ended  func()        // if not nil, called if the connection ends during Hold or after Raw was sent
 	Raw    string        // if not empty, sent instead of an answer; the connection stays open
+	Late   LateBytes     // sent on the same connection after the answer
 }
 
 // Endpoint serves calls. It is safe for concurrent use.
@@ -97,6 +98,7 @@
 			return
 		}
 	}
+	sendAfterAnswer(r, reply.Late)
 	reply.write(w, call)
 }
 
