upstream: each call has a connection of its own, which ends with the call

Cause: internal/upstream kept a connection after an answer and took the next bytes on it for the answer to the next call. HTTP/1.1 names no request in an answer, so a second copy of the earlier answer ended the next call: a copy of 200 lost its message, a copy of 503, 429 or 400 (surely never run) sent it again beside the call in progress, and each further call on that connection got its predecessor's answer. The 3 ms of silence before reuse (defaultReuseDelay) and the look for unread bytes only kept away copies that came within 3 ms.

Fix: the connection is closed before the end of its call is reported, and carries 'Connection: close'. So no byte that arrives after an answer, at whatever time and of whatever kind, can reach another call. The idle list, ReuseDelay and the move of an unwritten call go; transport.Upstream loses CloseIdle and IdleConnections, UpstreamSettings KeepIdle, the log line of counters idle_lines; settings keep their keys. New: bytes that arrive together with an answer are logged.

Tests that demanded reuse are replaced: EachCallHasItsOwnConnection (was ConnectionIsReusedUntilClosed), ConnectionLimitCountsCallsInProgress (LongestIdleConnectionIsClosedForNewCall), EndpointsAtSameAddressShareNoConnection, UndeliveredBytesDoNotAnswerNextCall, BytesAfterAnswerDoNotAnswerNextCall, CallOnEstablishedConnectionIsNotCancelled (CallIsCancelledWhileAwaitingSilence: there is no such state any more). They hold for any time between two calls, where the old ones held for 3 ms.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -18,6 +18,7 @@
 		}
 	}
 	loop.logFailedCall(result)
+	loop.logSurplusBytes(result)
 	if result.RetryAfter > 0 && loop.shutdown.handingOver {
 		loop.writeRetryAfter(loop.schedulerTime(time.Now())) // the process may be killed before all calls have ended
 	}
@@ -50,6 +51,16 @@
 	line.Msg("call failed")
 }
 
+// logSurplusBytes logs a call whose answer was followed by other bytes, which were discarded. They show that the endpoint,
+// or something on the way to it, sends what was not asked for.
+func (loop *eventLoop) logSurplusBytes(result *transport.CallResult) {
+	if result.SurplusBytes == 0 {
+		return
+	}
+	loop.telemetry.log.Info().Str("endpoint", result.Call.Address).Str("id", result.Call.Messages[0].ID).
+		Int("bytes", result.SurplusBytes).Msg("bytes after an answer discarded")
+}
+
 // handleAttemptEnd handles the end of the attempt for one message of a call.
 func (loop *eventLoop) handleAttemptEnd(number uint64, code transport.ResultCode, result *transport.CallResult) {
 	loop.telemetry.counts.ends[code]++
--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -53,14 +53,6 @@
 	b.pending = b.pending[:0]
 }
 
-// idleConnections counts the connections to endpoints that carry no call.
-func (b *callBatch) idleConnections() (idle int) {
-	for _, upstream := range b.upstreams {
-		idle += upstream.IdleConnections()
-	}
-	return idle
-}
-
 // upstreamOf returns the upstream for endpoints of a kind.
 func (loop *eventLoop) upstreamOf(kind string) transport.Upstream {
 	if upstream := loop.calls.upstreams[loop.config.KindUpstream[kind]]; upstream != nil {
@@ -111,7 +103,6 @@
 	}
 	return UpstreamSettings{
 		ConnectTimeout:     connectTimeout,
-		KeepIdle:           time.Duration(c.Scheduler.KeepIdle() * float64(time.Second)),
 		ReportedLimitField: c.Names.LimitField,
 		ReportedShareField: c.Names.ShareField,
 	}
--- a/forwarder/counts.go
+++ b/forwarder/counts.go
@@ -40,7 +40,7 @@
 		e = loop.backlog.counts.write(e).Int("backlog", loop.backlog.store.Messages())
 	}
 	e.Int("lines", dialer.Open()).Int64("most_lines", dialer.Peak.Load()).
-		Int("idle_lines", loop.calls.idleConnections()).Int64("disk", loop.wal.Used()).Msg("counters since the start")
+		Int64("disk", loop.wal.Used()).Msg("counters since the start")
 	for _, l := range loop.frontends.open[1:] {
 		writeConnectionStats(log.Info().Str("frontend", l.config.Name), l.Stats()).Msg("connection counters of a frontend")
 	}
--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -206,8 +206,6 @@
 
 func (u *manualUpstream) Send(c *transport.Call) { u.calls <- c }
 func (*manualUpstream) CancelUnsent(uint64)      {}
-func (*manualUpstream) CloseIdle(uint64)         {}
-func (*manualUpstream) IdleConnections() int     { return 0 }
 
 // finish ends a call with one code for all its messages.
 func (u *manualUpstream) finish(c *transport.Call, code transport.ResultCode) {
--- a/forwarder/host.go
+++ b/forwarder/host.go
@@ -50,19 +50,11 @@
 	}
 }
 
-// CloseIdle closes an endpoint's connections that carry no call.
-func (loop *eventLoop) CloseIdle(e *scheduler.Endpoint) {
-	loop.calls.send() // pending calls may still use the connections
-	if known := loop.endpoints.byNumber[e.ID]; known != nil {
-		known.upstream.CloseIdle(e.ID)
-	}
-}
+// CloseIdle does nothing, as upstreams keep no idle connections.
+func (loop *eventLoop) CloseIdle(*scheduler.Endpoint) {}
 
-// ReleaseEndpoint removes an endpoint that the scheduler no longer uses, and closes its connections.
-func (loop *eventLoop) ReleaseEndpoint(e *scheduler.Endpoint) {
-	loop.CloseIdle(e)
-	loop.endpoints.remove(e.ID)
-}
+// ReleaseEndpoint removes an endpoint that the scheduler no longer uses.
+func (loop *eventLoop) ReleaseEndpoint(e *scheduler.Endpoint) { loop.endpoints.remove(e.ID) }
 
 // Wake sets the scheduler's timer to fire in a number of seconds.
 func (loop *eventLoop) Wake(in float64) {
--- a/forwarder/upstreams.go
+++ b/forwarder/upstreams.go
@@ -21,7 +21,6 @@
 // UpstreamSettings are the settings common to upstreams of all protocols.
 type UpstreamSettings struct {
 	ConnectTimeout     time.Duration // limit on the time to establish a connection
-	KeepIdle           time.Duration // idle connections are closed after this time
 	ReportedLimitField string        // the field of a load report with the endpoint's limit
 	ReportedShareField string        // the field with the share of that limit that is left
 }
@@ -45,7 +44,6 @@
 func newHTTP(d *dial.Dialer, s UpstreamSettings, listener transport.ResultListener) transport.Upstream {
 	return upstream.New(d, listener, upstream.Settings{
 		ConnectTimeout: s.ConnectTimeout,
-		IdleTimeout:    s.KeepIdle,
 		LimitField:     s.ReportedLimitField,
 		ShareField:     s.ReportedShareField,
 	})
--- a/internal/dial/conn.go
+++ b/internal/dial/conn.go
@@ -115,7 +115,7 @@
 	return n, err
 }
 
-// MarkDelivered records that the handler has received the bytes read. A handler that calls IsQuiet or ReadPending while
+// MarkDelivered records that the handler has received the bytes read. A handler that calls ReadPending while
 // holding its own lock must call MarkDelivered in Data while holding that lock.
 func (c *Conn) MarkDelivered() {
 	c.reading.Lock()
@@ -143,24 +143,6 @@
 	}
 }
 
-// IsQuiet reports whether the connection is open and has no undelivered bytes, neither in the socket nor on their way
-// to the handler. It prevents such bytes from being taken for the answer to a call written after them. IsQuiet may
-// discard a byte from the socket, so it must be called only while no data is expected.
-func (c *Conn) IsQuiet() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != open {
-		return false
-	}
-	c.reading.Lock()
-	defer c.reading.Unlock()
-	if c.undelivered {
-		return false
-	}
-	_, err := c.socket.Read(make([]byte, 1))
-	return errors.Is(err, syscall.EAGAIN)
-}
-
 // ReadPending reads bytes that have arrived but are not delivered yet, for a handler that is about to close the
 // connection. It returns 0 if there are none. If pending is true, bytes that were read earlier are about to be passed
 // to Data, and ReadPending reads nothing.
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -12,104 +13,104 @@
 	"spanflow/transport"
 )
 
-func TestConnectionIsReusedUntilClosed(t *testing.T) {
+// requireClosed requires that the client has closed a connection.
+func requireClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err := c.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "the connection stays open")
+}
+
+func TestEachCallHasItsOwnConnection(t *testing.T) {
 	f := newFixture(t)
 	f.send(time.Minute, "b")
 	c := f.acceptCall()
 	c.Write([]byte("HTTP/1.1 429 Full\r\nRetry-After: 0.25\r\nX-Pressure: x0=0.4,x1=25\r\nContent-Length: 0\r\n\r\n"))
 	e := f.requireResult(transport.ResultRetryAfter)
 	require.Equal(t, []any{0.25, 25.0, 0.4}, []any{e.RetryAfter, e.ReportedLimit, e.ReportedShare})
+	requireClosed(t, c)
 	f.send(time.Minute, "b")
-	f.readCall(c)
+	c = f.acceptCall()
 	c.Write([]byte(emptyOK))
 	require.Zero(t, f.requireResult(transport.ResultOK).RetryAfter)
-	f.CloseIdle(1)
+	requireClosed(t, c)
 	f.send(time.Minute, "b")
-	f.acceptCall().Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"))
-	require.Zero(t, f.IdleConnections())
+	c = f.acceptCall()
+	c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"))
+	c.Close()
+	f.requireResult(transport.ResultOK)
+	require.Empty(t, f.open)
 }
 
-func TestLongestIdleConnectionIsClosedForNewCall(t *testing.T) {
+// The limit counts the calls in progress only: a call that has ended leaves no connection.
+func TestConnectionLimitCountsCallsInProgress(t *testing.T) {
 	f := newFixture(t)
-	var conns []net.Conn
-	for range 8 { // the dialer's limit
-		f.send(time.Minute, "b")
-		conns = append(conns, f.acceptCall())
+	for range 3 {
+		var conns []net.Conn
+		for range connectionLimit {
+			f.send(time.Minute, "b")
+			conns = append(conns, f.acceptCall())
+		}
+		f.send(time.Minute, "one too many")
+		f.requireResult(transport.ResultConnectRefused)
+		for _, c := range conns {
+			c.Write([]byte(emptyOK))
+			f.requireResult(transport.ResultOK)
+		}
 	}
-	for _, c := range conns {
-		c.Write([]byte(emptyOK))
-		f.requireResult(transport.ResultOK)
-	}
-	other, err := net.Listen("tcp", "127.4.0.1:0")
-	require.NoError(t, err)
-	defer other.Close()
-	f.listener, f.endpointID = other, 2
-	f.send(time.Minute, "b")
-	f.acceptCall().Write([]byte(emptyOK))
-	f.requireResult(transport.ResultOK)
-	_, err = conns[0].Read(make([]byte, 1))
-	require.Error(t, err)
-	require.Equal(t, 8, f.IdleConnections())
+	require.Empty(t, f.open)
 }
 
-func TestConnectionIsNotReusedByOtherEndpointAtSameAddress(t *testing.T) {
+func TestEndpointsAtSameAddressShareNoConnection(t *testing.T) {
 	f := newFixture(t)
 	f.send(time.Minute, "b")
-	f.acceptCall().Write([]byte(emptyOK))
+	c := f.acceptCall()
+	c.Write([]byte(emptyOK))
 	f.requireResult(transport.ResultOK)
 	f.endpointID = 2
 	f.send(time.Minute, "b")
 	f.acceptCall().Write([]byte(emptyOK))
 	f.requireResult(transport.ResultOK)
-	require.Equal(t, 2, f.IdleConnections())
+	requireClosed(t, c)
 }
 
-func TestUndeliveredBytesPreventReuse(t *testing.T) {
+func TestUndeliveredBytesDoNotAnswerNextCall(t *testing.T) {
 	f := newFixture(t)
 	f.send(time.Minute, "b")
 	c := f.acceptCall()
-	c.Write([]byte(emptyOK))
-	f.requireResult(transport.ResultOK)
 	f.mu.Lock()
-	c.Write([]byte(emptyOK)) // a second answer: read from the socket, but not delivered yet
+	c.Write([]byte(emptyOK)) // read from the socket, but not delivered yet
 	emulator.AwaitBlockedOnLock(t, "upstream.(*connection).Data(")
-	used := f.takeIdle(f.endpointID)
+	c.Write([]byte(emptyOK)) // a second answer
 	f.mu.Unlock()
-	require.Nil(t, used, "the second answer would be taken for that of the next call")
+	f.requireResult(transport.ResultOK)
 	f.send(time.Minute, "b")
 	f.acceptCall().Write([]byte("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
 	f.requireResult(transport.ResultServerError)
 }
 
-// A second copy of an answer arrives while the next call waits for ReuseDelay to pass. The call must move to a new
-// connection. ReuseDelay is an hour here, so that the copy arrives within it on any machine.
-func TestBytesAfterAnswerMoveNextCallToNewConnection(t *testing.T) {
-	f := newFixtureWith(t, Settings{ConnectTimeout: time.Minute, IdleTimeout: time.Minute, ReuseDelay: time.Hour}, nil)
+// Bytes that arrive together with an answer are reported, and change nothing for the next call.
+func TestBytesAfterAnswerDoNotAnswerNextCall(t *testing.T) {
+	f := newFixture(t)
 	for range 20 {
 		f.send(time.Hour, "b")
-		c := f.acceptCall()
-		c.Write([]byte(emptyOK))
-		f.requireResult(transport.ResultOK)
+		f.acceptCall().Write([]byte(emptyOK + emptyOK))
+		require.Equal(t, len(emptyOK), f.requireResult(transport.ResultOK).SurplusBytes)
 		f.send(time.Hour, "b")
-		c.Write([]byte(emptyOK))
-		c = f.acceptCall()
-		c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"))
-		f.requireResult(transport.ResultOverloaded)
-		f.CloseIdle(f.endpointID)
+		f.acceptCall().Write([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"))
+		require.Zero(t, f.requireResult(transport.ResultOverloaded).SurplusBytes)
 	}
 }
 
-// A call can be cancelled until ReuseDelay has passed, as no byte of it has been written.
-func TestCallIsCancelledWhileAwaitingSilence(t *testing.T) {
-	f := newFixtureWith(t, Settings{ConnectTimeout: time.Minute, IdleTimeout: time.Minute, ReuseDelay: time.Hour}, nil)
-	f.send(time.Hour, "b")
-	f.acceptCall().Write([]byte(emptyOK))
-	f.requireResult(transport.ResultOK)
-	require.Equal(t, 1, f.IdleConnections())
+// A call whose bytes may have been written is not cancelled.
+func TestCallOnEstablishedConnectionIsNotCancelled(t *testing.T) {
+	f := newFixture(t)
 	f.send(time.Hour, "b")
-	require.Zero(t, f.IdleConnections(), "the call has taken the connection")
+	c := f.acceptCall()
 	f.CancelUnsent(1)
-	f.requireResult(transport.ResultCancelled)
+	require.Empty(t, f.results)
+	c.Write([]byte(emptyOK))
+	f.requireResult(transport.ResultOK)
 }
 
 // The connection is never established. Of the connect timeout, the call's timeout and a cancellation, the first one
@@ -119,10 +120,10 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	f := newFixtureWith(t, Settings{ConnectTimeout: 20 * time.Millisecond, IdleTimeout: time.Minute}, never)
+	f := newFixtureWith(t, Settings{ConnectTimeout: 20 * time.Millisecond}, never)
 	f.send(time.Hour, "b")
 	f.requireResult(transport.ResultConnectTimeout)
-	f = newFixtureWith(t, Settings{ConnectTimeout: time.Hour, IdleTimeout: time.Minute}, never)
+	f = newFixtureWith(t, Settings{ConnectTimeout: time.Hour}, never)
 	f.send(20*time.Millisecond, "b")
 	f.requireResult(transport.ResultTimeoutBeforeSent)
 	f.send(time.Hour, "b")
--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -24,8 +24,7 @@
 	other.Write([]byte(emptyOK))
 	emulator.AwaitBlockedOnLock(t, "upstream.(*connection).Data(")
 	late.Write([]byte(emptyOK))
-	conn, generation := f.connectionOf("late")
-	conn.timerFiredLocked(generation)
+	f.connectionOf("late").timedOutLocked()
 	f.mu.Unlock()
 	f.requireResult(transport.ResultOK)
 	f.requireResult(transport.ResultOK)
@@ -36,10 +35,10 @@
 	f.send(time.Minute, "late")
 	late := f.acceptCall()
 	f.mu.Lock()
-	conn, generation := f.connectionOf("late")
+	conn := f.connectionOf("late")
 	late.Write([]byte(emptyOK))
 	emulator.AwaitBlockedOnLock(t, "upstream.(*connection).Data(")
-	conn.timerFiredLocked(generation)
+	conn.timedOutLocked()
 	require.NotNil(t, conn.call, "the call ends when Data delivers the answer")
 	f.mu.Unlock()
 	f.requireResult(transport.ResultOK)
@@ -81,7 +80,7 @@
 	f.send(time.Minute, strings.Repeat("x", 32<<20))
 	f.acceptCall().Write([]byte("HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")) // before the call was sent
 	f.requireResult(transport.ResultBadRequest)
-	require.Zero(t, f.IdleConnections())
+	require.Empty(t, f.open)
 }
 
 // An endpoint runs a call only after its last byte has arrived. A 200 before that is noise, or answers another call.
@@ -116,7 +115,7 @@
 		_, err := c.Read(make([]byte, 1))
 		require.Error(t, err, "the connection stays open")
 	}
-	require.Zero(t, f.IdleConnections())
+	require.Empty(t, f.open)
 	f.Send(&transport.Call{
 		EndpointID: f.endpointID,
 		Address:    f.listener.Addr().String(),
--- a/internal/upstream/fixture_test.go
+++ b/internal/upstream/fixture_test.go
@@ -28,14 +28,17 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	return newFixtureWith(t, Settings{ConnectTimeout: time.Minute, IdleTimeout: time.Minute, LimitField: "x1", ShareField: "x0"}, nil)
+	return newFixtureWith(t, Settings{ConnectTimeout: time.Minute, LimitField: "x1", ShareField: "x0"}, nil)
 }
 
+// connectionLimit is the limit of the fixture's dialer.
+const connectionLimit = 8
+
 // newFixtureWith returns a fixture with the given settings. It connects with connect, or by TCP if that is nil.
 func newFixtureWith(t *testing.T, settings Settings, connect func(context.Context, string) (net.Conn, error)) *fixture {
 	ln, err := net.Listen("tcp", "127.4.0.1:0")
 	require.NoError(t, err)
-	d, err := dial.New("test", 8)
+	d, err := dial.New("test", connectionLimit)
 	require.NoError(t, err)
 	d.Connect = connect
 	t.Cleanup(func() { ln.Close(); d.Stop() })
@@ -79,11 +82,11 @@
 	return result
 }
 
-// connectionOf returns the connection whose call has the given body, and its generation. The client's lock is held.
-func (f *fixture) connectionOf(body string) (*connection, int) {
-	for conn := range f.maybeUnsent {
+// connectionOf returns the connection whose call has the given body. The client's lock is held.
+func (f *fixture) connectionOf(body string) *connection {
+	for conn := range f.open {
 		if string(conn.call.Messages[0].Body) == body {
-			return conn, conn.generation
+			return conn
 		}
 	}
 	f.t.Fatalf("no call with the body %q", body)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -16,6 +16,8 @@
 	idField             = "X-Txn"
 	idempotencyKeyField = "Idempotency-Key"
 	timeLeftField       = "X-Remaining-Ms"
+	connectionField     = "Connection"
+	connectionClose     = "close" // no other request follows on the connection
 
 	headBytes        = 256 // capacity for a request's head
 	batchEntryBytes  = 64  // capacity for the JSON around a message in a batch
@@ -33,6 +35,7 @@
 	b := http1.AppendRequestLine(make([]byte, 0, headBytes+len(body)), "POST", batchPath, call.Address)
 	b = http1.AppendField(b, "Content-Type", "application/json")
 	b = http1.AppendField(b, timeLeftField, timeLeft)
+	b = http1.AppendField(b, connectionField, connectionClose)
 	return http1.AppendBody(b, body)
 }
 
@@ -44,6 +47,7 @@
 		b = http1.AppendField(b, idempotencyKeyField, message.IdempotencyKey)
 	}
 	b = http1.AppendField(b, timeLeftField, timeLeft)
+	b = http1.AppendField(b, connectionField, connectionClose)
 	return http1.AppendBody(b, message.Body)
 }
 
--- a/internal/upstream/transcript_test.go
+++ b/internal/upstream/transcript_test.go
@@ -42,7 +42,7 @@
 	require.NoError(t, err)
 	t.Cleanup(dialer.Stop)
 	e := &endpoint{t: t, server: transcript.NewServer(t, "127.4.0.2"), results: make(results, 9)}
-	e.client = upstream.New(dialer, e.results, upstream.Settings{ConnectTimeout: time.Minute, IdleTimeout: time.Minute})
+	e.client = upstream.New(dialer, e.results, upstream.Settings{ConnectTimeout: time.Minute})
 	e.script.Mask(regexp.QuoteMeta(e.server.Addr), "ENDPOINT")
 	return e
 }
@@ -63,6 +63,7 @@
 	e.script.Bytes("upstream", request.Raw)
 	request.Answer(raw)
 	<-e.results
+	e.awaitClose(request)
 }
 
 // awaitClose waits until the client closes the request's connection.
@@ -78,7 +79,7 @@
 	body := []byte("a body\r\nof any bytes \x00\xff\n")
 	e.answer(e.call("one message with an idempotency key", 1500*time.Millisecond,
 		transport.Message{ID: "9b1f03aa5c7e2d41", IdempotencyKey: "5c0f6e1a2b3d4c59", Body: body}), answer200)
-	e.answer(e.call("without a key, on the same connection; the time left in whole milliseconds", 1234567*time.Microsecond,
+	e.answer(e.call("without a key; the time left in whole milliseconds", 1234567*time.Microsecond,
 		transport.Message{ID: "9b1f03aa5c7e2d42", Body: body}), answer200)
 	e.answer(e.call("without a body", time.Hour, transport.Message{ID: "9b1f03aa5c7e2d43"}), answer200)
 	e.answer(e.call("a batch: with a key, without, without a body", 2*time.Second,
@@ -99,30 +100,16 @@
 	e.script.Compare(t, "requests.txt")
 }
 
-func TestConnectionsAreReusedAndClosed(t *testing.T) {
+func TestConnectionsEndWithTheirCalls(t *testing.T) {
 	e := newEndpoint(t)
 	message := transport.Message{ID: "a", Body: []byte("b")}
 	e.answer(e.call("a first call", time.Minute, message), answer200)
-	last := e.call("a second on the same connection; the answer says that it closes", time.Minute, message)
-	e.answer(last, answer200Close)
-	e.awaitClose(last)
-	last = e.call("a new connection; the answer is of HTTP/1.0", time.Minute, message)
-	e.answer(last, answer200Old)
-	e.awaitClose(last)
-	idle := e.call("a new connection, which stays idle", time.Minute, message)
-	e.answer(idle, answer200)
-	e.script.Note("idle connections are to be closed")
-	e.client.CloseIdle(1)
-	e.awaitClose(idle)
-	last = e.call("an answer that cannot be read", time.Minute, message)
-	e.answer(last, "what is this\r\n")
-	e.awaitClose(last)
-	last = e.call("an answer that stops within its body: the time is over", 300*time.Millisecond, message)
-	e.answer(last, answerPartial)
-	e.awaitClose(last)
-	last = e.call("no answer: the time is over", 300*time.Millisecond, message)
-	e.answer(last, "")
-	e.awaitClose(last)
-	e.answer(e.call("a new connection", time.Minute, message), answer200)
+	e.answer(e.call("the answer says that it closes", time.Minute, message), answer200Close)
+	e.answer(e.call("the answer is of HTTP/1.0", time.Minute, message), answer200Old)
+	e.answer(e.call("an answer that cannot be read", time.Minute, message), "what is this\r\n")
+	e.answer(e.call("an answer that stops within its body: the time is over", 300*time.Millisecond, message), answerPartial)
+	e.answer(e.call("no answer: the time is over", 300*time.Millisecond, message), "")
+	e.answer(e.call("two answers", time.Minute, message), answer200+answer200)
+	e.answer(e.call("a last call", time.Minute, message), answer200)
 	e.script.Compare(t, "connections.txt")
 }
--- a/scheduler/connections.go
+++ b/scheduler/connections.go
@@ -12,19 +12,8 @@
 	noIdleDuration     = 20  // seconds for which no idle connection is kept after such losses
 	failedConnectPause = 30  // seconds after a failed connect without idle connections to that kind of destination
 	minReusedIdle      = 0.5 // seconds without a call after which a connection counts as idle
-
-	// An idle connection is closed maxIdleCloseMargin seconds before the other side's timeout, or the timeout divided
-	// by idleCloseMarginDivisor before it if that is less.
-	maxIdleCloseMargin     = 0.5
-	idleCloseMarginDivisor = 10.0
 )
 
-// KeepIdle returns the time in seconds for which an idle connection is kept. It is shorter than the idle timeout, so
-// that the other side does not close a connection while a call is being sent on it.
-func (s *Settings) KeepIdle() float64 {
-	return s.IdleTimeout - math.Min(maxIdleCloseMargin, s.IdleTimeout/idleCloseMarginDivisor)
-}
-
 // reusesIdle reports whether the next call to an endpoint probably uses a connection that has been idle.
 func (s *Scheduler) reusesIdle(endpoint *Endpoint) bool {
 	idle := s.now - endpoint.lastUsed
--- a/transport/upstream.go
+++ b/transport/upstream.go
@@ -12,7 +12,7 @@
 
 // Call is one call to an endpoint with one or more messages.
 type Call struct {
-	EndpointID uint64 // number of the endpoint in the event loop; connections belong to it, as an address may be reused
+	EndpointID uint64 // number of the endpoint in the event loop
 	Address    string
 	Messages   []Message
 	Timeout    time.Duration // time after which the call is aborted
@@ -27,6 +27,7 @@
 	ReportedLimit float64 // the reported limit in calls per second; 0 if not reported, below 0 if there is no limit
 	ReportedShare float64 // the reported unused share of that limit; 0 if not reported, below 0 if nothing is left
 	Reason        string  // for the log: what was malformed, or why a connection failed
+	SurplusBytes  int     // bytes that arrived together with the end of the answer and are not part of it
 }
 
 // ResultListener receives the results of calls. It must not block.
@@ -35,15 +36,13 @@
 	CallEnded(CallResult)
 }
 
-// Upstream carries out calls and owns the connections for them.
+// Upstream carries out calls and owns the connections for them. It may use a connection for another call only if its
+// protocol names in each answer the call that it belongs to; otherwise bytes that arrive late could be taken for the
+// answer to the other call.
 type Upstream interface {
 	// Send begins a call.
 	Send(*Call)
 	// CancelUnsent cancels those calls to an endpoint whose first byte has not been sent yet. They end with
 	// ResultCancelled.
 	CancelUnsent(endpointID uint64)
-	// CloseIdle closes the connections to an endpoint that carry no call.
-	CloseIdle(endpointID uint64)
-	// IdleConnections returns the number of connections that carry no call.
-	IdleConnections() int
 }
