notify: each request with notices has a connection of its own

What callers would see: messages that were accepted and neither delivered nor ended by a notice, and later messages of their keys sent out of turn.

The client kept its connection after an acknowledgement and took the next 2xx on it for that of the next request; here not even a silence of 3 ms lay between.

Fix: the connection ends with its call; what arrives later reaches no other. An answer that comes before the whole request was written acknowledges nothing.

--- a/internal/notify/client.go
+++ b/internal/notify/client.go
@@ -1,6 +1,10 @@
 // Package notify sends notices, which are the final answers of messages that were not delivered and whose callers are
 // not waiting. It posts each notice to /v1/notices at the configured address until it is acknowledged. A notice may
 // therefore arrive more than once, which is harmless.
+//
+// Each call has a connection of its own. An acknowledgement does not name the notices that it belongs to, so on a
+// connection that carried another call before, a second copy of that call's answer could acknowledge notices that were
+// not received.
 package notify
 
 import (
@@ -28,7 +32,7 @@
 
 	mu         sync.Mutex // held also while the listener is called
 	addr       string
-	conn       *connection             // nil if none is open
+	conn       *connection             // with the call in progress; nil if there is none
 	queued     []transport.FinalAnswer // notices that are not in a call
 	unanswered int                     // number of consecutive calls that were not answered in time
 	stopped    bool
@@ -82,14 +86,11 @@
 
 // send starts a call with the queued notices, unless a call is in progress. The lock is held.
 func (c *Client) send() {
-	if c.stopped || len(c.queued) == 0 || c.conn != nil && len(c.conn.notices) > 0 {
+	if c.stopped || len(c.queued) == 0 || c.conn != nil {
 		return
 	}
-	if c.conn == nil {
-		c.connect()
-	}
 	n := min(len(c.queued), maxNoticesPerCall)
-	c.conn.post(c.queued[:n])
+	c.post(c.queued[:n])
 	c.queued = append(c.queued[:0], c.queued[n:]...)
 }
 
--- a/internal/notify/client_test.go
+++ b/internal/notify/client_test.go
@@ -101,14 +101,14 @@
 	conn, _ := h.peer.Accept(t)
 	h.mu.Lock()
 	c := h.conn
-	late := c.calls
 	h.mu.Unlock()
 	conn.Write([]byte(answerNoContent))
 	peertest.Next(t, h.acknowledged)
 	h.Notify(transport.FinalAnswer{MessageID: 2, ID: "b", Outcome: transport.Failed})
-	c.timedOut(late)
+	c.timedOut()
 	require.Empty(t, h.failures)
-	require.Contains(t, peertest.Read(t, conn), `"b"`)
+	_, request := h.peer.Accept(t)
+	require.Contains(t, request, `"b"`)
 }
 
 func TestNoticeOnDeadConnectionIsRepeatedInTime(t *testing.T) {
@@ -148,3 +148,19 @@
 	conn.Write([]byte(answerNoContent))
 	require.Equal(t, []uint64{1}, peertest.Next(t, h.acknowledged))
 }
+
+// A second copy of an acknowledgement arrives while the next notice is on its way. It must not acknowledge that one.
+func TestSecondCopyOfAnswerAcknowledgesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.Notify(transport.FinalAnswer{MessageID: 1, ID: "a", Outcome: transport.Failed})
+	first, _ := h.peer.Accept(t)
+	first.Write([]byte(answerNoContent))
+	require.Equal(t, []uint64{1}, peertest.Next(t, h.acknowledged))
+	h.Notify(transport.FinalAnswer{MessageID: 2, ID: "b", Outcome: transport.Failed})
+	second, request := h.peer.Accept(t)
+	require.Contains(t, request, `"b"`)
+	first.Write([]byte(answerNoContent))
+	second.Close()
+	require.NotEmpty(t, peertest.Next(t, h.failures))
+	require.Empty(t, h.acknowledged)
+}
--- a/internal/notify/connection.go
+++ b/internal/notify/connection.go
@@ -11,34 +11,27 @@
 	"spanflow/transport"
 )
 
-// connection sends notices, with one call at a time. It implements dial.Handler and http1.Handler. All fields are
-// guarded by the client's lock.
+// connection is a connection with its only call. It implements dial.Handler and http1.Handler. All fields are guarded
+// by the client's lock.
 type connection struct {
 	client  *Client
 	conn    *dial.Conn
 	reader  http1.Reader
 	status  int                     // of the answer
-	notices []transport.FinalAnswer // of the call in progress; empty if there is none
-
-	timer *time.Timer
-	calls int // number of calls so far, so that a timer that fires late is ignored
-}
-
-func (c *Client) connect() {
-	c.conn = &connection{client: c, reader: http1.Reader{MaxBody: maxAnswerBytes}}
-	c.conn.conn = c.dialer.Dial(c.addr, c.connectTimeout, c.conn)
+	notices []transport.FinalAnswer // of the call
+	timer   *time.Timer
 }
 
 // post starts a call with the notices, which it copies.
-func (n *connection) post(notices []transport.FinalAnswer) {
-	c := n.client
+func (c *Client) post(notices []transport.FinalAnswer) {
+	n := &connection{client: c, reader: http1.Reader{MaxBody: maxAnswerBytes}}
 	n.notices = append(n.notices, notices...)
-	n.reader.Reset()
+	n.conn = c.dialer.Dial(c.addr, c.connectTimeout, n)
 	request := http1.AppendRequestLine(nil, "POST", "/v1/notices", c.addr)
+	request = http1.AppendField(request, "Connection", "close")
 	n.conn.Write(http1.AppendBody(request, appendNotices(nil, n.notices)))
-	n.calls++
-	call := n.calls
-	n.timer = c.afterFunc(answerTimeout<<min(c.unanswered, maxDoublings), func() { n.timedOut(call) })
+	n.timer = c.afterFunc(answerTimeout<<min(c.unanswered, maxDoublings), n.timedOut)
+	c.conn = n
 }
 
 // appendNotices appends the body of a call, which has one line of JSON for each notice.
@@ -63,11 +56,11 @@
 // timedOut immediately repeats a call that was not answered in time. It uses a new connection, as the old one may have
 // been lost without a close. There is no delay, because a message counts as lost if its notice has not arrived 300 ms
 // after its expiry.
-func (n *connection) timedOut(call int) {
+func (n *connection) timedOut() {
 	c := n.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != n || n.calls != call || len(n.notices) == 0 { // the answer arrived while this waited for the lock
+	if c.conn != n { // the answer arrived while this waited for the lock
 		return
 	}
 	c.unanswered++
@@ -76,26 +69,27 @@
 	c.send()
 }
 
-// fail closes the connection and resends its notices after retryDelay. The lock is held.
+// fail ends the call and resends its notices after retryDelay. The lock is held.
 func (n *connection) fail(reason string) {
 	c := n.client
 	if c.conn != n {
 		return
 	}
-	if len(n.notices) > 0 {
-		c.listener.NoticesUnanswered(reason)
-	}
+	c.listener.NoticesUnanswered(reason)
 	n.drop()
 	c.sendLater()
 }
 
-// drop closes the connection and puts its notices back at the head of the queue.
+// drop ends the call and puts its notices back at the head of the queue.
 func (n *connection) drop() {
-	if n.timer != nil {
-		n.timer.Stop()
-	}
-	n.conn.Close()
+	n.close()
 	n.client.queued = append(n.notices, n.client.queued...)
+}
+
+// close closes the connection, so that nothing that arrives on it counts any more.
+func (n *connection) close() {
+	n.timer.Stop()
+	n.conn.Close()
 	n.client.conn = nil
 }
 
@@ -104,8 +98,7 @@
 	c := n.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != n || len(n.notices) == 0 {
-		n.fail("unexpected answer")
+	if c.conn != n {
 		return
 	}
 	_, complete, err := n.reader.Feed(b, n)
@@ -114,23 +107,24 @@
 		return
 	}
 	if complete {
-		n.acknowledged()
+		n.answered()
 	}
 }
 
-// acknowledged reports the notices of the call as acknowledged and starts the next call.
-func (n *connection) acknowledged() {
+// answered ends a call with a positive answer. An answer that arrived before all notices were sent acknowledges none of
+// them.
+func (n *connection) answered() {
 	c := n.client
-	n.timer.Stop()
+	if !n.conn.Abort() {
+		n.fail("answered before the notices were sent")
+		return
+	}
+	n.close()
 	c.unanswered = 0
 	ids := make([]uint64, len(n.notices))
 	for i, notice := range n.notices {
 		ids[i] = notice.MessageID
 	}
-	n.notices = nil
-	if n.reader.Close {
-		n.drop()
-	}
 	c.listener.NoticesAcknowledged(ids)
 	c.send()
 }
