--- a/cmd/spanflow/repeated_kills_test.go
+++ b/cmd/spanflow/repeated_kills_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -29,6 +30,7 @@
 // those of type p must not run twice.
 type ruleChecker struct {
 	leavesUnanswered bool // some calls are left without an answer
+	sendsLateBytes   bool // some answers are followed by late bytes
 
 	mu         sync.Mutex
 	random     *rand.Rand
@@ -60,10 +62,10 @@
 	}
 	switch r.random.IntN(12) {
 	case 0:
-		return emulator.Reply{Status: 429, Fields: map[string]string{"Retry-After": "0.05"}}
+		return emulator.Reply{Status: 429, Fields: map[string]string{"Retry-After": "0.05"}, Late: r.lateBytes()}
 	case 1:
 		r.recordRun(c, false)
-		return emulator.Reply{Status: 500}
+		return emulator.Reply{Status: 500, Late: r.lateBytes()}
 	case 2:
 		r.recordRun(c, false)
 		r.recordUnanswered(c)
@@ -74,7 +76,31 @@
 		}
 	}
 	r.recordRun(c, true)
-	return emulator.Reply{}
+	return emulator.Reply{Late: r.lateBytes()}
+}
+
+// lateBytes returns what follows an answer: in some cases a second copy, noise or half an answer, after 1 ms to 1 s. The
+// caller holds the lock.
+func (r *ruleChecker) lateBytes() emulator.LateBytes {
+	if !r.sendsLateBytes || r.random.IntN(3) > 0 {
+		return emulator.LateBytes{}
+	}
+	kinds := []string{"", "", "\x00\xff noise\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Le"}
+	after := float64(time.Millisecond) * math.Pow(1000, r.random.Float64())
+	return emulator.LateBytes{After: time.Duration(after), Bytes: kinds[r.random.IntN(len(kinds))]}
+}
+
+// replyToNotices receives some notices only at a later request, and sends late bytes after some answers.
+func (r *ruleChecker) replyToNotices([]emulator.Notice) emulator.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch r.random.IntN(6) {
+	case 0:
+		return emulator.Reply{Break: true}
+	case 1:
+		return emulator.Reply{Status: 503, Late: r.lateBytes()}
+	}
+	return emulator.Reply{Late: r.lateBytes()}
 }
 
 // setDrained records whether the list marks an endpoint as leaving.
--- a/cmd/spanflow/upgrade_soak_test.go
+++ b/cmd/spanflow/upgrade_soak_test.go
@@ -22,7 +22,11 @@
 // the order and the cooldown of keys, and that draining endpoints get no calls. Clients use each connection until it
 // ends. A process that runs for longer after SIGTERM than the platform guarantees is killed and fails the test.
 //
+// The soak of late bytes is the same with answers that are followed by late bytes (report 2b03fe), calls with several
+// messages, notices that are received only at a later request, and in some runs a crowd of idle clients.
+//
 //	TEST_SOAK_SEEDS=50 go test ./cmd/spanflow -run SoakOfUpgrades -timeout 60m     # seeds 1 to 50
+//	TEST_SOAK_SEEDS=50 go test ./cmd/spanflow -run SoakOfLateBytes -timeout 60m
 //	TEST_SOAK_FIRST=17 TEST_SOAK_SEEDS=1 go test ./cmd/spanflow -run SoakOfUpgrades # one seed
 const (
 	soakSeedsVariable = "TEST_SOAK_SEEDS" // number of seeds; 4 by default
@@ -31,6 +35,7 @@
 	soakUpgrades      = 10
 	soakClients       = 3                // maximum
 	soakDrainInterval = 3 * time.Second  // longest time between two changes of the endpoint's state in the list
+	soakCrowd         = 60               // idle clients; more than fit beside the others
 	soakAnswerTimeout = 30 * time.Second // after the last upgrade, for the final answers of all pending messages
 )
 
@@ -39,7 +44,22 @@
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			newUpgradeSoak(t, uint64(seed)).run()
+			newUpgradeSoak(t, uint64(seed), "single").run()
+		})
+	}
+}
+
+func TestSoakOfLateBytes(t *testing.T) {
+	seeds, first := numberFromEnvironment(t, soakSeedsVariable, 4), numberFromEnvironment(t, soakFirstVariable, 1)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newUpgradeSoak(t, uint64(seed), []string{"single", "several"}[seed%2])
+			s.checker.random = rand.New(rand.NewPCG(uint64(seed), 2))
+			s.checker.sendsLateBytes = true
+			s.discovery.OnNotices = s.checker.replyToNotices
+			s.crowd = seed%4 == 0
+			s.run()
 		})
 	}
 }
@@ -61,6 +81,8 @@
 	random  *rand.Rand
 	checker *ruleChecker
 	drained *emulator.Endpoint // the list sometimes marks it as leaving
+	crowd   bool               // idle clients use up the connections
+	kind    string             // of the endpoints
 	socket  *os.File
 	current *adminProcess // owns the folder
 	next    *adminProcess // waits for the folder
@@ -71,8 +93,10 @@
 	keysUsed   int
 }
 
-func newUpgradeSoak(t *testing.T, seed uint64) *upgradeSoak {
-	s := &upgradeSoak{harness: newHarness(t, "single"), random: rand.New(rand.NewPCG(seed, 0)), checker: newRuleChecker()}
+// newUpgradeSoak prepares a run. A call may carry several messages if kind is "several".
+func newUpgradeSoak(t *testing.T, seed uint64, kind string) *upgradeSoak {
+	s := &upgradeSoak{harness: newHarness(t, kind), random: rand.New(rand.NewPCG(seed, 0)), checker: newRuleChecker(),
+		kind: kind}
 	s.checker.leavesUnanswered = true
 	s.endpoint.Do(s.checker.reply)
 	s.discovery.OnNotice = s.checker.recordNotice
@@ -103,6 +127,9 @@
 	for range s.random.IntN(soakClients + 1) { // without clients, no connection wakes a process that waits for one
 		clients.Go(func() { s.submitAll(end) })
 	}
+	if s.crowd {
+		clients.Go(func() { s.keepCrowd(end) })
+	}
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 1))
 	clients.Go(func() { s.changeEndpointList(random, end) })
 	for range soakUpgrades {
@@ -135,7 +162,7 @@
 // setDrainedState sets the state of the drained endpoint in the list and records it in the checker.
 func (s *upgradeSoak) setDrainedState(state string) {
 	entry := s.activeEntry("s2", 7)
-	entry.Endpoint, entry.State = s.drained.Addr, state
+	entry.Endpoint, entry.State, entry.Kind = s.drained.Addr, state, s.kind
 	s.discovery.Set(entry)
 	s.checker.setDrained(s.drained.Addr, state != "active")
 }
@@ -153,6 +180,27 @@
 	}
 }
 
+// keepCrowd keeps idle clients connected until end is closed. The forwarder closes some to make room for others.
+func (s *upgradeSoak) keepCrowd(end <-chan struct{}) {
+	crowd := make([]*emulator.Client, soakCrowd)
+	for i := 0; ; i = (i + 1) % len(crowd) {
+		if crowd[i] != nil {
+			_ = crowd[i].Close()
+		}
+		crowd[i], _ = emulator.NewClient(s.listen)
+		select {
+		case <-end:
+			for _, c := range crowd {
+				if c != nil {
+					_ = c.Close()
+				}
+			}
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
 // submitAll submits messages over one connection after another, with a new key for each connection, until end is
 // closed.
 func (s *upgradeSoak) submitAll(end <-chan struct{}) {
