respserver: a stop waits for connections that are being registered

Cause: Stop shut the engine down while the acceptor's goroutine was between Accept and opened; the stop then read a session that opened was writing, or was writing to the engine's wait group.

Fix: connections that were admitted and are not registered count as opening. Stop refuses new ones and waits for that count, 50 ms at most, before it shuts the engine down; both sides meet at Server.mu.

Test: TestStopWhileConnectionsAreOpened, under the race detector.

--- a/internal/respserver/close_test.go
+++ b/internal/respserver/close_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -197,3 +198,29 @@
 	require.NoError(t, err)
 	require.Contains(t, line, "over the limit")
 }
+
+// Guards against a data race between a connection that is being opened and the stop of the server, which closes it in
+// another goroutine. Only the race detector sees it.
+func TestStopWhileConnectionsAreOpened(t *testing.T) {
+	const servers, dialers, dials = 40, 4, 12
+	for range servers {
+		server, err := Open("127.6.0.1:0", 100, 100, Timeouts{FirstCommand: 60, Idle: 60}, make(requestQueue, 9))
+		require.NoError(t, err)
+		var dialing sync.WaitGroup
+		for range dialers {
+			dialing.Go(func() {
+				for range dials {
+					c, err := net.Dial("tcp", server.Addr())
+					if err != nil { // the server has stopped
+						return
+					}
+					defer c.Close()
+				}
+			})
+		}
+		time.Sleep(time.Millisecond)
+		server.Stop()
+		dialing.Wait()
+		require.Zero(t, server.Clients(), "a connection that has ended is still counted")
+	}
+}
--- a/internal/respserver/eviction.go
+++ b/internal/respserver/eviction.go
@@ -49,6 +49,7 @@
 	}
 	delete(s.clients, evicted) // only after the close, as StopReading waits for every connection that may still be read
 	s.clients[c] = struct{}{}
+	s.opening--
 	s.stats.Peak = max(s.stats.Peak, len(s.clients))
 	s.mu.Unlock()
 }
--- a/internal/respserver/listener.go
+++ b/internal/respserver/listener.go
@@ -31,12 +31,13 @@
 	}
 }
 
-// admit counts a new connection and reports whether it is within the hard limit.
+// admit counts a new connection and reports whether it is within the hard limit and the server has not stopped.
 func (s *Server) admit() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Accepted++
-	if len(s.clients) < s.hardLimit {
+	if len(s.clients) < s.hardLimit && !s.stopped {
+		s.opening++
 		return true
 	}
 	s.stats.Refused++
--- a/internal/respserver/server.go
+++ b/internal/respserver/server.go
@@ -40,6 +40,8 @@
 	clients        map[*Client]struct{}
 	draining       bool
 	readingStopped bool
+	stopped        bool
+	opening        int // admitted connections that are not registered yet
 	stats          transport.ConnectionStats
 }
 
@@ -48,6 +50,8 @@
 	stopTimeout          = 200 * time.Millisecond
 	closeListenerTimeout = 20 * time.Millisecond
 	sweepInterval        = 100 * time.Millisecond
+	openTimeout          = 50 * time.Millisecond // for connections that are being registered when the server stops
+	openPollInterval     = time.Millisecond
 	closeDelay           = 200 * time.Millisecond // after the last answer, to let the client read it before the close
 	maxDiscardedBytes    = 1 << 20                // limit of the input discarded after a connection's last answer
 	readBufferBytes      = 72 << 10
@@ -137,9 +141,27 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	close(s.stop)
+	s.refuseNew()
 	s.engine.Shutdown(ctx)
 }
 
+// refuseNew refuses further connections, and waits until those that were admitted before are registered. Otherwise the
+// engine could close a connection while opened registers it in another goroutine.
+func (s *Server) refuseNew() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	for start := time.Now(); s.isOpening() && time.Since(start) < openTimeout; {
+		time.Sleep(openPollInterval)
+	}
+}
+
+func (s *Server) isOpening() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opening > 0
+}
+
 // Drain closes each connection as soon as it has no unanswered command, so that clients move to other forwarders.
 func (s *Server) Drain() {
 	s.mu.Lock()
