--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -32,6 +32,8 @@
 
 var cases = map[string]play{
 	"late-connection": lateConnection,
+	"silent-agent":    silentAgent,
+	"half-commands":   halfCommands,
 }
 
 func main() {
