Review, case 3 anew: forwarders ask a returned discovery only after more than six seconds

Examined: when the list is asked for again after a request that waited at discovery and ended with 503.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x bin/spanflow ] && [ -x review/bin/drive ] || exit 2
-exec review/bin/drive half-commands "$here/record.txt"
+exec review/bin/drive crowded-discovery "$here/record.txt"
--- a/review/drive/discovery.go
+++ b/review/drive/discovery.go
@@ -35,9 +35,10 @@
 
 // verdict is how discovery treats a request for the list.
 type verdict struct {
-	status int           // 0: it is served
-	after  time.Duration // the request waits for so long
-	whole  bool          // the watch begins with the whole list, as the versions before are forgotten
+	status int             // 0: it is served
+	after  time.Duration   // the request waits for so long
+	back   <-chan struct{} // if not nil, a request that still waits when it is closed is served
+	whole  bool            // the watch begins with the whole list, as the versions before are forgotten
 }
 
 // notice is a message's end told to the platform.
@@ -167,6 +168,8 @@
 	d.stage.record("discovery: asked by %s: %s", r.RemoteAddr, r.URL.RawQuery)
 	select {
 	case <-time.After(v.after):
+	case <-v.back:
+		v.status = 0
 	case <-r.Context().Done():
 		return
 	}
--- a/review/drive/forwarder.go
+++ b/review/drive/forwarder.go
@@ -24,7 +24,6 @@
 	name      string
 	listen    string
 	discovery string
-	limits    limits
 	config    string // path of the configuration file
 	state     string // path of the folder that lasts
 
@@ -33,37 +32,20 @@
 	ended   chan struct{}
 }
 
-// limits are what a forwarder may use.
-type limits struct {
-	Cores    float64 `json:"cores"`
-	MemoryMB int     `json:"memory_mb"`
-	Sockets  int     `json:"sockets"`
-	DiskMB   int     `json:"disk_mb"`
-}
-
-var usualLimits = limits{Cores: 1, MemoryMB: 64, Sockets: 256, DiskMB: 3}
-
-// newForwarder prepares a forwarder with the usual limits, the given settings and the last known list. It does not start
-// it.
+// newForwarder prepares a forwarder with the given settings and last known list. It does not start it.
 func (s *stage) newForwarder(name, discovery string, settings map[string]any, known list) (*forwarder, error) {
-	return s.newLimitedForwarder(name, discovery, usualLimits, settings, known)
-}
-
-func (s *stage) newLimitedForwarder(
-	name, discovery string, limits limits, settings map[string]any, known list,
-) (*forwarder, error) {
 	listen, err := s.freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	f := &forwarder{stage: s, name: name, listen: listen, discovery: discovery, limits: limits,
+	f := &forwarder{stage: s, name: name, listen: listen, discovery: discovery,
 		config: s.path(name + ".json"), state: s.path(name + "-state")}
 	if err := os.Mkdir(f.state, 0o700); err != nil {
 		return nil, err
 	}
 	text, err := json.MarshalIndent(map[string]any{
 		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
-		"limits":   limits,
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 512, "disk_mb": 3},
 		"known":    known,
 		"settings": settings,
 	}, "", " ")
@@ -141,40 +123,6 @@
 	f.stage.record("%s: killed", f.name)
 }
 
-// memory returns the private memory of the running process in bytes, without files that it has mapped.
-func (f *forwarder) memory() int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.process == nil {
-		return 0
-	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), "RssAnon:")
-	var kilobytes int64
-	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
-		return 0
-	}
-	return kilobytes << 10
-}
-
-// hasEnded reports whether the process that was started last has ended by itself.
-func (f *forwarder) hasEnded() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.process == nil {
-		return false
-	}
-	select {
-	case <-f.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // log returns what the forwarder's processes have written to their standard output and error.
 func (f *forwarder) log() string {
 	text, _ := os.ReadFile(f.stage.path(f.name + ".log"))
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -31,9 +31,9 @@
 type play func(s *stage) (violations int, err error)
 
 var cases = map[string]play{
-	"late-connection": lateConnection,
-	"silent-agent":    silentAgent,
-	"half-commands":   halfCommands,
+	"late-connection":   lateConnection,
+	"silent-agent":      silentAgent,
+	"crowded-discovery": crowdedDiscovery,
 }
 
 func main() {
