--- a/review/drive/forwarder.go
+++ b/review/drive/forwarder.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -99,17 +98,6 @@
 	return err == nil && reply == "+PONG"
 }
 
-// signal sends a signal to the running process.
-func (f *forwarder) signal(signal syscall.Signal) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.process == nil {
-		return nil
-	}
-	f.stage.record("%s: %v", f.name, signal)
-	return f.process.Process.Signal(signal)
-}
-
 // kill ends the running process with SIGKILL and waits for its end.
 func (f *forwarder) kill() {
 	f.mu.Lock()
