--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -67,14 +67,11 @@
 	if endpoint.state == Removed && update.State == Ready && s.now > s.startedAt {
 		endpoint.notBefore = s.now + s.random.uniform()*newEndpointSpread
 	}
-	s.markUpdated(destination)
-	if update.State != Ready && len(endpoint.calls) > 0 {
-		s.cancelUnsent = append(s.cancelUnsent, endpoint)
-	}
 	if update.WarmingUp && update.State == Ready {
 		s.beginSlowStart(endpoint, s.now)
 	}
-	endpoint.zone, endpoint.state = update.Zone, update.State
+	endpoint.zone = update.Zone
+	s.setState(endpoint, update.State)
 	destination.batchSize, destination.kind = 1, update.Kind
 	if update.Kind < len(s.settings.KindBatchSize) {
 		destination.batchSize = max(1, s.settings.KindBatchSize[update.Kind])
@@ -99,13 +96,22 @@
 	for _, destination := range s.destinations {
 		for _, endpoint := range destination.endpoints {
 			if !named[endpoint] {
-				endpoint.state = Removed
-				s.markUpdated(destination)
+				s.setState(endpoint, Removed)
 			}
 		}
 	}
 }
 
+// setState changes the state of an endpoint. If the endpoint is no longer ready, its calls that are not sent yet are
+// cancelled: its address may soon belong to an endpoint of another destination.
+func (s *Scheduler) setState(endpoint *Endpoint, state EndpointState) {
+	endpoint.state = state
+	s.markUpdated(endpoint.destination)
+	if state != Ready && len(endpoint.calls) > 0 {
+		s.cancelUnsent = append(s.cancelUnsent, endpoint)
+	}
+}
+
 // releaseRemoved releases removed endpoints once no call to them is in flight. Without it, the number of endpoints
 // would keep growing, as new ones are listed all day.
 func (s *Scheduler) releaseRemoved(destination *Destination) {
