forwarder: unsent calls to an endpoint's former address or destination are cancelled

What callers would see: where the list gives a uid another address, calls whose connections come up late were still sent to the former one; where it gives a uid another destination, the scheduler kept the endpoint in the former destination, so that messages for that one were sent to the other's endpoint for good.

Cause: trackEndpoint overwrote the address without a word to the scheduler; updateEndpoint reads the destination of an update only when it first sees the endpoint.

Change: an update says that the address has changed (EndpointUpdate.Readdressed), and the scheduler cancels unsent calls; health and Retry-After stay, as the uid is the same. An endpoint that moves to another destination is removed there, with a warning in the log, and added anew.

--- a/forwarder/endpoint_end_test.go
+++ b/forwarder/endpoint_end_test.go
@@ -32,19 +32,25 @@
 	}
 	leaving := changed(func(e *transport.Endpoint) { e.State = stateLeaving })
 	left := transport.Endpoint{UID: "a", State: stateLeft}
+	readdressed := changed(func(e *transport.Endpoint) { e.Address = "127.0.0.1:3" })
+	moved := changed(func(e *transport.Endpoint) { e.Destination = 2 })
 	apply := func(complete bool, endpoints ...transport.Endpoint) func(*eventLoop) {
 		return func(loop *eventLoop) {
 			loop.handle(endpointsUpdated{&transport.EndpointList{Revision: 2, Complete: complete, Endpoints: endpoints}})
 		}
 	}
 	for name, end := range map[string]func(*eventLoop){
-		"missing from a complete list": apply(true, other),
-		"leaving in a complete list":   apply(true, leaving, other),
-		"leaving by a change":          apply(false, leaving),
-		"left by a change":             apply(false, left),
-		"removed by a reload":          reloadWith(other),
-		"detached by an operator":      detach,
-		"detached during an upgrade":   detachBySpool,
+		"missing from a complete list":  apply(true, other),
+		"leaving in a complete list":    apply(true, leaving, other),
+		"leaving by a change":           apply(false, leaving),
+		"left by a change":              apply(false, left),
+		"other address by a change":     apply(false, readdressed),
+		"other address in a list":       apply(true, readdressed, other),
+		"other destination by a change": apply(false, moved),
+		"other destination in a list":   apply(true, moved, other),
+		"removed by a reload":           reloadWith(other),
+		"detached by an operator":       detach,
+		"detached during an upgrade":    detachBySpool,
 	} {
 		t.Run(name, func(t *testing.T) {
 			config := &Config{Folder: t.TempDir(), InheritedListener: 3, Scheduler: scheduler.Settings{
@@ -97,3 +103,28 @@
 		}
 	}
 }
+
+// Guards against calls to the former destination of an endpoint whose uid the list gives to another destination.
+func TestEndpointThatMovesToAnotherDestinationIsReplaced(t *testing.T) {
+	for _, complete := range []bool{false, true} {
+		loop := newEndpointLoop()
+		apply := func(revision int64, complete bool, destination uint64, state string) *trackedEndpoint {
+			endpoint := transport.Endpoint{UID: "a", Address: "127.0.0.1:1", Destination: destination, State: state}
+			list := &transport.EndpointList{Revision: revision, Complete: complete, Endpoints: []transport.Endpoint{endpoint}}
+			loop.updateEndpoints(list, list.Complete)
+			loop.scheduler.Reconcile()
+			return loop.endpoints.byUID["a"]
+		}
+		first := apply(1, true, 1, stateActive)
+		require.Same(t, first, apply(2, complete, 1, stateLeaving), "only the state differs")
+		moved := apply(3, complete, 2, stateActive)
+		require.NotSame(t, first, moved)
+		require.EqualValues(t, 2, moved.destination)
+		require.False(t, first.isListed())
+		loop.ReleaseEndpoint(first.scheduled)
+		require.Same(t, moved, apply(4, complete, 2, stateLeaving), "the release of the former one did not remove it")
+		require.Empty(t, loop.endpoints.removedUIDs)
+		apply(5, complete, 0, stateLeft)
+		require.False(t, moved.isListed())
+	}
+}
--- a/forwarder/endpoints.go
+++ b/forwarder/endpoints.go
@@ -67,7 +67,9 @@
 func (table *endpointTable) remove(number uint64) {
 	if t := table.byNumber[number]; t != nil {
 		delete(table.byNumber, number)
-		delete(table.byUID, t.uid)
+		if table.byUID[t.uid] == t {
+			delete(table.byUID, t.uid)
+		}
 	}
 }
 
@@ -76,7 +78,11 @@
 	loop.discovery.revision = list.Revision
 	updates := make([]scheduler.EndpointUpdate, 0, len(list.Endpoints))
 	for i := range list.Endpoints {
-		if update, known := loop.endpointUpdate(&list.Endpoints[i]); known {
+		entry := &list.Endpoints[i]
+		if removal, moved := loop.removeMoved(entry); moved {
+			updates = append(updates, removal)
+		}
+		if update, known := loop.endpointUpdate(entry); known {
 			updates = append(updates, update)
 		}
 	}
@@ -106,11 +112,25 @@
 	}
 }
 
+// removeMoved removes the endpoint of an entry that names another destination for it, and returns the removal for the
+// scheduler. The entry then adds a new endpoint: calls to the former one must not count for the new destination.
+func (loop *eventLoop) removeMoved(e *transport.Endpoint) (removal scheduler.EndpointUpdate, moved bool) {
+	t := loop.endpoints.byUID[e.UID]
+	if t == nil || e.State == stateLeft || e.Destination == t.destination {
+		return scheduler.EndpointUpdate{}, false
+	}
+	loop.telemetry.log.Warn().Str("endpoint", t.uid).Uint64("from", t.destination).Uint64("to", e.Destination).
+		Msg("endpoint moved to another destination")
+	delete(loop.endpoints.byUID, t.uid)
+	t.update.State = scheduler.Removed
+	return t.update, true
+}
+
 // endpointUpdate converts an entry of the list to an update for the scheduler. known is false for an endpoint that has
 // left and was not known before.
 func (loop *eventLoop) endpointUpdate(e *transport.Endpoint) (update scheduler.EndpointUpdate, known bool) {
 	kind := index(loop.config.Names.Kinds, e.Kind)
-	t := loop.trackEndpoint(e, kind)
+	t, readdressed := loop.trackEndpoint(e, kind)
 	if t == nil {
 		loop.endpoints.recordRemoval(e.UID)
 		return scheduler.EndpointUpdate{}, false
@@ -123,6 +143,7 @@
 		Zone:        t.zone,
 		Rate:        e.Rate,
 		State:       loop.endpointState(e),
+		Readdressed: readdressed,
 	}
 	if t.isListed() != wasListed {
 		loop.endpoints.recordListing(t)
@@ -132,24 +153,25 @@
 	return update, true
 }
 
-// trackEndpoint updates or adds the endpoint of an entry of the list. It returns nil for an endpoint that has left and
-// was not known before. kind is the number of the entry's kind.
-func (loop *eventLoop) trackEndpoint(e *transport.Endpoint, kind int) *trackedEndpoint {
-	t := loop.endpoints.byUID[e.UID]
+// trackEndpoint updates or adds the endpoint of an entry of the list, and reports whether its address changed. It
+// returns nil for an endpoint that has left and was not known before. kind is the number of the entry's kind.
+func (loop *eventLoop) trackEndpoint(e *transport.Endpoint, kind int) (t *trackedEndpoint, readdressed bool) {
+	t = loop.endpoints.byUID[e.UID]
 	if t == nil {
 		if e.State == stateLeft {
-			return nil
+			return nil, false
 		}
 		t = loop.endpoints.add(e, loop.upstreamOf(e.Kind))
 	}
 	t.zone, t.batchSize = index(loop.config.Names.Zones, e.Zone), 1
 	if e.Address != "" {
+		readdressed = t.address != "" && t.address != e.Address
 		t.address = e.Address
 	}
 	if kind < len(loop.config.Scheduler.KindBatchSize) {
 		t.batchSize = max(1, loop.config.Scheduler.KindBatchSize[kind])
 	}
-	return t
+	return t, readdressed
 }
 
 // endpointState converts an endpoint's state in the list. An unknown state counts as draining: calls in flight may end,
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -72,6 +72,9 @@
 	}
 	endpoint.zone = update.Zone
 	s.setState(endpoint, update.State)
+	if update.Readdressed {
+		s.cancelUnsentCalls(endpoint)
+	}
 	destination.batchSize, destination.kind = 1, update.Kind
 	if update.Kind < len(s.settings.KindBatchSize) {
 		destination.batchSize = max(1, s.settings.KindBatchSize[update.Kind])
@@ -107,7 +110,13 @@
 func (s *Scheduler) setState(endpoint *Endpoint, state EndpointState) {
 	endpoint.state = state
 	s.markUpdated(endpoint.destination)
-	if state != Ready && len(endpoint.calls) > 0 {
+	if state != Ready {
+		s.cancelUnsentCalls(endpoint)
+	}
+}
+
+func (s *Scheduler) cancelUnsentCalls(endpoint *Endpoint) {
+	if len(endpoint.calls) > 0 {
 		s.cancelUnsent = append(s.cancelUnsent, endpoint)
 	}
 }
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -87,6 +87,7 @@
 	Zone        int     // zone of the endpoint
 	Rate        float64 // calls per second that the destination can take; 0 means unknown
 	State       EndpointState
+	Readdressed bool // the endpoint's address has changed; calls not sent yet would go to the former one
 	WarmingUp   bool // the endpoint was restarted and is ready again; it gets a slow start, as after an outage
 }
 
