forwarder: the end of a process cancels calls that are not sent yet

What callers would see: behind the last turn of the event loop nobody reads changes of the list, but until the process has ended (half a second, with slow files) a connection that came up still carried its call. And an at-most-once message whose call was only connecting counted as one that may have run: the next process had to fail it.

Cause: answerRemaining left all calls as they were. Change: the scheduler's CancelUnsentCalls, before the last turns; their results are recorded as not sent in one more turn. Test: TestStopCancelsUnsentCalls failed before (the attempt was still on record), with a control whose call was sent and stays on record.

--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -200,12 +200,19 @@
 
 // manualUpstream is an upstream whose calls the test ends.
 type manualUpstream struct {
-	listener transport.ResultListener
-	calls    chan *transport.Call
+	listener   transport.ResultListener
+	calls      chan *transport.Call
+	connecting bool // no connection is established, so that CancelUnsent ends all calls
 }
 
 func (u *manualUpstream) Send(c *transport.Call) { u.calls <- c }
-func (*manualUpstream) CancelUnsent(uint64)      {}
+
+// CancelUnsent ends all calls that the test has not taken yet if their connections are not established.
+func (u *manualUpstream) CancelUnsent(uint64) {
+	for u.connecting && len(u.calls) > 0 {
+		u.finish(<-u.calls, transport.ResultCancelled)
+	}
+}
 
 // finish ends a call with one code for all its messages.
 func (u *manualUpstream) finish(c *transport.Call, code transport.ResultCode) {
--- a/forwarder/shutdown.go
+++ b/forwarder/shutdown.go
@@ -131,17 +131,18 @@
 }
 
 // answerRemaining answers the requests that were read after the last turn, so that no command is read and then lost
-// with the process. Commands that were not read are sent again by their clients. No new call begins.
+// with the process. Commands that were not read are sent again by their clients. No new call begins, and calls that are
+// not sent yet are cancelled.
 func (loop *eventLoop) answerRemaining() {
 	loop.queue.close() // unblocks frontends in Submit, so that they can stop reading
 	for _, l := range append(slices.Clone(loop.frontends.open), loop.frontends.draining...) {
 		l.StopReading()
 	}
 	loop.queue.push(stopRequested(0))
-	for {
+	loop.scheduler.CancelUnsentCalls()
+	loop.turn()
+	for loop.queue.requestsWaiting() {
 		loop.turn()
-		if !loop.queue.requestsWaiting() {
-			return
-		}
 	}
+	loop.turn() // the results of the cancelled calls, which are recorded as not sent
 }
--- a/forwarder/shutdown_test.go
+++ b/forwarder/shutdown_test.go
@@ -89,3 +89,25 @@
 		return err == nil && strings.Contains(string(text), "\n7 ")
 	}, 15*time.Second, 10*time.Millisecond)
 }
+
+// Guards against calls whose connections come up after the last turn: they would be sent although changes of the list are no
+// longer read, and the next process would have to assume that their messages have run.
+func TestStopCancelsUnsentCalls(t *testing.T) {
+	for _, connecting := range []bool{true, false} {
+		f := newFixture(t)
+		f.upstream.connecting = connecting
+		f.start()
+		answer, err := f.client().Put("0000000000000000", "a", "c=payment,d=20000,dest=7", "body")
+		require.NoError(t, err)
+		require.Equal(t, "+OK", answer)
+		require.Eventually(t, func() bool { return len(f.upstream.calls) == 1 }, 5*time.Second, time.Millisecond)
+		f.stop()
+		walLog, err := wal.Open(f.config.Folder, 3_000_000)
+		require.NoError(t, err)
+		pending := walLog.Pending()
+		require.NoError(t, walLog.Close())
+		require.Len(t, pending, 1)
+		require.Equal(t, connecting, pending[0].AttemptStartedAt == 0, "connecting %v", connecting)
+		require.Zero(t, pending[0].FirstRanAt, "what was in flight is counted by the next process")
+	}
+}
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// CancelUnsentCalls makes the next Reconcile cancel all calls that are not sent yet. It is called when the process ends:
+// such a call must not be sent when nobody follows the endpoint list any more, and the next process may begin it anew.
+func (s *Scheduler) CancelUnsentCalls() {
+	for _, destination := range s.destinations {
+		for _, endpoint := range destination.endpoints {
+			s.cancelUnsentCalls(endpoint)
+		}
+	}
+}
+
+// cancelUnsentCalls makes the next Reconcile cancel the calls to an endpoint that are not sent yet.
 func (s *Scheduler) cancelUnsentCalls(endpoint *Endpoint) {
 	if len(endpoint.calls) > 0 {
 		s.cancelUnsent = append(s.cancelUnsent, endpoint)
