--- a/cmd/spanflow/harness_test.go
+++ b/cmd/spanflow/harness_test.go
@@ -36,6 +36,7 @@
 	logLatenciesIgnored  = "learned latencies ignored"
 	logRecoveryDone      = `"message":"recovered messages settled"`
 	logDrainChanged      = `"message":"endpoint drained or restored"`
+	logAgentListReceived = `"message":"endpoint list of the agent received, calls begin"`
 )
 
 var (
@@ -76,6 +77,7 @@
 	diskMB        int
 	sockets       int
 	replacements  []string          // pairs of a text in the settings and its replacement
+	knownList     []byte            // the last known list in the configuration; nil means discovery's current one
 	listenSocket  *os.File          // the clients' socket if forwarders inherit it
 	process       *emulator.Process // the process started last
 }
@@ -104,13 +106,17 @@
 // environment writes the configuration file and returns the environment variables that the platform sets.
 func (h *harness) environment() []string {
 	replaced := strings.NewReplacer(h.replacements...).Replace(fmt.Sprintf(settings, h.queueCapacity))
+	known := h.knownList
+	if known == nil {
+		known = h.discovery.Known()
+	}
 	config, err := json.Marshal(map[string]any{
 		"name":      "n1",
 		"listen":    "127.0.0.1:0",
 		"discovery": h.discovery.Addr,
 		"seed":      "8c1f30d27a5be964",
 		"limits":    map[string]any{"cores": 1, "memory_mb": 192, "sockets": h.sockets, "disk_mb": h.diskMB},
-		"known":     json.RawMessage(h.discovery.Known()),
+		"known":     json.RawMessage(known),
 		"settings":  json.RawMessage(replaced),
 	})
 	require.NoError(h.t, err)
--- a/forwarder/discovery.go
+++ b/forwarder/discovery.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// handleEndpointList applies an endpoint list from its source.
+func (loop *eventLoop) handleEndpointList(list *transport.EndpointList) {
+	awaited := loop.scheduler.AwaitsList()
+	loop.discovery.listReceived = true
+	loop.updateEndpoints(list, list.Complete)
+	if awaited && !loop.scheduler.AwaitsList() {
+		loop.telemetry.log.Info().Dur("waited_ms", time.Since(loop.epoch)).Int64("revision", list.Revision).
+			Int("held", len(loop.messages.byNumber)).Msg("endpoint list of the agent received, calls begin")
+	}
+}
+
 // handleWatchEnd informs the scheduler that changes to the list no longer arrive.
 func (loop *eventLoop) handleWatchEnd(end watchEnded) {
 	loop.telemetry.log.Warn().Str("reason", end.reason).Msg("watch ended")
--- a/forwarder/event_loop.go
+++ b/forwarder/event_loop.go
@@ -89,8 +89,7 @@
 	case callEnded:
 		loop.handleCallResult(&ev.CallResult)
 	case endpointsUpdated:
-		loop.discovery.listReceived = true
-		loop.updateEndpoints(ev.EndpointList, ev.Complete)
+		loop.handleEndpointList(ev.EndpointList)
 	case watchEnded:
 		loop.handleWatchEnd(ev)
 	case noticesUnanswered:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -194,6 +194,9 @@
 	if loop.telemetry.recording {
 		e = e.Str("metrics", loop.telemetry.recorder.Addr())
 	}
+	if loop.scheduler.AwaitsList() {
+		e = e.Bool("awaits_agents_list", true)
+	}
 	e.Int("recovered", loop.telemetry.counts.recovered).Int("dropped_records", loop.wal.DroppedRecords).
 		Int("targets", len(loop.endpoints.byNumber)).Msg("ready")
 }
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -33,7 +33,7 @@
 // seconds.
 func (s *Scheduler) schedulePoll(failures *int, maxWait float64) {
 	wait := math.Min(math.Max(minPollWait, s.pollSpread())*math.Pow(2, float64(*failures)), maxWait)
-	*failures, s.listStale = min(*failures+1, maxPollDoublings), false
+	*failures = min(*failures+1, maxPollDoublings)
 	s.nextPoll = s.now + wait*(minPollSpread+s.random.uniform())
 }
 
@@ -60,11 +60,19 @@
 // discovery has to answer more polls at the same time.
 func (s *Scheduler) ContinueWatch() { s.maxFirstPoll = successorPollSpread }
 
+// AwaitsList reports whether no call begins because the local agent has not sent its list to this process yet. What the
+// agent has counts as known to the forwarder from its start. While the agent is silent the forwarder cannot tell whether
+// its last known list is that of the agent: it may have missed changes before it started.
+//
+// Trade-off: no call goes to an endpoint that has left, but after a restart during an outage of discovery, messages wait
+// until the agent speaks.
+func (s *Scheduler) AwaitsList() bool { return s.awaitingList }
+
 // recordListArrival records that the endpoint list arrived. A list that arrives at the start is only the last known
-// one: it remains stale, and the first poll may wait.
+// one: that of the agent is still awaited, and the first poll may wait.
 func (s *Scheduler) recordListArrival(hasEndpoints bool) {
 	atStart := s.now == s.startedAt
-	s.failedPolls, s.failedWatches, s.listStale = 0, 0, s.listStale && atStart
+	s.failedPolls, s.failedWatches, s.awaitingList = 0, 0, s.awaitingList && atStart
 	if atStart && s.nextPoll == s.now && hasEndpoints {
 		s.nextPoll += math.Min(s.pollSpread(), s.maxFirstPoll) * s.random.uniform()
 	}
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -95,13 +95,39 @@
 	h.advance(1)
 	require.Empty(t, h.sent)
 
-	h = newHarness(settings)
-	d = h.addDestination(0, 0)
-	h.accept(d, status, 0)
-	h.advance(0.02)
-	h.PollTimedOut() // discovery is down, and the agent has no list either
-	h.advance(0.02)
-	require.Len(t, h.sent, 1)
+}
+
+// Guards against review case 2: a process that was started during an outage of discovery went by its last known list after
+// the first failed poll, although its agent had a newer one, and called an address that belonged to another destination.
+func TestNoCallBeforeAgentsListDespiteOtherEvents(t *testing.T) {
+	settings := durableSettings()
+	settings.PollEndpoints, settings.LocalAgent, settings.Forwarders = true, true, 300
+	for name, event := range map[string]func(*harness, *Destination){
+		"poll timed out": func(h *harness, _ *Destination) { h.PollTimedOut() },
+		"watch broken":   func(h *harness, _ *Destination) { h.WatchBroken() },
+		"watch silent":   func(h *harness, _ *Destination) { h.WatchSilent() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(settings)
+			d, other := h.addDestination(0, 0), h.addDestination(0, 0)
+			h.accept(d, status, 0)
+			h.reconcile()
+			for range 20 {
+				h.advance(0.4)
+				event(h, other)
+			}
+			h.advance(0.4)
+			require.Empty(t, h.sent)
+			require.Empty(t, h.answers, "the message is held as long as there is time")
+			require.True(t, h.AwaitsList())
+			replacement := &Endpoint{ID: 9}
+			h.UpdateEndpoints(true, []EndpointUpdate{{Endpoint: replacement, Destination: d, State: Ready}})
+			h.advance(newEndpointSpread + 0.1)
+			require.False(t, h.AwaitsList())
+			require.Len(t, h.sent, 1)
+			require.Same(t, replacement, h.sent[0].endpoint)
+		})
+	}
 }
 
 func TestPollsAgentWithoutBackoff(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,12 +3,11 @@
 //
 // The adapter is the program around a Scheduler: it reports events to the scheduler and implements Host. To process
 // everything that happened up to one moment, it calls SetTime, then one method for each event in the order of arrival
-// (PauseKeys, ContinueWatch, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent, Accept, Recover, LoadStored,
-// AnswerWithoutCall, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop, CancelUnsentCalls), and finally
-// Reconcile once. The
-// event methods only update the state. Reconcile makes the decisions and calls the Host to carry them out. Before
-// Accept, the adapter calls Admit to learn whether a message may be accepted. A Scheduler, and everything that was
-// passed to it, must be used by one goroutine only.
+// (PauseKeys, ContinueWatch, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent, Accept, Recover,
+// LoadStored, AnswerWithoutCall, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop, CancelUnsentCalls), and
+// finally Reconcile once. The event methods only update the state. Reconcile makes the decisions and calls the Host to
+// carry them out. Before Accept, the adapter calls Admit to learn whether a message may be accepted. A Scheduler, and
+// everything that was passed to it, must be used by one goroutine only.
 //
 // Times are seconds on the adapter's clock. Rates are calls per second unless they are said to be of messages. The
 // request path is described in docs/design.md. Each concern has a file:
@@ -68,7 +67,7 @@
 
 	maxFirstPoll  float64 // longest random delay of the first poll, in seconds
 	nextPoll      float64 // when to request the endpoint list; infinite while it is being watched
-	listStale     bool    // the current list counts as known to the forwarder, but has not arrived yet
+	awaitingList  bool    // the local agent has not sent its list to this process yet, so no call begins
 	failedPolls   int     // consecutive failed polls
 	failedWatches int     // the same for failures that are not due to the load of discovery
 }
@@ -82,7 +81,7 @@
 	if settings.PollEndpoints {
 		s.nextPoll = now
 	}
-	s.listStale = settings.LocalAgent
+	s.awaitingList = settings.LocalAgent
 	if s.settings.PollWithin <= 0 {
 		s.settings.PollWithin = math.Inf(1)
 	}
