scheduler: an operator's detach is not taken for the agent's list

What callers saw: with an agent that is only slow after a restart, all calls are held back until its list comes; when an operator detached any endpoint meanwhile, they went to the endpoints of the old list at once.

Cause: drainOrRestore passed the detached endpoint to UpdateEndpoints, whose recordListArrival takes every update after the start for news from discovery. It also reset the count of failed polls. Change: OverrideEndpoint applies the state of one endpoint and nothing else; UpdateEndpoints is left to lists. The other callers of UpdateEndpoints were gone through: the last known list at the start (told apart by its time), lists of discovery and of the configuration; spooled commands of an upgrade go through drainOrRestore.

Tests: the rows "endpoint drained" of TestNoCallBeforeAgentsListDespiteOtherEvents and "operator drains another endpoint" of TestRestartWhileAgentIsSilentSendsNothing; both failed with UpdateEndpoints in place of OverrideEndpoint.

--- a/cmd/spanflow/agent_test.go
+++ b/cmd/spanflow/agent_test.go
@@ -46,6 +46,10 @@
 func TestRestartWhileAgentIsSilentSendsNothing(t *testing.T) {
 	for name, operator := range map[string]func(*adminProcess) int{
 		"no operator": nil,
+		"operator drains another endpoint": func(p *adminProcess) int {
+			status, _ := callAdmin(t, p.admin, "POST", "/_targets/detach?name=s0")
+			return status
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/forwarder/operators.go
+++ b/forwarder/operators.go
@@ -7,7 +7,6 @@
 	"spanflow/internal/admin"
 	"spanflow/internal/drains"
 	"spanflow/internal/statefile"
-	"spanflow/scheduler"
 )
 
 // operatorState holds the state that operators have set and the source of their requests.
@@ -106,7 +105,7 @@
 		update.State = loop.operators.drains.State(t.uid, update.State)
 		update.WarmingUp = change == drains.Restored
 		// This takes effect before this turn's Reconcile, so no new call is sent to a drained endpoint.
-		loop.scheduler.UpdateEndpoints(false, []scheduler.EndpointUpdate{update})
+		loop.scheduler.OverrideEndpoint(update)
 	}
 	return drainResponse(r, result)
 }
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// OverrideEndpoint applies a state that operators have given to a listed endpoint. Unlike UpdateEndpoints, it does not
+// mean that the endpoint list has arrived.
+func (s *Scheduler) OverrideEndpoint(update EndpointUpdate) { s.updateEndpoint(&update) }
+
 func (s *Scheduler) updateEndpoint(update *EndpointUpdate) {
 	endpoint, destination := update.Endpoint, update.Destination
 	if endpoint.destination == nil {
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -106,6 +106,9 @@
 		"poll timed out": func(h *harness, _ *Destination) { h.PollTimedOut() },
 		"watch broken":   func(h *harness, _ *Destination) { h.WatchBroken() },
 		"watch silent":   func(h *harness, _ *Destination) { h.WatchSilent() },
+		"endpoint drained": func(h *harness, other *Destination) {
+			h.OverrideEndpoint(EndpointUpdate{Endpoint: other.endpoints[0], Destination: other, State: Draining})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(settings)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,7 +3,7 @@
 //
 // The adapter is the program around a Scheduler: it reports events to the scheduler and implements Host. To process
 // everything that happened up to one moment, it calls SetTime, then one method for each event in the order of arrival
-// (PauseKeys, ContinueWatch, UpdateEndpoints, PollTimedOut, WatchBroken, WatchSilent, Accept, Recover,
+// (PauseKeys, ContinueWatch, UpdateEndpoints, OverrideEndpoint, PollTimedOut, WatchBroken, WatchSilent, Accept, Recover,
 // LoadStored, AnswerWithoutCall, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop, CancelUnsentCalls), and
 // finally Reconcile once. The event methods only update the state. Reconcile makes the decisions and calls the Host to
 // carry them out. Before Accept, the adapter calls Admit to learn whether a message may be accepted. A Scheduler, and
