discovery: an empty first line on a watch confirms the list that was asked from

What callers would see: an agent with nothing new need not send an object ("The first object holds what changed after that version"; "An empty line comes every 2 s while nothing changes"). A restarted forwarder would then have held all calls until its list changed; before, until a poll failed.

Cause: the watch handed on objects only. Change: an empty first line is handed on as a change of nothing at the revision that was asked from. TestWatchReportsChangesAndEnd begins with such a line and now asks for its report as well.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -146,6 +146,8 @@
 			if err := w.update(object); err != nil {
 				return err
 			}
+		} else if !w.received { // nothing has changed since the requested revision
+			w.client.listener.EndpointsUpdated(&transport.EndpointList{Revision: w.revision})
 		}
 		w.received = true
 		w.expectLine(silenceTimeout) // only a complete line restarts the timer, not bytes that trickle in
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -22,12 +22,25 @@
 	require.Contains(t, request, "GET /v1/endpoints?stream=1&index=41 HTTP/1.1\r\n")
 	conn.Write([]byte(answerChunked + "1\r\n\n\r\n" + "1a\r\n{\"rev\":43,\"all\":false,\"tar\r\n"))
 	conn.Write([]byte("2d\r\ngets\":[{\"uid\":\"s1\",\"state\":\"left\"}]}\n{\"rev\":\r\n"))
+	require.Equal(t, transport.EndpointList{Revision: 41}, *peertest.Next(t, h.lists), "the empty line: no change yet")
 	list := peertest.Next(t, h.lists)
 	require.Equal(t, transport.EndpointList{Revision: 43, Endpoints: []transport.Endpoint{{UID: "s1", State: "left"}}}, *list)
 	conn.Close()
 	h.nextReason(t)
 }
 
+// Only the first line of a watch tells whether the list has changed since the requested revision.
+func TestOnlyFirstEmptyLineConfirmsRevision(t *testing.T) {
+	h := newHarness(t)
+	h.Watch(41)
+	conn, _ := h.peer.Accept(t)
+	conn.Write([]byte(answerUnsized + "\n\n\n" + `{"rev":42,"all":false,"targets":[]}` + "\n\n"))
+	require.Equal(t, []int64{41, 42}, []int64{h.nextRevision(t), h.nextRevision(t)})
+	conn.Close()
+	h.nextReason(t)
+	require.Empty(t, h.lists)
+}
+
 func TestMalformedObjectEndsWatchWithoutUpdate(t *testing.T) {
 	h := newHarness(t)
 	h.Watch(1)
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -42,6 +42,9 @@
 	// CopyAfter, if not 0, is the time after which everything that was written on a watch is written once more. Set before
 	// the first watch.
 	CopyAfter time.Duration
+	// OnlyHeartbeats makes discovery answer a watch with empty lines alone, as if the list had not changed since the
+	// requested revision. Set before the first watch.
+	OnlyHeartbeats bool
 
 	mu              sync.Mutex
 	revision        int
@@ -128,6 +131,9 @@
 		_, _ = w.Write(list)
 		return
 	}
+	if d.OnlyHeartbeats {
+		list = nil
+	}
 	for {
 		if d.isListUnavailable() {
 			panic(http.ErrAbortHandler) // ends the connection without an answer
