scheduler: first polls are spread over five seconds at most, also without a stated time

What callers would see: after a start, messages go by the last known list until the first poll. Its delay was bounded by half of PollWithin alone: 15 s where the settings state 30 s, and 75 s for 300 forwarders where they state none, against six seconds. Change: pollSpread is at most 5 s. Test: TestFirstPollComesWithinNoticeTerm failed before (300 forwarders, no stated time). The waits of the other ends were gone through: behind a silent watch 3 s and up to 1 s, a broken one up to 3.5 s, a successor's first poll 2 s.

--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -12,6 +12,7 @@
 	minPollWait             = 1   // seconds to wait before the next poll, without doubling and random part
 	minPollSpread           = 0.3 // a wait is multiplied by a random factor from 0.3 to 1.3
 	maxPollSpreadDivisor    = 2   // polls are spread over at most PollWithin divided by this
+	maxPollSpread           = 5.0 // seconds over which polls are spread at most
 	successorPollSpread     = 2   // longest delay in seconds of the first poll after an upgrade
 )
 
@@ -68,12 +69,14 @@
 }
 
 // pollSpread returns the number of seconds over which polls of all forwarders are spread, because the forwarders of a
-// fleet are started, or lose discovery, at the same moment. It is at most half of PollWithin.
+// fleet are started, or lose discovery, at the same moment. It is at most half of PollWithin, and leaves a part of
+// noticeTerm for the answer.
 func (s *Scheduler) pollSpread() float64 {
 	if s.settings.LocalAgent { // no other forwarder polls it
 		return 0
 	}
-	return math.Min(float64(s.settings.Forwarders-1)/fleetPollRate, s.settings.PollWithin/maxPollSpreadDivisor)
+	longest := math.Min(s.settings.PollWithin/maxPollSpreadDivisor, maxPollSpread)
+	return math.Min(float64(s.settings.Forwarders-1)/fleetPollRate, longest)
 }
 
 // ContinueWatch reports, before the first list, that the predecessor of this process watched the list until now.
--- a/scheduler/discovery_test.go
+++ b/scheduler/discovery_test.go
@@ -104,6 +104,24 @@
 	}
 }
 
+// Guards against a first poll that comes later than the time after which changes count as known: without a stated
+// PollWithin, 300 forwarders spread their first polls over 75 seconds.
+func TestFirstPollComesWithinNoticeTerm(t *testing.T) {
+	const answerTime = 0.9
+	for _, pollWithin := range []float64{0, 3, 10, 60} {
+		for _, forwarders := range []int{1, 3, 24, 300, 900} {
+			settings := testSettings
+			settings.PollEndpoints, settings.PollWithin, settings.Forwarders = true, pollWithin, forwarders
+			for seed := range uint64(20) {
+				h := newSeededHarness(settings, seed)
+				h.addDestination(0, 0) // the last known list
+				h.advance(noticeTerm - answerTime)
+				require.Equal(t, 1, h.polls, "%d forwarders, PollWithin %v", forwarders, pollWithin)
+			}
+		}
+	}
+}
+
 // Polls that time out are repeated at a fixed distance after the first random wait, so that discovery's queue does not get
 // longer.
 func TestPollsThatTimeOutKeepTheirDistance(t *testing.T) {
