--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -86,6 +87,16 @@
 	d.changed = make(chan struct{})
 }
 
+// Remove takes the entry with a UID off the list.
+func (d *Discovery) Remove(uid string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	d.entries = slices.DeleteFunc(d.entries, func(e Entry) bool { return e.UID == uid })
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 // SetUnresponsive with true makes discovery close the connection of each notice without an answer; with false it
 // answers notices again.
 func (d *Discovery) SetUnresponsive(on bool) {
