--- a/scheduler/discovery_test.go
+++ b/scheduler/discovery_test.go
@@ -18,51 +18,6 @@
 	require.Equal(t, 2, h.polls)
 }
 
-// Guards against an overload of discovery by the polls of a fleet. Thirty-six forwarders start at once. Discovery
-// serves six polls per second in the order of arrival, but each poll times out after two seconds, so the work on it is
-// wasted. If forwarders polled again within a second, most would never be served. As they wait longer after each
-// failure, each is served within half a minute.
-func TestFleetOfPollingForwardersIsServed(t *testing.T) {
-	settings := testSettings
-	settings.PollEndpoints, settings.PollWithin, settings.Forwarders = true, 10, 36
-	type poll struct {
-		forwarder *harness
-		arrivedAt float64
-	}
-	var fleet []*harness
-	var queue []poll
-	queuedPolls, served := map[*harness]int{}, map[*harness]bool{}
-	for seed := range settings.Forwarders {
-		h := newSeededHarness(settings, uint64(seed))
-		h.addDestination(0, 0)
-		fleet = append(fleet, h)
-	}
-	updates := []EndpointUpdate{}
-	for tick := range 1500 {
-		now := 100 + float64(tick)*0.02
-		for _, h := range fleet {
-			h.now = now
-			h.reconcile()
-			for ; queuedPolls[h] < h.polls; queuedPolls[h]++ {
-				queue = append(queue, poll{h, now})
-			}
-		}
-		if tick%8 == 7 && len(queue) > 0 { // the next poll is served, although it may have timed out long ago
-			if p := queue[0]; now-p.arrivedAt <= 2 {
-				served[p.forwarder] = true
-				p.forwarder.UpdateEndpoints(true, updates)
-			}
-			queue = queue[1:]
-		}
-		for _, p := range queue {
-			if age := now - p.arrivedAt; age > 2 && age < 2.02 {
-				p.forwarder.PollTimedOut()
-			}
-		}
-	}
-	require.Len(t, served, settings.Forwarders)
-}
-
 func TestPollsAtOnceWithoutEndpointList(t *testing.T) {
 	settings := testSettings
 	settings.PollEndpoints, settings.PollWithin, settings.Forwarders = true, 10, 300
--- a/scheduler/poll_fleet_test.go
+++ b/scheduler/poll_fleet_test.go
@@ -33,13 +33,22 @@
 
 const pollFleetStep = 0.02 // seconds
 
+// newPollFleet returns a fleet of forwarders that have a last known list.
 func newPollFleet(forwarders int, rate, timeout float64, seed uint64) *pollFleet {
+	f := newPollFleetWithoutLists(forwarders, rate, timeout, seed)
+	for _, forwarder := range f.forwarders {
+		forwarder.addDestination(0, 0)
+	}
+	return f
+}
+
+// newPollFleetWithoutLists returns a fleet of forwarders without a last known list, which all poll at once.
+func newPollFleetWithoutLists(forwarders int, rate, timeout float64, seed uint64) *pollFleet {
 	settings := testSettings
 	settings.PollEndpoints, settings.PollWithin, settings.Forwarders = true, 10, forwarders
 	f := &pollFleet{now: 100, rate: rate, timeout: timeout}
 	for n := range uint64(forwarders) {
 		h := newSeededHarness(settings, seed*10_000+n)
-		h.addDestination(0, 0)
 		f.forwarders = append(f.forwarders, &pollingForwarder{harness: h})
 	}
 	return f
@@ -122,6 +131,23 @@
 	return count, last
 }
 
+// Guards against an overload of discovery by the polls of a fleet. Thirty-six forwarders start at once, and discovery
+// answers six polls per second. Without a last known list all of them poll at once; if they polled again within a second, most
+// would never be served. As they keep their distance, each is served within half a minute.
+func TestFleetOfPollingForwardersIsServed(t *testing.T) {
+	for name, newFleet := range map[string]func(int, float64, float64, uint64) *pollFleet{
+		"with last known lists": newPollFleet, "without": newPollFleetWithoutLists,
+	} {
+		for seed := range uint64(5) {
+			f := newFleet(36, 6, 2, seed)
+			started := f.now
+			f.advance(30)
+			inTime, last := f.servedSince(started, 30)
+			require.Equal(t, len(f.forwarders), inTime, "%s, seed %d: the last one after %.1f s", name, seed, last)
+		}
+	}
+}
+
 // Guards against review case 3: after an outage in which polls waited in vain, forwarders polled again only after up to 13
 // seconds, while a change counts as known after six. Where discovery turns no poll away for want of time, each forwarder has
 // the list in time, in fleets of any size and after outages of any length.
