--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -25,9 +25,9 @@
 // cases by name. A case returns why its rule was broken, or "" if it held. With trouble false it does the same without
 // the disruption.
 var cases = map[string]func(r *record, trouble bool) (string, error){
-	"lameduck": lameDuckCase,
-
-	"large-batch": largeBatchCase,
+	"lameduck":        lameDuckCase,
+	"emptied-upgrade": emptiedUpgradeCase,
+	"large-batch":     largeBatchCase,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
