Review case 6: after a cut documents go to an address that is another's by then

Examined: when a watch is opened anew after it fell silent and new connections do not come up (scheduler/discovery.go, internal/discovery/watch.go), and what is sent meanwhile.

--- a/review/drive2/discovery.go
+++ b/review/drive2/discovery.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +43,8 @@
 	entries  []entry
 	changed  chan struct{}
 	notices  []notice
+	cutUntil time.Time // no new connection comes up until then
+	cuts     int       // cuts so far; watches from before a cut stay silent
 }
 
 // newDiscovery starts discovery with a first list.
@@ -56,10 +61,75 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", d.serveList)
 	mux.HandleFunc("POST /v1/notices", d.serveNotices)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(&cutListener{Listener: listener, discovery: d}, mux) }()
 	return d, nil
 }
 
+// set adds an entry or replaces the one of the same uid.
+func (d *discovery) set(e entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	e.revision = d.revision
+	d.entries = slices.DeleteFunc(d.entries, func(other entry) bool { return other.UID == e.UID })
+	d.entries = append(d.entries, e)
+	d.record.note("discovery: has revision %d, %s of destination %d at %s is %s", d.revision, e.UID, e.Destination, e.Endpoint, e.State)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// cut cuts discovery off for a time: open connections stay open and silent for good, and new ones do not come up.
+func (d *discovery) cut(length time.Duration) {
+	d.mu.Lock()
+	d.cutUntil = time.Now().Add(length)
+	d.cuts++
+	d.mu.Unlock()
+	d.record.note("discovery: cut off for %v", length)
+	if conn, err := net.Dial("tcp4", d.address); err == nil { // wakes the listener, which is waiting for a connection
+		time.AfterFunc(length, func() { _ = conn.Close() })
+	}
+}
+
+// cutListener accepts nothing during a cut.
+type cutListener struct {
+	net.Listener
+	discovery *discovery
+}
+
+// Accept returns the next connection. A connection that comes during a cut is held silent and reset when the cut is over;
+// for further ones there is no room, so that the kernel drops their requests.
+func (l *cutListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		d := l.discovery
+		d.mu.Lock()
+		until := d.cutUntil
+		d.mu.Unlock()
+		if !time.Now().Before(until) {
+			return conn, nil
+		}
+		l.setBacklog(0)
+		filler, err := net.Dial("tcp4", d.address)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(time.Until(until))
+		_ = filler.Close()
+		_ = conn.Close()
+		l.setBacklog(syscall.SOMAXCONN)
+	}
+}
+
+// setBacklog sets how many connections the kernel keeps for the listener.
+func (l *cutListener) setBacklog(connections int) {
+	if raw, err := l.Listener.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), connections) })
+	}
+}
+
 // active returns the entry of a target that serves a destination.
 func active(t *target, kind string, destination int) entry {
 	return entry{UID: t.uid, Endpoint: t.address, Zone: "austin-dc", Kind: kind, Destination: destination, State: "active", Capacity: 1}
@@ -93,11 +163,18 @@
 		return
 	}
 	after, _ := strconv.Atoi(r.FormValue("index"))
+	d.mu.Lock()
+	cuts := d.cuts
+	d.mu.Unlock()
 	d.record.note("discovery: watch from revision %d", after)
 	for {
 		d.mu.Lock()
-		changed, revision := d.changed, d.revision
+		changed, revision, silent := d.changed, d.revision, d.cuts > cuts
 		d.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
 		text, news := d.list(after)
 		if news {
 			d.record.note("discovery: tells %s", text)
--- a/review/drive2/forwarder.go
+++ b/review/drive2/forwarder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,7 +33,7 @@
 "Guarantees":{"AskWithin":10000,"Cold":10000,"ColdFrom":0.17,"DrainGrace":1000,"FallMultiple":2,"GraceToAnswer":20,"KeyRest":100,"OverloadFor":1500},
 "Limits":{"AttemptsCap":6,"Cancel":true,"ConnIdle":10000,"ConnectTimeout":1500,"MaxOpen":186,"MaxRetryAfter":2000,"RetryAfter":true,"StreamsPerConn":1},
 "Report":{"Fields":["x0","x1"],"Source":"piggyback"},"Discovery":"ask","WeightKind":"silent",
-"NInstances":2,"Me":0,"MyZone":0,"Tenants":[],"ClientHabits":{"MarksRetry":true}}`
+"NInstances":3,"Me":0,"MyZone":0,"Tenants":[],"ClientHabits":{"MarksRetry":true}}`
 
 // forwarder is one forwarder as the platform starts it: its addresses, its folder and its processes.
 type forwarder struct {
@@ -115,7 +116,7 @@
 		return nil, err
 	}
 	config, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": f.listen, "discovery": f.discovery, "seed": fmt.Sprintf("8c1f30d27a5be9%02x", f.started),
+		"name": "n1", "listen": f.listen, "discovery": f.discovery, "seed": fmt.Sprintf("%016x", rand.Uint64()),
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
 		"known":    json.RawMessage(known),
 		"settings": json.RawMessage(settings),
--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(r *record, trouble bool) (string, error){
 	"lameduck":        lameDuckCase,
 	"emptied-upgrade": emptiedUpgradeCase,
+	"cut":             cutCase,
 	"large-batch":     largeBatchCase,
 }
 
--- a/review/drive2/target.go
+++ b/review/drive2/target.go
@@ -46,9 +46,27 @@
 	if err != nil {
 		return nil, err
 	}
+	return serveTarget(r, uid, listener, decide), nil
+}
+
+// replace ends a target and starts another one at its address.
+func (t *target) replace(uid string) (*target, error) {
+	if err := t.listener.Close(); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp4", t.address)
+	if err != nil {
+		return nil, err
+	}
+	t.record.note("target %s has ended, %s is at its address", t.uid, uid)
+	return serveTarget(t.record, uid, listener, nil), nil
+}
+
+// serveTarget serves a target on a listener.
+func serveTarget(r *record, uid string, listener net.Listener, decide func(call) answer) *target {
 	t := &target{uid: uid, address: listener.Addr().String(), record: r, listener: listener, decide: decide}
 	go t.serve()
-	return t, nil
+	return t
 }
 
 func (t *target) serve() {
