--- a/review/drive2/cut.go
+++ b/review/drive2/cut.go
@@ -15,7 +15,7 @@
 	cutRounds      = 2                       // cuts, each with another target that is replaced
 	submitInterval = 100 * time.Millisecond  // between the documents that one forwarder gets
 	afterCut       = 12 * time.Second        // from the begin of a cut to that of the next
-	changeAfter    = 500 * time.Millisecond  // from the begin of a cut to the change of the list
+	changeAfter    = 1100 * time.Millisecond // from the begin of a cut to the change of the list
 	heartbeatPhase = time.Second             // from a line on all watches to the begin of the cut
 )
 
