scheduler: no call begins by a list that discovery has not confirmed in time

Cause: missed changes were to be bounded by asking again soon.

Change: the list has a lease (scheduler/listlease.go) from discovery's last word. It does not run while a watch is open; a refusal renews it, as a discovery that is down has nothing to tell, but not behind a watch that fell silent. When it expires no call begins, and calls not sent yet are cancelled, until a list has come. Over restarts and upgrades it lies in list-lease, by the machine's uptime. What tells the causes apart came first: the end of a watch carries its last line, and WatchFailed stands for ends that discovery may not know of.

Test changed: TestWatchThatCannotConnectIsBroken demanded WatchBroken for a connection that timed out. The table that replaces it demands for each cause, after 0 and 2 s, whether discovery has refused; a refusal stays WatchBroken, the waits between polls are as before.

--- a/forwarder/control_plane.go
+++ b/forwarder/control_plane.go
@@ -26,6 +26,9 @@
 // Watch requests the changes since a revision from discovery.
 func (c *controlPlane) Watch(revision int64) { c.endpoints.Watch(revision) }
 
+// LastLine returns when the last line arrived on the open watch; see discovery.Client.
+func (c *controlPlane) LastLine() time.Time { return c.endpoints.LastLine() }
+
 // Notify queues a final answer to be sent as a notice.
 func (c *controlPlane) Notify(notice transport.FinalAnswer) { c.notices.Notify(notice) }
 
--- a/forwarder/discovery_test.go
+++ b/forwarder/discovery_test.go
@@ -30,7 +30,7 @@
 			require.Equal(t, 1, host.watches)
 			for n := range failures {
 				loop.scheduler.SetTime(now)
-				loop.handle(watchEnded{"ended by the test", how})
+				loop.handle(watchEnded{reason: "ended by the test", how: how})
 				loop.scheduler.Reconcile()
 				wait = max(wait, host.wakeIn)
 				now += host.wakeIn + 0.001
@@ -44,6 +44,7 @@
 	}
 	require.Less(t, longest(transport.WatchSilent), 1.0, "a list without updates counts as stale after six seconds")
 	require.Less(t, longest(transport.WatchBroken), 3.6, "the list counts as stale six seconds after discovery was last reachable")
+	require.Less(t, longest(transport.WatchFailed), 3.6, "the same if it cannot be reached")
 	require.Less(t, longest(transport.WatchTimeout), 5.6, "also if polls wait in discovery's queue")
 	require.Greater(t, longest(transport.WatchTimeout), 5.0, "otherwise discovery gets more polls than it can answer")
 }
--- a/forwarder/event_loop.go
+++ b/forwarder/event_loop.go
@@ -81,6 +81,7 @@
 	loop.moveBacklog(start)
 	loop.scheduler.Reconcile()
 	loop.calls.send()
+	loop.logOverdueList()
 	loop.recordTurn(len(events), since, start)
 	return loop.scheduler.Done()
 }
--- a/forwarder/event_queue.go
+++ b/forwarder/event_queue.go
@@ -117,8 +117,8 @@
 func (q *eventQueue) EndpointsUpdated(list *transport.EndpointList) { q.push(endpointsUpdated{list}) }
 
 // WatchEnded pushes the end of the watch on the endpoint list.
-func (q *eventQueue) WatchEnded(reason string, how transport.WatchEnd) {
-	q.push(watchEnded{reason, how})
+func (q *eventQueue) WatchEnded(reason string, how transport.WatchEnd, lastLine time.Time) {
+	q.push(watchEnded{reason, how, lastLine})
 }
 
 // NoticesUnanswered pushes the reason why notices were not acknowledged and will be sent again.
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -35,8 +35,9 @@
 
 	// watchEnded is the end of the watch on the endpoint list.
 	watchEnded struct {
-		reason string
-		how    transport.WatchEnd
+		reason   string
+		how      transport.WatchEnd
+		lastLine time.Time // see transport.EndpointListener
 	}
 
 	// noticesUnanswered is the reason why notices were not acknowledged; they are sent again.
--- a/forwarder/recovery.go
+++ b/forwarder/recovery.go
@@ -16,6 +16,7 @@
 	loop.scheduler.PauseKeys()
 	loop.readLearnedState(now)
 	loop.loadEndpointStates()
+	loop.restoreLease()
 	loop.updateEndpoints(&loop.config.LastEndpoints, true)
 	loop.runSpooledCommands()
 	for _, id := range loop.wal.TakeRecentlyDone() { // also an ID of an earlier process runs only once
--- a/forwarder/reload.go
+++ b/forwarder/reload.go
@@ -240,9 +240,7 @@
 	present := loop.config
 	if changed[partDiscovery] {
 		present.configuredDiscovery, present.Discovery = next.configuredDiscovery, next.configuredDiscovery
-		if loop.discovery.reconfigurable != nil {
-			loop.discovery.reconfigurable.Reconfigure(present.Discovery, loop.discovery.revision)
-		}
+		loop.moveWatch()
 	}
 	if changed[partNotices] {
 		present.noticeAddress = next.noticeAddress
@@ -250,6 +248,19 @@
 	}
 }
 
+// moveWatch switches to the configuration's address of discovery, if the list comes from there. The open watch ends.
+func (loop *eventLoop) moveWatch() {
+	source := loop.discovery.reconfigurable
+	if source == nil {
+		return
+	}
+	if lastLine := source.LastLine(); !lastLine.IsZero() {
+		loop.scheduler.ListCurrentUntil(loop.schedulerTime(lastLine))
+	}
+	source.Reconfigure(loop.config.Discovery, loop.discovery.revision)
+	loop.scheduler.WatchMoved()
+}
+
 // applyStaticEndpoints replaces the configured endpoint list with that of the next configuration.
 func (loop *eventLoop) applyStaticEndpoints(next *Config) {
 	loop.config.StaticEndpoints = next.StaticEndpoints
--- a/forwarder/reload_test.go
+++ b/forwarder/reload_test.go
@@ -3,8 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"spanflow/scheduler"
 )
 
 // recordingReconfigurable records the addresses that it was switched to.
@@ -14,6 +17,8 @@
 	r.addresses = append(r.addresses, addr)
 }
 
+func (r *recordingReconfigurable) LastLine() time.Time { return time.Time{} }
+
 // PROXY_DISCOVERY takes precedence over the file at the start. A reload of the unchanged file does not change the
 // address.
 func TestReloadKeepsVariableUntilFileChanges(t *testing.T) {
@@ -31,6 +36,7 @@
 		notices:   noticeState{reconfigurable: notices},
 	}
 	loop.configuredScheduler = loop.config.Scheduler
+	loop.scheduler = scheduler.New(loop.config.Scheduler, 1, 0, loop)
 	require.Equal(t, "127.0.0.9:1", loop.config.Notices())
 	require.NoError(t, loop.applyConfig(read(testConfig, "")))
 	require.Empty(t, discovery.addresses)
--- a/forwarder/state_writer.go
+++ b/forwarder/state_writer.go
@@ -12,6 +12,7 @@
 	statefile.LatenciesFile:      "learned latencies not written",
 	statefile.RetryAfterFile:     "retry-after state not written",
 	statefile.EndpointStatesFile: "endpoint states not written",
+	statefile.ListLeaseFile:      "lease of the endpoint list not written",
 }
 
 // stateWriter writes small files of the state folder from its own goroutine, only the newest version of each. The event
--- a/forwarder/telemetry.go
+++ b/forwarder/telemetry.go
@@ -25,6 +25,7 @@
 	// Read by the metrics from other goroutines.
 	heldMessages atomic.Int64
 	walBytes     atomic.Int64
+	listOverdue  atomic.Bool
 }
 
 const (
@@ -78,6 +79,7 @@
 	gauges := []transport.Gauge{
 		{Name: "held_documents", Read: func() float64 { return float64(t.heldMessages.Load()) }},
 		{Name: "ledger_bytes", Read: func() float64 { return float64(t.walBytes.Load()) }},
+		{Name: "endpoint_list_overdue", Read: func() float64 { return boolGauge(t.listOverdue.Load()) }},
 		{Name: "outgoing_connections", Read: func() float64 { return float64(dialer.Open()) }},
 	}
 	for _, account := range loop.memory.Accounts() {
@@ -91,6 +93,14 @@
 	return append(gauges, loop.backlogGauges()...)
 }
 
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
 // noRecorder is the recorder if no metrics are served.
 type noRecorder struct{}
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -77,7 +77,8 @@
 	if c.watch != nil {
 		c.watch.close()
 	}
-	w := &watch{client: c, revision: revision, started: c.now(), objects: c.newObjectReader()}
+	now := c.now()
+	w := &watch{client: c, revision: revision, started: now, lastLine: now, objects: c.newObjectReader()}
 	c.watch, c.watched = w, true
 	w.conn = c.dialer.Dial(c.addr, c.connectTimeout, w)
 	path := "/v1/endpoints?stream=1&index=" + strconv.FormatInt(revision, 10)
@@ -85,6 +86,17 @@
 	w.expectLine(c.connectTimeout + answerTimeout)
 }
 
+// LastLine returns when the last line arrived on the open watch or, if none did, when the watch was requested. It is zero if
+// no watch is open.
+func (c *Client) LastLine() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.watch == nil {
+		return time.Time{}
+	}
+	return c.watch.lastLine
+}
+
 // Reconfigure changes the service's address. If the client has been watching, it requests the changes since revision
 // at the new address.
 func (c *Client) Reconfigure(addr string, revision int64) {
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -11,7 +11,7 @@
 	"spanflow/transport"
 )
 
-// watchEnd holds the arguments of EndpointListener.WatchEnded.
+// watchEnd holds the arguments of EndpointListener.WatchEnded, without the time of the last line.
 type watchEnd struct {
 	reason string
 	how    transport.WatchEnd
@@ -19,13 +19,15 @@
 
 // recordingListener passes the reports of a client to the test.
 type recordingListener struct {
-	lists chan *transport.EndpointList
-	ends  chan watchEnd
+	lists     chan *transport.EndpointList
+	ends      chan watchEnd
+	lastLines chan time.Time
 }
 
 func (l *recordingListener) EndpointsUpdated(list *transport.EndpointList) { l.lists <- list }
 
-func (l *recordingListener) WatchEnded(reason string, how transport.WatchEnd) {
+func (l *recordingListener) WatchEnded(reason string, how transport.WatchEnd, lastLine time.Time) {
+	l.lastLines <- lastLine
 	l.ends <- watchEnd{reason, how}
 }
 
@@ -44,7 +46,7 @@
 	require.NoError(t, err)
 	t.Cleanup(dialer.Stop)
 	h := &harness{
-		recordingListener: &recordingListener{make(chan *transport.EndpointList, 9), make(chan watchEnd, 9)},
+		recordingListener: &recordingListener{make(chan *transport.EndpointList, 9), make(chan watchEnd, 9), make(chan time.Time, 9)},
 		peer:              peertest.NewPeer(t, "127.5.0.1"),
 		timers:            peertest.NewTimers(),
 	}
--- a/internal/discovery/transcript_test.go
+++ b/internal/discovery/transcript_test.go
@@ -22,7 +22,7 @@
 	l.reports <- fmt.Sprint("list ", list.Revision)
 }
 
-func (l listener) WatchEnded(string, transport.WatchEnd) { l.reports <- "watch ended" }
+func (l listener) WatchEnded(string, transport.WatchEnd, time.Time) { l.reports <- "watch ended" }
 
 // expect waits for the given reports, in this order.
 func (l listener) expect(t *testing.T, want ...string) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"spanflow/internal/dial"
@@ -55,7 +56,8 @@
 	objects  objectReader
 	revision int64 // the current revision
 	started  time.Time
-	received bool // a line has arrived
+	received bool      // a line has arrived
+	lastLine time.Time // when the last line arrived; until then, when the watch was requested
 	closed   bool
 
 	held          int       // bytes of objects.buffer that are counted in the client's account
@@ -107,14 +109,18 @@
 	if w.client.watch == w {
 		w.client.watch = nil
 	}
-	w.client.listener.WatchEnded(reason, how)
+	w.client.listener.WatchEnded(reason, how, w.lastLine)
 }
 
-// failure returns the kind of end for a watch that ended for a reason other than silence: WatchTimeout if its request
-// was not answered promptly, else WatchBroken.
+// failure returns the kind of end for a watch that ended for a reason other than silence. It is WatchFailed if the service
+// may know nothing of it, WatchTimeout if the service did not answer promptly, else WatchBroken.
 func (w *watch) failure(cause error) transport.WatchEnd {
-	if w.received || w.status == http.StatusOK || errors.Is(cause, dial.ErrConnectTimeout) ||
-		w.client.now().Sub(w.started) < promptAnswer {
+	switch {
+	case w.received || w.status == http.StatusOK:
+		return transport.WatchBroken
+	case !w.conn.Connected() && !errors.Is(cause, syscall.ECONNREFUSED) && !errors.Is(cause, syscall.ECONNRESET):
+		return transport.WatchFailed
+	case w.client.now().Sub(w.started) < promptAnswer:
 		return transport.WatchBroken
 	}
 	return transport.WatchTimeout
@@ -173,7 +179,7 @@
 		} else if !w.received { // nothing has changed since the requested revision
 			w.client.listener.EndpointsUpdated(&transport.EndpointList{Revision: w.revision})
 		}
-		w.received = true
+		w.received, w.lastLine = true, w.client.now()
 		w.expectLine(silenceTimeout) // only a complete line restarts the timer, not bytes that trickle in
 		piece = rest
 	}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -197,18 +199,67 @@
 	}
 }
 
-func TestWatchThatCannotConnectIsBroken(t *testing.T) {
+// A service that refuses a connection is down. If no connection is established for another reason, nothing is known of the
+// service: it may have changes that the forwarder does not get (review case 6).
+func TestEndOfWatchThatCannotConnectTellsWhetherServiceRefused(t *testing.T) {
+	for cause, want := range map[error]transport.WatchEnd{
+		syscall.ECONNREFUSED:  transport.WatchBroken,
+		syscall.ECONNRESET:    transport.WatchBroken,
+		syscall.ETIMEDOUT:     transport.WatchFailed,
+		syscall.ENETUNREACH:   transport.WatchFailed,
+		syscall.EHOSTUNREACH:  transport.WatchFailed,
+		syscall.EMFILE:        transport.WatchFailed,
+		syscall.EADDRNOTAVAIL: transport.WatchFailed,
+	} {
+		for _, waited := range []time.Duration{0, 2 * time.Second} {
+			t.Run(fmt.Sprint(cause, " after ", waited), func(t *testing.T) {
+				h := newHarness(t)
+				began := time.Now()
+				h.now = func() time.Time { return began }
+				h.dialer.Connect = func(context.Context, string) (net.Conn, error) {
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					h.now = func() time.Time { return began.Add(waited) }
+					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", cause)}
+				}
+				h.Watch(1)
+				want := want
+				if waited > 0 && want == transport.WatchBroken { // refused only once the service was back
+					want = transport.WatchTimeout
+				}
+				require.Equal(t, want, peertest.Next(t, h.ends).how)
+				require.Equal(t, began, peertest.Next(t, h.lastLines), "the list was current when it was requested at the latest")
+			})
+		}
+	}
+}
+
+// Guards against a lease of the list that is counted from when the silence is noticed (review case 6).
+func TestEndOfWatchTellsWhenLastLineArrived(t *testing.T) {
 	h := newHarness(t)
-	began := time.Now()
-	h.now = func() time.Time { return began }
-	h.dialer.Connect = func(context.Context, string) (net.Conn, error) {
-		h.mu.Lock()
+	clock := time.Now()
+	h.now = func() time.Time { return clock }
+	h.Watch(1)
+	conn, _ := h.peer.Accept(t)
+	advance := func() {
+		h.mu.Lock() // waits until the reader has handled what arrived
 		defer h.mu.Unlock()
-		h.now = func() time.Time { return began.Add(2 * time.Second) }
-		return nil, syscall.ETIMEDOUT
+		clock = clock.Add(time.Second)
 	}
-	h.Watch(1)
-	require.Equal(t, transport.WatchBroken, peertest.Next(t, h.ends).how)
+	for _, text := range []string{answerUnsized + "\n", "{\"rev\":2,\"all\":true,\"targets\":[]}\n"} {
+		advance()
+		conn.Write([]byte(text))
+		h.nextRevision(t)
+	}
+	want := clock
+	advance()
+	h.mu.Lock()
+	generation := h.watch.timerGeneration
+	w := h.watch
+	h.mu.Unlock()
+	w.timedOut(generation)
+	require.Equal(t, transport.WatchSilent, peertest.Next(t, h.ends).how)
+	require.Equal(t, want, peertest.Next(t, h.lastLines))
 }
 
 func TestWatchWithoutAnswerTimesOut(t *testing.T) {
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -54,6 +54,9 @@
 	changed         chan struct{} // closed at the next change of the list or of its availability
 	unresponsive    bool
 	listUnavailable bool
+	cuts            int // so far; see Cut
+	cutKind         CutKind
+	cutUntil        time.Time
 }
 
 // NewDiscovery listens on addr until the program ends. An empty addr means a free loopback port.
@@ -67,9 +70,13 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/endpoints", d.serveEndpoints)
 	mux.HandleFunc("POST /v1/notices", d.serveNotices)
-	var err error
-	d.Addr, err = serve(addr, mux)
-	return d, err
+	listener, err := listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	d.Addr = listener.Addr().String()
+	serveOn(cutListener{listener, d}, mux)
+	return d, nil
 }
 
 // Set adds an entry or replaces the one with the same UID. The entry becomes the last one of the list.
@@ -138,6 +145,8 @@
 
 // serveEndpoints answers with the full list. For a watch it writes the full list again at each change.
 func (d *Discovery) serveEndpoints(w http.ResponseWriter, r *http.Request) {
+	d.stayCutOff()
+	cuts := d.cutsSoFar()
 	list, changed := d.snapshot()
 	if r.FormValue("stream") == "" {
 		_, _ = w.Write(list)
@@ -147,6 +156,10 @@
 		list = nil
 	}
 	for {
+		if d.cutsSoFar() > cuts {
+			<-r.Context().Done()
+			return
+		}
 		if d.isListUnavailable() {
 			panic(http.ErrAbortHandler) // ends the connection without an answer
 		}
@@ -166,6 +179,7 @@
 
 // serveNotices receives notices, one per line.
 func (d *Discovery) serveNotices(w http.ResponseWriter, r *http.Request) {
+	d.stayCutOff()
 	d.mu.Lock()
 	unresponsive := d.unresponsive
 	d.mu.Unlock()
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -21,14 +21,24 @@
 // serve starts an HTTP/1.1 server on addr that runs until the program ends, and returns its address. An empty addr
 // means a free loopback port.
 func serve(addr string, handler http.Handler) (string, error) {
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
-	listener, err := net.Listen("tcp", addr)
+	listener, err := listen(addr)
 	if err != nil {
 		return "", err
 	}
+	serveOn(listener, handler)
+	return listener.Addr().String(), nil
+}
+
+// listen listens on addr. An empty addr means a free loopback port.
+func listen(addr string) (net.Listener, error) {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	return net.Listen("tcp", addr)
+}
+
+// serveOn serves HTTP/1.1 on a listener until the program ends.
+func serveOn(listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ConnContext: withConnection}
 	go func() { _ = server.Serve(lateListener{listener}) }()
-	return listener.Addr().String(), nil
 }
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -128,3 +129,36 @@
 		require.Equal(t, want, TakeEndpointStates(dir), text)
 	}
 }
+
+func TestListLeaseIsKept(t *testing.T) {
+	const longest = time.Minute
+	dir := t.TempDir()
+	_, found := ReadListLease(dir, longest)
+	require.False(t, found, "there is no file")
+	require.NoError(t, RemoveListLease(dir))
+	for _, expiresIn := range []time.Duration{-time.Hour, -time.Second, 0, 5 * time.Second} {
+		require.NoError(t, WriteListLease(dir, expiresIn))
+		read, found := ReadListLease(dir, longest)
+		require.True(t, found)
+		require.InDelta(t, max(expiresIn, -longest).Seconds(), read.Seconds(), 1)
+	}
+	require.NoError(t, WriteListLease(dir, time.Hour))
+	_, found = ReadListLease(dir, longest)
+	require.False(t, found, "written before the machine was started")
+	for _, text := range []string{"", listLeaseHeader, listLeaseHeader + "\n", listLeaseHeader + "\nNaN\n", "other\n1\n"} {
+		require.NoError(t, Write(dir, ListLeaseFile, text))
+		_, found = ReadListLease(dir, longest)
+		require.False(t, found, "%q", text)
+	}
+	require.NoError(t, RemoveListLease(dir))
+	require.Empty(t, listNames(t, dir))
+}
+
+func listNames(t *testing.T, dir string) (names []string) {
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+	return names
+}
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -26,8 +26,9 @@
 // Trade-off: an endpoint that began to drain during an outage gets no calls, but if discovery needs longer than
 // pollPeriod to answer all forwarders once, its queue does not get shorter by itself.
 func (s *Scheduler) PollTimedOut() {
+	s.ListCurrentUntil(s.now)
 	if s.settings.LocalAgent {
-		s.WatchBroken()
+		s.pollUnreachable()
 		return
 	}
 	random := s.random.uniform()
@@ -51,15 +52,32 @@
 	return math.Min(math.Max(minPollWait, s.pollSpread())*math.Pow(2, float64(failures)), s.settings.PollWithin)
 }
 
-// WatchBroken reports that the watch of the list ended, or that discovery is down or unreachable. In these cases,
-// discovery has no queue of polls that must be kept short, and the first failures cost little: each consecutive one
-// doubles the time to the next poll, up to a bound that leaves enough of noticeTerm for a connection that is established
-// late and for the answer.
+// WatchBroken reports that discovery has ended the watch of the list, or has turned a poll away at once: it is down, and has
+// nothing to tell meanwhile.
+func (s *Scheduler) WatchBroken() {
+	s.ListCurrentUntil(s.now)
+	s.lease.renew(&s.settings, s.now)
+	s.pollUnreachable()
+}
+
+// WatchFailed reports that no connection to discovery was established, or that the watch failed for another reason of
+// which discovery may know nothing.
+func (s *Scheduler) WatchFailed() {
+	s.ListCurrentUntil(s.now)
+	s.pollUnreachable()
+}
+
+// pollUnreachable sets the time of the next poll of a discovery service that is down or unreachable. It has no queue of
+// polls that must be kept short, and the first failures cost little: each consecutive one doubles the time to the next
+// poll, up to a bound that leaves enough of noticeTerm for a connection that is established late and for the answer. Once
+// the watch has fallen silent or the list is overdue, the time is not doubled.
 //
 // Trade-off: an endpoint that began to drain during an outage gets no calls, but some polls fail.
-func (s *Scheduler) WatchBroken() {
+func (s *Scheduler) pollUnreachable() {
 	wait := math.Min(s.pollBackoff(s.failedWatches), unreachablePollInterval)
-	s.failedWatches = min(s.failedWatches+1, maxPollDoublings)
+	if !s.lease.afterSilence && !s.lease.expired {
+		s.failedWatches = min(s.failedWatches+1, maxPollDoublings)
+	}
 	s.nextPoll = s.now + wait*(minPollSpread+s.random.uniform())
 }
 
@@ -77,6 +95,8 @@
 // WatchSilent reports that nothing more arrives on the watch of the endpoint list. Changes that the forwarder missed
 // soon count as known to it, so the next poll must come soon.
 func (s *Scheduler) WatchSilent() {
+	s.ListCurrentUntil(s.now)
+	s.lease.afterSilence = s.settings.PollEndpoints
 	s.nextPoll = s.now + math.Min(minPollWait, s.pollSpread())*s.random.uniform()
 }
 
@@ -91,13 +111,19 @@
 	return math.Min(float64(s.settings.Forwarders-1)/fleetPollRate, longest)
 }
 
+// firstPollSpread returns the longest delay of the first poll in seconds.
+func (s *Scheduler) firstPollSpread() float64 { return math.Min(s.pollSpread(), s.maxFirstPoll) }
+
 // ContinueWatch reports, before the first list, that the predecessor of this process watched the list until now.
 // Changes count as known to the forwarder two seconds after this process was ready, so the first poll must not wait
 // longer.
 //
 // Trade-off: an endpoint that drains during an upgrade gets no calls; but if a large fleet is upgraded at once,
 // discovery has to answer more polls at the same time.
-func (s *Scheduler) ContinueWatch() { s.maxFirstPoll = successorPollSpread }
+func (s *Scheduler) ContinueWatch() {
+	s.maxFirstPoll = successorPollSpread
+	s.lease = s.newListLease()
+}
 
 // NextPollIn returns the number of seconds until the endpoint list is polled again. It is infinite while the list is being
 // watched.
@@ -117,7 +143,10 @@
 	atStart := s.now == s.startedAt
 	s.failedPolls, s.pollsInPhase, s.failedWatches = 0, false, 0
 	s.awaitingList = s.awaitingList && atStart
+	if !atStart {
+		s.lease = listLease{expiresAt: math.Inf(1)}
+	}
 	if atStart && s.nextPoll == s.now && hasEndpoints {
-		s.nextPoll += math.Min(s.pollSpread(), s.maxFirstPoll) * s.random.uniform()
+		s.nextPoll += s.firstPollSpread() * s.random.uniform()
 	}
 }
--- a/scheduler/reconcile.go
+++ b/scheduler/reconcile.go
@@ -9,6 +9,7 @@
 
 // Reconcile makes the decisions that follow from the events since its last call, and calls the host to carry them out.
 func (s *Scheduler) Reconcile() {
+	s.expireLease()
 	s.endExpired()
 	s.serveRounds(false)
 	s.serveRounds(true)
@@ -57,6 +58,9 @@
 // nextWake returns the time at which Reconcile has to be called if no event comes first.
 func (s *Scheduler) nextWake() float64 {
 	next := s.nextPoll
+	if s.callsInFlight > 0 && !s.lease.expired {
+		next = math.Min(next, s.lease.expiresAt)
+	}
 	for message := range s.held.all() {
 		if message.call == nil {
 			return math.Min(next, s.now+queuedCheckInterval)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,9 +3,9 @@
 //
 // The adapter is the program around a Scheduler: it reports events to the scheduler and implements Host. To process
 // everything that happened up to one moment, it calls SetTime, then one method for each event in the order of arrival
-// (PauseKeys, ContinueWatch, UpdateEndpoints, OverrideEndpoint, PollTimedOut, WatchBroken, WatchSilent, Accept, Recover,
-// LoadStored, AnswerWithoutCall, AttemptEnded, NoticeAcknowledged, Withdraw, TimerFired, Stop, CancelUnsentCalls), and
-// finally Reconcile once. The event methods only update the state. Reconcile makes the decisions and calls the Host to
+// (PauseKeys, ContinueWatch, RestoreListLease, UpdateEndpoints, OverrideEndpoint, ListCurrentUntil, PollTimedOut,
+// WatchBroken, WatchFailed, WatchSilent, WatchMoved, Accept, Recover, LoadStored, AnswerWithoutCall, AttemptEnded,
+// NoticeAcknowledged, Withdraw, TimerFired, Stop, CancelUnsentCalls), and finally Reconcile once. The event methods only update the state. Reconcile makes the decisions and calls the Host to
 // carry them out. Before Accept, the adapter calls Admit to learn whether a message may be accepted. A Scheduler, and
 // everything that was passed to it, must be used by one goroutine only.
 //
@@ -27,6 +27,7 @@
 //   - deadline.go, due.go: early answers to messages that can no longer be delivered
 //   - shedding.go: load shedding while the queue is nearly full
 //   - discovery.go: when to poll for the endpoint list
+//   - listlease.go: how long the list is used without word from discovery
 //   - reconcile.go: the decisions that follow from the events, and the calls to the Host
 //   - heap.go, random.go: heaps from which any member can be removed, and the random number generator
 package scheduler
@@ -68,6 +69,7 @@
 	maxFirstPoll  float64 // longest random delay of the first poll, in seconds
 	nextPoll      float64 // when to request the endpoint list; infinite while it is being watched
 	awaitingList  bool    // the local agent has not sent its list to this process yet, so no call begins
+	lease         listLease
 	polledAt      float64 // when the endpoint list was requested last
 	failedPolls   int     // consecutive polls that timed out
 	pollsInPhase  bool    // these come every pollPeriod, at a random time that has been chosen
@@ -90,6 +92,7 @@
 	if s.settings.LocalAgent {
 		s.settings.PollWithin = math.Min(s.settings.PollWithin, maxAgentPollInterval(&settings))
 	}
+	s.lease = s.newListLease()
 	s.shortestObjective, s.shortestTimeToLive = math.Inf(1), math.Inf(1)
 	for _, messageType := range settings.Types {
 		s.shortestObjective = math.Min(s.shortestObjective, messageType.LatencyObjective)
--- a/transport/discovery.go
+++ b/transport/discovery.go
@@ -1,5 +1,7 @@
 package transport
 
+import "time"
+
 // EndpointList is the list that a source reports, or a change of it.
 type EndpointList struct {
 	Revision  int64      `json:"rev"`
@@ -25,8 +27,9 @@
 type EndpointListener interface {
 	// EndpointsUpdated reports the list or changes of it.
 	EndpointsUpdated(*EndpointList)
-	// WatchEnded reports the end of a watch; reason is for the log.
-	WatchEnded(reason string, end WatchEnd)
+	// WatchEnded reports the end of a watch; reason is for the log. lastLine is when the last line arrived that told
+	// changes or that there are none or, if none did, when the watch was requested.
+	WatchEnded(reason string, end WatchEnd, lastLine time.Time)
 }
 
 // WatchEnd says how a watch on the list ended.
@@ -36,11 +39,12 @@
 const (
 	WatchTimeout WatchEnd = iota // no answer in time, because the source has more requests than it can answer
 	WatchSilent                  // the source had sent something, but nothing more arrived
-	WatchBroken                  // any other end: the source is down or unreachable, or its data is malformed
+	WatchBroken                  // the source has ended the watch or turned the request away, or its data is malformed
+	WatchFailed                  // no connection was established, or the end does not come from the source
 )
 
 // String returns the name of the end in log lines.
-func (e WatchEnd) String() string { return [...]string{"timeout", "silent", "broken"}[e] }
+func (e WatchEnd) String() string { return [...]string{"timeout", "silent", "broken", "failed"}[e] }
 
 // EndpointSource provides the list of endpoints.
 type EndpointSource interface {
