respserver: a drain ends each connection at a boundary between two commands

Cause: the drain waited for a moment in which no part of a command has been read, and read whatever had arrived. The beginning of a command had to be answered, so the wait began anew each time, and nothing bounded it.

What was not read is sent again by its client. Beside it: a command read in part is completed when reading stops for good, and replies that the socket has not accepted are waited for.

--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -85,6 +85,28 @@
 // Missing returns how many bytes the current command lacks at least, or 0 if that is not known.
 func (r *Reader) Missing() int { return r.missing }
 
+// CommandEnd returns how many bytes of data belong to the current command, if data is fed next: those up to its end, or all if
+// it does not end in data. complete reports whether it ends there or is known to be malformed. After a pause, the current
+// command may be complete without data.
+func (r *Reader) CommandEnd(data []byte) (n int, complete bool) {
+	if len(data) < r.missing {
+		return len(data), false
+	}
+	joined := data
+	if len(r.unhandled) > 0 {
+		joined = append(append(make([]byte, 0, len(r.unhandled)+len(data)), r.unhandled...), data...)
+	}
+	var array [MaxArgs][]byte
+	_, end, err := parseCommand(joined, array[:0])
+	switch {
+	case err != nil:
+		return len(data), true
+	case end <= 0:
+		return len(data), false
+	}
+	return max(0, end-len(r.unhandled)), true
+}
+
 // Drop discards the bytes kept.
 func (r *Reader) Drop() {
 	releaseBuffer(r.unhandled)
--- a/internal/resp/reader_test.go
+++ b/internal/resp/reader_test.go
@@ -99,3 +99,23 @@
 	require.NoError(t, r.Feed([]byte(data[len(data)/1000*1000:]+"*"), none))
 	require.Equal(t, minBufferBytes, r.Held(), "a command that is complete leaves no large buffer")
 }
+
+func TestCommandEndIsThatOfCurrentCommand(t *testing.T) {
+	none := func([][]byte) error { return nil }
+	ping := "*1\r\n$4\r\nPING\r\n"
+	for cut := range len(ping) {
+		var r Reader
+		require.NoError(t, r.Feed([]byte(ping[:cut]), none))
+		for more := range len(ping) {
+			data := (ping[cut:] + ping + ping)[:more]
+			n, complete := r.CommandEnd([]byte(data))
+			require.Equal(t, more >= len(ping)-cut, complete, "%d kept, %d more", cut, more)
+			require.Equal(t, min(more, len(ping)-cut), n)
+		}
+	}
+	var r Reader
+	require.NoError(t, r.Feed([]byte("*1\r\n"), none))
+	n, complete := r.CommandEnd([]byte("GET / HTTP/1.1\r\n"))
+	require.Equal(t, 16, n)
+	require.True(t, complete, "no more data makes it a command")
+}
--- a/internal/respserver/client.go
+++ b/internal/respserver/client.go
@@ -26,6 +26,7 @@
 	unanswered     atomic.Int32 // commands not answered yet
 	unsent         atomic.Int64 // bytes of replies that the socket has not accepted yet
 	ended          atomic.Bool  // the client has closed or reset the connection
+	finished       atomic.Bool  // not read any more, as the server drains, and closed soon; see drain.go
 	evicted        atomic.Bool  // not read any more, and closed once its commands are answered
 	heavy          atomic.Bool  // much was read in the last turn
 	waitsForTurn   atomic.Bool  // read again once all answers are sent
@@ -63,7 +64,7 @@
 	}
 	c.server.mu.Unlock()
 	if draining && !r.Close {
-		c.closeIfIdle()
+		c.closeIfDrained()
 	}
 	return err == nil
 }
@@ -118,11 +119,14 @@
 	return true
 }
 
-// awaitReader waits until a read in progress has finished, and submits all commands that were read.
+// awaitReader waits until a read in progress has finished, and submits all commands that were read. One that was read in
+// part is read completely if its rest has arrived.
 func (c *Client) awaitReader() {
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	c.server.submitBuffered(c)
+	c.server.completeCommand(c)
+	c.server.submitBuffered(c)
 }
 
 // refuse submits a malformed request. Server.refuse calls it.
--- a/internal/respserver/read.go
+++ b/internal/respserver/read.go
@@ -53,7 +53,7 @@
 		s.turns.add(c)
 	}
 	if draining, stopped := s.readingState(); draining && !stopped {
-		c.closeIfIdle()
+		c.closeIfDrained()
 	}
 }
 
@@ -82,14 +82,26 @@
 		s.feed(c, nil)
 		return true, nil
 	}
+	if c.finished.Load() {
+		return false, nil
+	}
 	if c.evicted.Load() {
 		c.conn.Close()
 		return false, nil
 	}
 	taken, limit := 0, c.turnBytes()
+	draining, drainedFor := s.drainState(c)
 	for err == nil && taken < limit && c.unanswered.Load() == 0 && !c.paused {
 		var n int
-		n, err = readSocket(c.conn, buffer[:c.readSize(len(buffer))])
+		if draining && !c.refused.Load() {
+			n, err = c.readCommand(buffer, drainedFor)
+		} else {
+			n, err = readSocket(c.conn, buffer[:c.readSize(len(buffer))])
+		}
+		if n == 0 && err == nil {
+			c.finish()
+			return false, nil
+		}
 		if n > 0 {
 			taken += n
 			s.feed(c, buffer[:n])
--- a/internal/respserver/server.go
+++ b/internal/respserver/server.go
@@ -51,6 +51,7 @@
 	mu             sync.Mutex
 	clients        map[*Client]struct{}
 	draining       bool
+	drainingSince  time.Time
 	readingStopped bool
 	stopped        bool
 	opening        int // admitted connections that are not registered yet
@@ -189,24 +190,6 @@
 	return s.opening > 0
 }
 
-// Drain closes each connection as soon as it has no unanswered command, so that clients move to other forwarders.
-func (s *Server) Drain() {
-	s.mu.Lock()
-	s.draining = true
-	clients := slices.Collect(maps.Keys(s.clients))
-	s.mu.Unlock()
-	for _, c := range clients {
-		c.closeIfIdle()
-	}
-}
-
-// Undrain reverses Drain: connections stay open between commands again.
-func (s *Server) Undrain() {
-	s.mu.Lock()
-	s.draining = false
-	s.mu.Unlock()
-}
-
 // StopReading stops reading from all connections. When it returns, every complete command that was read has been
 // submitted. Clients have to resend commands that were not read.
 func (s *Server) StopReading() {
--- a/internal/respserver/sweep.go
+++ b/internal/respserver/sweep.go
@@ -19,10 +19,16 @@
 // command did not arrive completely in time.
 func (s *Server) sweep(now time.Time) {
 	overdue, incomplete := s.overdue(now)
+	draining, _ := s.readingState()
 	for _, c := range overdue {
-		if c.refused.Load() || c.ended.Load() { // its last answer has been sent, or there is nobody to read it
+		switch {
+		case c.refused.Load() || c.ended.Load(): // its last answer has been sent, or there is nobody to read it
 			c.conn.Close()
-		} else {
+		case c.finished.Load():
+			c.closeFinished()
+		case draining:
+			c.closeIfDrained()
+		default:
 			c.closeIfIdle()
 		}
 	}
@@ -42,6 +48,9 @@
 				overdue = append(overdue, c)
 			}
 		case c.refused.Load() || c.unanswered.Load() > 0:
+		case s.drainedFor(c, now) > drainLimit && !c.partial.Load():
+			c.finished.Store(true) // also if it does not read its replies, or has sent nothing so far
+			overdue = append(overdue, c)
 		case s.draining && c.hadCommand && !c.partial.Load():
 			// Answer and the reader may each have relied on the other to close the connection.
 			overdue = append(overdue, c)
@@ -66,7 +75,7 @@
 		return false
 	}
 	limit := s.timeouts.FirstCommand
-	return olderThan(c.commandStartedAt, limit, now) || !c.hadCommand && olderThan(c.openedAt, limit, now)
+	return s.drainedFor(c, now) > drainLimit || olderThan(c.commandStartedAt, limit, now) || !c.hadCommand && olderThan(c.openedAt, limit, now)
 }
 
 // refuseIncomplete refuses a connection whose command is still incomplete. It skips a connection that is being read:
