scheduler: calls are limited in bytes as well as in messages, and shrink when refused

They were joined, ten a call, in bodies of up to 109,851 bytes, over the 64 KiB of the protocol; the receiver answered 400, and the same messages were joined again until no attempt was left.

Cause: selectMessages and callBatch know numbers of messages alone, and a 400 or 413 teaches nothing. Change: the encoded size of each message, computed once when it is tracked, binds together with the limit of the kind where messages are chosen; what does not fit is first in the next call. A joined call that is turned away costs no attempt, and the next ones to that destination have at most half the messages (scheduler/callsize.go). 413 for a single message ends it at once. The constant transport.MaxBodyBytes is that of admission, calls and notices; 512 notices with ids of 128 bytes were over it.

Calls of 300-byte messages are as full as before (TestSmallMessagesFillCalls).

--- a/forwarder/counts.go
+++ b/forwarder/counts.go
@@ -14,7 +14,7 @@
 // counts holds counters of events since the start, for the log. Some of its log fields keep older names.
 type counts struct {
 	accepted, refused, delivered, rejected, failed, recovered, withdrawn int
-	ends                                                                 [transport.ResultCancelled + 1]int
+	ends                                                                 [transport.ResultTooLarge + 1]int
 }
 
 // write adds the counters to a log line.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,7 +27,9 @@
 	"spanflow/internal/membudget"
 	"spanflow/internal/signals"
 	"spanflow/internal/statefile"
+	"spanflow/internal/upstream"
 	"spanflow/internal/wal"
+	"spanflow/transport"
 )
 
 // ApplyProcessLimits applies the configured limits on cores and memory to the whole process, and sets a readable time
@@ -86,6 +88,7 @@
 	config.enableEndpointPolling()
 	loop := newEventLoop(config, log, queue)
 	config.Scheduler.MaxStoredBytes = loop.memory.MessageBytes(walLog.Capacity())
+	config.Scheduler.MaxCallBytes = transport.MaxBodyBytes - upstream.BatchFramingBytes
 	loop.configuredScheduler, loop.wal, loop.telemetry.output = configured, walLog, logTo
 	loop.operators = operatorState{requests: requests, drains: drains.New(statefile.ReadDrains(config.Folder))}
 	return loop.serve(ctx, stop, reload, dialer, ready)
--- a/forwarder/messages.go
+++ b/forwarder/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"spanflow/internal/backlog"
+	"spanflow/internal/upstream"
 	"spanflow/internal/wal"
 	"spanflow/scheduler"
 	"spanflow/transport"
@@ -83,12 +84,14 @@
 		receivedAt: time.Now(),
 		traced:     loop.telemetry.trace.matches(e.ID, e.Key),
 	}
+	m.BatchBytes = upstream.BatchBytes(&m.Message)
 	m.scheduled = &scheduler.Message{
 		ID:               e.Seq,
 		Tenant:           e.Tenant,
 		Key:              e.Key,
 		Dest:             loop.destination(e.Destination),
 		Size:             e.Size(),
+		CallBytes:        m.BatchBytes,
 		AnsweredByNotice: loop.notices.notifier != nil,
 	}
 	loop.messages.add(m)
--- a/internal/metrics/server.go
+++ b/internal/metrics/server.go
@@ -33,7 +33,7 @@
 	set            *metrics.Set
 	forwarderLabel string                                          // label name and value
 	answers        map[string]*[len(answerLabels)]*metrics.Counter // by frontend
-	attempts       [transport.ResultCancelled + 1]*metrics.Counter
+	attempts       [transport.ResultTooLarge + 1]*metrics.Counter
 	attemptSeconds *metrics.PrometheusHistogram
 	finalAnswers   [transport.Failed + 1]*metrics.Counter
 	messageSeconds *metrics.PrometheusHistogram
--- a/internal/notify/client.go
+++ b/internal/notify/client.go
@@ -84,12 +84,25 @@
 	}
 }
 
+// noticesInCall returns how many of the notices, from the first one on, are sent in one call.
+func noticesInCall(notices []transport.FinalAnswer) int {
+	n, size := 0, 0
+	for n < min(len(notices), maxNoticesPerCall) {
+		size += noticeBytes(notices[n].ID)
+		if n > 0 && size > transport.MaxBodyBytes {
+			break
+		}
+		n++
+	}
+	return n
+}
+
 // send starts a call with the queued notices, unless a call is in progress. The lock is held.
 func (c *Client) send() {
 	if c.stopped || len(c.queued) == 0 || c.conn != nil {
 		return
 	}
-	n := min(len(c.queued), maxNoticesPerCall)
+	n := noticesInCall(c.queued)
 	c.post(c.queued[:n])
 	c.queued = append(c.queued[:0], c.queued[n:]...)
 }
--- a/internal/notify/client_test.go
+++ b/internal/notify/client_test.go
@@ -1,6 +1,7 @@
 package notify
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -164,3 +165,21 @@
 	require.NotEmpty(t, peertest.Next(t, h.failures))
 	require.Empty(t, h.acknowledged)
 }
+
+// Guards against a request over what a body holds, with ids of the greatest length (review case 7).
+func TestNoticesOfOneRequestFitIntoBody(t *testing.T) {
+	for _, id := range []string{"9b1f03aa5c7e2d41", strings.Repeat("x", 128), strings.Repeat("<", 128)} {
+		var notices []transport.FinalAnswer
+		for range 2 * maxNoticesPerCall {
+			notices = append(notices, transport.FinalAnswer{ID: id, Outcome: transport.Rejected, RetryAfterMs: 9_999_999})
+		}
+		calls := 0
+		for ; len(notices) > 0; calls++ {
+			n := noticesInCall(notices)
+			require.LessOrEqual(t, len(appendNotices(nil, notices[:n])), transport.MaxBodyBytes)
+			require.Positive(t, n)
+			notices = notices[n:]
+		}
+		require.LessOrEqual(t, calls, 2+2*maxNoticesPerCall*len(id)*7/transport.MaxBodyBytes)
+	}
+}
--- a/internal/notify/connection.go
+++ b/internal/notify/connection.go
@@ -34,6 +34,12 @@
 	c.conn = n
 }
 
+// longestNoticeFields is the longest line of a notice without its id.
+const longestNoticeFields = len(`{"id":,"state":"returned","after_ms":9223372036854775807}` + "\n")
+
+// noticeBytes returns the length of the line of a notice, at most.
+func noticeBytes(id string) int { return longestNoticeFields + transport.QuotedBytes(id) }
+
 // appendNotices appends the body of a call, which has one line of JSON for each notice.
 func appendNotices(b []byte, notices []transport.FinalAnswer) []byte {
 	for _, notice := range notices {
--- a/internal/respserver/command.go
+++ b/internal/respserver/command.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -14,7 +15,6 @@
 	maxTimeLeftMs          = 86_400_000
 	maxIDBytes             = 128
 	maxIdempotencyKeyBytes = 128
-	maxBodyBytes           = 64 << 10
 	msPerSecond            = 1000
 )
 
@@ -31,7 +31,6 @@
 var (
 	errPutArgs        = errors.New("MSG.PUT takes a key, an id, names with values, and a body")
 	errKey            = errors.New("the key is not a hexadecimal number")
-	errBodySize       = errors.New("the body is over 64 KiB")
 	errIDBytes        = errors.New("the id holds bytes that it may not")
 	errDestination    = errors.New("dest is not a number")
 	errIdempotencyKey = errors.New("k holds bytes that it may not")
@@ -39,6 +38,14 @@
 	errTimeLeft       = errors.New("d is not a time in milliseconds")
 )
 
+// bodySizeError reports that the body of a message is over the limit.
+type bodySizeError struct{ bytes int }
+
+// Error returns a text with the size and the limit.
+func (e *bodySizeError) Error() string {
+	return fmt.Sprintf("the body has %d bytes, over the limit of %d", e.bytes, transport.MaxBodyBytes)
+}
+
 // parseCommand converts a command to a request. It copies the parts of the arguments that it keeps.
 func parseCommand(c *Client, args [][]byte) transport.Request {
 	request := transport.Request{From: c}
@@ -67,8 +74,8 @@
 	if err != nil {
 		return nil, errKey
 	}
-	if len(args[argBody]) > maxBodyBytes {
-		return nil, errBodySize
+	if size := len(args[argBody]); size > transport.MaxBodyBytes {
+		return nil, &bodySizeError{size}
 	}
 	if !isPrintable(string(args[argID])) {
 		return nil, errIDBytes
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -142,8 +142,10 @@
 		return transport.ResultAttemptsExhausted
 	case statusGone:
 		return transport.ResultGone
-	case statusBadRequest, statusTooLarge:
+	case statusBadRequest:
 		return transport.ResultBadRequest
+	case statusTooLarge:
+		return transport.ResultTooLarge
 	default:
 		return transport.ResultServerError
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -19,11 +19,27 @@
 	connectionField     = "Connection"
 	connectionClose     = "close" // no other request follows on the connection
 
-	headBytes        = 256 // capacity for a request's head
-	batchEntryBytes  = 64  // capacity for the JSON around a message in a batch
-	batchFramingSize = 16
+	headBytes = 256 // capacity for a request's head
+
+	batchEntryStart = `{"id":`
+	batchEntryKey   = `,"key":`
+	batchEntryBody  = `,"body":"`
+	batchEntryEnd   = `"}`
 )
 
+// BatchFramingBytes is what the body of a batch takes beside its messages.
+const BatchFramingBytes = len("[]")
+
+// BatchBytes returns what a message takes of the body of a batch, at most.
+func BatchBytes(message *transport.Message) int {
+	size := len(",") + len(batchEntryStart) + transport.QuotedBytes(message.ID) + len(batchEntryBody) +
+		base64.StdEncoding.EncodedLen(len(message.Body)) + len(batchEntryEnd)
+	if message.IdempotencyKey != "" {
+		size += len(batchEntryKey) + transport.QuotedBytes(message.IdempotencyKey)
+	}
+	return size
+}
+
 // encodeRequest returns the HTTP request of a call. A single message is sent with its body unchanged, several as a JSON
 // array.
 func encodeRequest(call *transport.Call) []byte {
@@ -53,22 +69,22 @@
 
 // encodeBatchBody returns [{"id":...,"key":...,"body":...},...] with the bodies in base64.
 func encodeBatchBody(messages []transport.Message) []byte {
-	size := batchFramingSize
-	for _, m := range messages {
-		size += len(m.Body)*4/3 + len(m.ID) + len(m.IdempotencyKey) + batchEntryBytes
+	size := BatchFramingBytes
+	for i := range messages {
+		size += messages[i].BatchBytes
 	}
 	body := append(make([]byte, 0, size), '[')
 	for i, m := range messages {
 		if i > 0 {
 			body = append(body, ',')
 		}
-		body = appendQuoted(append(body, `{"id":`...), m.ID)
+		body = appendQuoted(append(body, batchEntryStart...), m.ID)
 		if m.IdempotencyKey != "" {
-			body = appendQuoted(append(body, `,"key":`...), m.IdempotencyKey)
+			body = appendQuoted(append(body, batchEntryKey...), m.IdempotencyKey)
 		}
-		body = append(body, `,"body":"`...)
+		body = append(body, batchEntryBody...)
 		body = base64.StdEncoding.AppendEncode(body, m.Body)
-		body = append(body, `"}`...)
+		body = append(body, batchEntryEnd...)
 	}
 	return append(body, ']')
 }
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -18,6 +18,7 @@
 type call struct {
 	endpoint   *Endpoint
 	began      float64
+	size       int  // number of messages
 	pending    int  // number of messages whose attempt has not ended
 	recorded   bool // recordResult has been called for the call
 	reusesIdle bool // the call probably uses a connection that had been idle
@@ -26,7 +27,7 @@
 // startCall begins a call with messages to an endpoint. Scheduler.apply passes the messages to the host.
 func (s *Scheduler) startCall(endpoint *Endpoint, messages []*Message) {
 	destination := endpoint.destination
-	call := &call{endpoint: endpoint, began: s.now, pending: len(messages), reusesIdle: s.reusesIdle(endpoint)}
+	call := &call{endpoint: endpoint, began: s.now, size: len(messages), pending: len(messages), reusesIdle: s.reusesIdle(endpoint)}
 	endpoint.calls = append(endpoint.calls, call)
 	endpoint.calledOften = s.now-endpoint.lastUsed < s.settings.IdleTimeout
 	endpoint.lastUsed = s.now
@@ -88,7 +89,9 @@
 	if !call.recorded {
 		call.recorded = true
 		s.recordResult(endpoint, call, result)
+		endpoint.destination.recordCallSize(call, result.Outcome)
 	}
+	message.recordCallSize(call, result.Outcome)
 	s.recordPossibleRun(message, call, result.Outcome)
 	if result.Outcome == Delivered && !endpoint.destination.degraded {
 		endpoint.destination.healthyDeliveries++
--- /dev/null
+++ b/scheduler/callsize_test.go
@@ -0,0 +1,160 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// calls groups the attempts of the host by call: those to one endpoint in one turn.
+func (h *harness) calls() (calls [][]*Message) {
+	for i, s := range h.sent {
+		if i > 0 && h.sent[i-1].at == s.at && h.sent[i-1].endpoint == s.endpoint {
+			calls[len(calls)-1] = append(calls[len(calls)-1], s.message)
+		} else {
+			calls = append(calls, []*Message{s.message})
+		}
+	}
+	return calls
+}
+
+// Guards against review case 7: messages were joined by their number alone, and the destination turned the call away for
+// its size.
+func TestCallsAreLimitedInMessagesAndBytes(t *testing.T) {
+	const limit = 1000
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		settings := testSettings
+		settings.MaxCallBytes, settings.QueueCapacity = limit, 100
+		h := newSeededHarness(settings, seed)
+		d := h.addDestination(1, 0)
+		accepted := map[*Message]bool{}
+		for range 60 {
+			message := &Message{Dest: d, Tenant: 9, CallBytes: 1 + random.IntN(1+random.IntN(limit+200))}
+			h.Accept(message, status, 20)
+			accepted[message] = true
+		}
+		for range 900 {
+			h.advance(0.02)
+			outcome := Delivered
+			if random.IntN(6) == 0 {
+				outcome = ServerError
+			}
+			h.endAttempts(d, outcome)
+		}
+		for _, call := range h.calls() {
+			bytes := 0
+			for _, message := range call {
+				bytes += message.CallBytes
+				delete(accepted, message)
+			}
+			require.LessOrEqual(t, len(call), 10)
+			require.True(t, len(call) == 1 || bytes <= limit, "seed %d: a call of %d messages and %d bytes", seed, len(call), bytes)
+		}
+		require.Empty(t, accepted, "seed %d: each message is called", seed)
+	}
+}
+
+func TestSmallMessagesFillCalls(t *testing.T) {
+	settings := testSettings
+	settings.MaxCallBytes = 1000
+	h := newHarness(settings)
+	d := h.addDestination(1, 0)
+	for range 30 {
+		h.Accept(&Message{Dest: d, Tenant: 9, CallBytes: 100}, status, 20)
+	}
+	h.reconcile()
+	require.Len(t, h.calls()[0], 10)
+}
+
+// A message that does not fit is neither lost nor overtaken for good by smaller ones.
+func TestMessageThatDoesNotFitIsFirstInNextCall(t *testing.T) {
+	settings := testSettings
+	settings.MaxCallBytes = 1000
+	h := newHarness(settings)
+	d := h.addDestination(1, 0)
+	var messages []*Message
+	for _, bytes := range []int{600, 1200, 100, 100} {
+		messages = append(messages, &Message{Dest: d, Tenant: 9, CallBytes: bytes})
+		h.Accept(messages[len(messages)-1], status, 20)
+	}
+	for range 5 {
+		h.advance(0.02)
+		h.endAttempts(d, Delivered)
+	}
+	require.Equal(t, [][]*Message{{messages[0]}, {messages[1]}, {messages[2], messages[3]}}, h.calls())
+}
+
+// Guards against review case 7 where the destination takes less than the protocol allows: its messages were joined again in
+// the same way until no attempt was left.
+func TestRefusedCallIsSplitWithoutCostOfAttempts(t *testing.T) {
+	for _, outcome := range []Outcome{CallUnreadable, CallTooLarge} {
+		for _, most := range []int{1, 2, 3, 7} { // messages that the destination takes in a call
+			h := newHarness(testSettings)
+			d := h.addDestination(1, 0)
+			held := map[*Message]bool{}
+			for range 38 { // below the number at which load is shed
+				held[h.accept(d, status, 0)] = true
+			}
+			refused := 0
+			for range 400 {
+				before := len(h.sent)
+				h.advance(0.02)
+				call := h.sent[before:]
+				for _, s := range call {
+					if len(call) > most {
+						h.endAttempt(s.message, outcome, 0)
+						continue
+					}
+					require.Equal(t, 1, s.message.attempts, "the refused calls count as no attempts")
+					h.endAttempt(s.message, Delivered, 0)
+					delete(held, s.message)
+				}
+				if len(call) > most {
+					refused++
+				}
+			}
+			require.Empty(t, h.answers)
+			require.Empty(t, held, "%d a call", most)
+			require.Empty(t, h.answers)
+			require.LessOrEqual(t, refused, 4+40/most/callsToGrow)
+		}
+	}
+}
+
+// A destination that has taken smaller calls for a while is tried with larger ones.
+func TestCallsGrowAgainAfterRefusal(t *testing.T) {
+	h := newHarness(testSettings)
+	d := h.addDestination(1, 0)
+	h.flood(d, status, 10)
+	h.reconcile()
+	h.endAttempts(d, CallTooLarge)
+	largest := 0
+	for range 10 * callsToGrow {
+		h.flood(d, status, max(0, 20-d.queued))
+		before := len(h.sent)
+		h.advance(0.02)
+		largest = max(largest, len(h.sent)-before)
+		h.endAttempts(d, Delivered)
+	}
+	require.Equal(t, 10, largest)
+}
+
+// A single message that the destination turns away for its size is answered at once; one that it cannot read may be sent
+// again, as something on the way may have spoilt it.
+func TestSingleMessageThatIsTooLargeIsRejectedAtOnce(t *testing.T) {
+	for outcome, want := range map[Outcome]string{CallTooLarge: "rejected", CallUnreadable: ""} {
+		h := newHarness(testSettings)
+		d := h.addDestination(1, 0)
+		message := h.accept(d, payment, 0)
+		h.reconcile()
+		h.endAttempts(d, outcome)
+		h.advance(0.02)
+		require.Equal(t, want, h.answers[message])
+		if outcome == CallTooLarge {
+			require.Equal(t, TooLarge, message.AnswerReason())
+			require.Len(t, h.sent, 1)
+		}
+	}
+}
--- a/scheduler/deadline.go
+++ b/scheduler/deadline.go
@@ -46,6 +46,8 @@
 // undeliverable returns why no further attempt of a message is made, or NoReason if an attempt is possible.
 func (s *Scheduler) undeliverable(message *Message) AnswerReason {
 	switch {
+	case message.tooLarge:
+		return TooLarge
 	case s.repeatUnsafe(message):
 		return RepeatUnsafe
 	case s.tooLate(message):
--- a/scheduler/destination.go
+++ b/scheduler/destination.go
@@ -12,7 +12,8 @@
 	endpoints     []*Endpoint
 	sharedRoute   *Route // route of all endpoints that have no separate one
 	kind          int
-	batchSize     int     // maximum number of messages in one call
+	batchSize     int // maximum number of messages in one call
+	sizeLimit     sizeLimit
 	listedRate    float64 // calls per second according to the endpoint list
 	lanes         []*lane // lanes with queued messages, in round-robin order of the tenants
 	tenantLanes   []lane  // the last one is for messages without a tenant
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -30,15 +30,17 @@
 
 // The outcomes of an attempt.
 const (
-	Delivered    Outcome = iota
-	ServerError          // the destination answered with an error; the message may have run
-	Overloaded           // the destination rejected the message before processing it
-	TimedOut             // no answer in time; the message may have run or may still run
-	NoConnection         // no connection was established; the message never ran
-	Reset                // the connection was lost; the message may have run or may still run
-	Cancelled            // the call was cancelled; the message may have run or may still run
-	NotSent              // nothing was sent; the message never ran
-	Malformed            // the answer cannot be parsed and the call was aborted; the message may have run or may still run
+	Delivered      Outcome = iota
+	ServerError            // the destination answered with an error; the message may have run
+	Overloaded             // the destination rejected the message before processing it
+	TimedOut               // no answer in time; the message may have run or may still run
+	NoConnection           // no connection was established; the message never ran
+	Reset                  // the connection was lost; the message may have run or may still run
+	Cancelled              // the call was cancelled; the message may have run or may still run
+	NotSent                // nothing was sent; the message never ran
+	Malformed              // the answer cannot be parsed and the call was aborted; the message may have run or may still run
+	CallUnreadable         // the destination could not read the call; none of its messages ran
+	CallTooLarge           // the call was too large for the destination; none of its messages ran
 )
 
 // mayStillRun reports whether the destination may still be processing the message.
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -10,6 +10,9 @@
 	Dest   *Destination
 	Size   int // bytes in the write-ahead log
 
+	// CallBytes is what the message takes of Settings.MaxCallBytes.
+	CallBytes int
+
 	// AnsweredByNotice says that the client gets a notice if the message is not delivered in time. The client's clock
 	// may differ from this forwarder's clock.
 	AnsweredByNotice bool
@@ -20,6 +23,7 @@
 	keyQueue      *keyQueue
 	lane          *lane   // nil after the first call with the message began
 	call          *call   // the call in flight that carries the message
+	tooLarge      bool    // the destination has turned it away for its size, in a call of its own
 	attempts      int     // number of attempts made
 	firstRanAt    float64 // start of the first attempt that may have run; 0 means that no attempt ran
 	firstRanZone  int     // zone of the endpoint of that attempt
@@ -98,6 +102,7 @@
 	LoadShed                         // the queue was nearly full
 	AnsweredWithoutCall              // the adapter called Scheduler.AnswerWithoutCall
 	ReplyUnread                      // the client may not have received the reply, see Scheduler.ClientReset
+	TooLarge                         // the destination takes no message of this size
 	DeliveredLate                    // delivered so close to the deadline that it may be late by the client's clock
 )
 
@@ -109,6 +114,7 @@
 	LoadShed:            "load shed",
 	AnsweredWithoutCall: "given up",
 	ReplyUnread:         "the client has reset its connection",
+	TooLarge:            "too large for the destination",
 	DeliveredLate:       "delivered close to its deadline",
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 //   - keyqueue.go: messages with the same ordering key
 //   - endpoints.go: endpoint list, choice of an endpoint, concurrency
 //   - attempts.go: start and end of a call
+//   - callsize.go: how many messages a call carries, and what follows if the destination takes fewer
 //   - outlier.go, slowstart.go: ejection, probing and slow start of failing endpoints
 //   - ratelimit.go: learned rates, Retry-After and backoff for each route
 //   - connections.go: whether idle connections are kept
--- a/scheduler/scheduling.go
+++ b/scheduler/scheduling.go
@@ -89,6 +89,8 @@
 	endpoint   *Endpoint
 	messages   []*Message
 	size       int  // maximum number of messages
+	bytes      int  // sum of Message.CallBytes
+	filled     bool // the next message would exceed Settings.MaxCallBytes
 	allRetries bool // retries that are not urgent may be sent too
 }
 
@@ -99,7 +101,7 @@
 // Any other endpoint first gets only the urgent retries, which soon can no longer be sent. Trade-off: messages that may
 // have run are not lost, but fresh messages are delayed.
 func (s *Scheduler) selectMessages(destination *Destination, endpoint *Endpoint, retries bool) []*Message {
-	batch := selection{scheduler: s, endpoint: endpoint, size: destination.batchSize,
+	batch := selection{scheduler: s, endpoint: endpoint, size: destination.maxCallSize(),
 		allRetries: retries || endpoint.health != healthy}
 	if batch.allRetries || destination.retries.anyUrgent(s.now) {
 		batch.addRetries(&destination.retries)
@@ -118,7 +120,20 @@
 	return batch.messages
 }
 
-func (b *selection) full() bool { return len(b.messages) >= b.size }
+func (b *selection) full() bool { return b.filled || len(b.messages) >= b.size }
+
+// add adds a message to the call, and reports whether it fits. One that does not fit stays in its place and is first in a
+// later call. A single message always fits.
+func (b *selection) add(message *Message) bool {
+	limit := b.scheduler.settings.MaxCallBytes
+	if limit > 0 && len(b.messages) > 0 && b.bytes+message.CallBytes > limit {
+		b.filled = true
+		return false
+	}
+	b.messages = append(b.messages, message)
+	b.bytes += message.CallBytes
+	return true
+}
 
 // accepts reports whether a message may be part of the call.
 func (b *selection) accepts(message *Message) bool {
@@ -139,14 +154,14 @@
 func (b *selection) addRetries(retries *retryLane) {
 	accepts := b.acceptsRetry
 	for message := retries.first(accepts); message != nil && !b.full(); message = retries.first(accepts) {
-		b.messages = append(b.messages, message)
+		b.add(message)
 	}
 }
 
 func (b *selection) addFrom(lane *lane) {
 	accepts := b.accepts
 	for message := lane.first(accepts); message != nil && !b.full(); message = lane.first(accepts) {
-		b.messages = append(b.messages, message)
+		b.add(message)
 	}
 }
 
@@ -156,16 +171,19 @@
 	accepts := b.accepts
 	for idle := 0; idle < len(destination.lanes) && !b.full(); {
 		lane := destination.lanes[0]
-		destination.lanes = destination.lanes[1:]
-		idle++
 		var next *Message
-		if lane.byValue = !lane.byValue; lane.byValue {
-			next = b.scheduler.mostValuable(lane, accepts)
-		} else {
+		if lane.byValue {
 			next = lane.first(accepts)
+		} else {
+			next = b.scheduler.mostValuable(lane, accepts)
 		}
+		if next != nil && !b.add(next) {
+			return
+		}
+		lane.byValue = !lane.byValue
+		destination.lanes = destination.lanes[1:]
+		idle++
 		if next != nil {
-			b.messages = append(b.messages, next)
 			idle = 0
 		}
 		if lane.inRotation = lane.queued > 0; lane.inRotation {
--- a/scheduler/settings.go
+++ b/scheduler/settings.go
@@ -26,6 +26,7 @@
 	Types                           []MessageType
 	TenantRate                      []float64 // messages per second for all forwarders together; empty without tenants
 	KindBatchSize                   []int     // per kind of destination: maximum number of messages in one call
+	MaxCallBytes                    int       // limit of the body of a call with several messages; 0 means unlimited
 	KindEndpointLimits              []bool    // per kind: whether each endpoint has its own route, hence its own limit
 	Forwarders                      int       // number of forwarders that share the destinations
 	ConcurrencyLimit, QueueCapacity int       // maximum number of calls in flight, and of messages held
--- a/transport/result.go
+++ b/transport/result.go
@@ -15,7 +15,7 @@
 	ResultNoSlot                              // 503 with X-Line-Busy: all of this forwarder's slots are in use
 	ResultAttemptsExhausted                   // 504, or "exhausted": no attempt is left, but there is no final answer yet
 	ResultGone                                // 410, or "gone": the message was withdrawn or has expired
-	ResultBadRequest                          // 400 or 413: the endpoint could not parse the call; no message of it ran
+	ResultBadRequest                          // 400: the endpoint could not parse the call; no message of it ran
 	ResultConnectRefused                      // no connection: refused, unreachable, or no file descriptor
 	ResultConnectTimeout                      // the connection was not established in time
 	ResultClosedBeforeSent                    // the connection ended before the call's last byte was written
@@ -25,6 +25,7 @@
 	ResultTimeoutBeforeSent                   // no answer in time; the call was not written completely
 	ResultNotStarted                          // the forwarder itself could not begin the call
 	ResultCancelled                           // cancelled by the scheduler before the first byte was written
+	ResultTooLarge                            // 413: the call was too large for the endpoint; no message of it ran
 )
 
 // resultNames are also values of metric labels and parts of log lines, where these older names must not change.
@@ -46,6 +47,7 @@
 	ResultTimeoutBeforeSent: "given up early",
 	ResultNotStarted:        "unsent",
 	ResultCancelled:         "recalled",
+	ResultTooLarge:          "too large",
 }
 
 // String returns the code's name in metrics and logs.
@@ -79,8 +81,12 @@
 		return scheduler.Malformed, false
 	case ResultRetryAfter, ResultOverloaded:
 		return scheduler.Overloaded, false
-	case ResultNoSlot, ResultAttemptsExhausted, ResultBadRequest, ResultNotStarted, ResultCancelled:
+	case ResultNoSlot, ResultAttemptsExhausted, ResultNotStarted, ResultCancelled:
 		return scheduler.NotSent, false
+	case ResultBadRequest:
+		return scheduler.CallUnreadable, false
+	case ResultTooLarge:
+		return scheduler.CallTooLarge, false
 	case ResultGone:
 		return scheduler.NotSent, true
 	case ResultConnectRefused, ResultConnectTimeout, ResultClosedBeforeSent, ResultTimeoutBeforeSent:
--- a/transport/upstream.go
+++ b/transport/upstream.go
@@ -2,12 +2,17 @@
 
 import "time"
 
+// MaxBodyBytes is the limit of a body in the platform's protocol: of a message, of a call with several messages, and of a
+// request with notices.
+const MaxBodyBytes = 64 << 10
+
 // Message is a message in a call. Its data is not copied and must not change until the call has ended.
 type Message struct {
 	MessageID      uint64 // number of the message in the event loop
 	ID             string // the client's identifier of the message
 	IdempotencyKey string // key by which the endpoint recognizes a repeat; empty if there is none
 	Body           []byte
+	BatchBytes     int // what the message takes of MaxBodyBytes in a call with others, at most
 }
 
 // Call is one call to an endpoint with one or more messages.
