--- a/cmd/spanflow/list_soak_test.go
+++ b/cmd/spanflow/list_soak_test.go
@@ -15,9 +15,9 @@
 
 // The soak of lists replaces endpoints under load, and gives each address to the other destination once the change counts as
 // known to the forwarder. The seed determines the mode of discovery, whether a replaced endpoint is marked as leaving or
-// missing from the whole list, and when discovery is down, the forwarder is killed and started with an older list, or
-// operators drain an endpoint. The test checks that no message runs at an endpoint of another destination, and that each
-// accepted message is delivered or ends with a notice (classes of review cases 1 to 3).
+// missing from the whole list, and when discovery is down or cut off, the forwarder is killed and started with an older list,
+// or operators drain an endpoint. The test checks that no message runs at an endpoint of another destination, and that each
+// accepted message is delivered or ends with a notice (classes of review cases 1 to 3 and 6).
 //
 //	TEST_SOAK_SEEDS=50 go test ./cmd/spanflow -run SoakOfLists -timeout 60m
 const (
@@ -25,6 +25,8 @@
 	listSoakAddresses    = 8
 	listSoakMaxPause     = 800 * time.Millisecond // between two events
 	listSoakMaxOutage    = 4 * time.Second
+	listSoakMaxCut       = 14 * time.Second
+	listSoakMaxRestart   = 16 // number of events in a cut before a restart; there is none in half of the cuts
 	listSoakTimeToLive   = 8 * time.Second
 	listSoakSubmitPause  = 15 * time.Millisecond
 	listSoakRestartPause = 600 * time.Millisecond // from SIGKILL to the next start
@@ -49,6 +51,7 @@
 	random  *rand.Rand
 	pushed  bool // a local agent has the list
 	process *adminProcess
+	cutOff  bool     // discovery is cut off
 	lists   [][]byte // the whole lists so far
 	uids    int
 
@@ -150,7 +153,7 @@
 			time.AfterFunc(agentGrace, func() { s.discovery.Remove(uid) })
 		}
 		known := agentGrace + socketSlack
-		if !s.pushed {
+		if !s.pushed || s.cutOff {
 			known += noticeTerm
 		}
 		time.AfterFunc(known, func() {
@@ -173,6 +176,28 @@
 	}
 }
 
+// cut cuts discovery off for a while, in which endpoints are replaced and the forwarder may be restarted. Further events wait
+// until the forwarder has had the time to watch the list again.
+func (s *listSoak) cut() {
+	length := listSoakMaxCut/4 + time.Duration(s.random.Int64N(int64(listSoakMaxCut*3/4)))
+	kind := emulator.CutKind(s.random.IntN(2))
+	known, restartAfter := s.discovery.Known(), s.random.IntN(2*listSoakMaxRestart)
+	s.discovery.Cut(kind, length)
+	s.cutOff = true
+	for event, end := 0, time.Now().Add(length); time.Now().Before(end); event++ {
+		time.Sleep(time.Duration(s.random.Int64N(int64(listSoakMaxPause))))
+		s.replace(listSoakDestinations[s.random.IntN(len(listSoakDestinations))])
+		if event == restartAfter { // the next process gets the list that this one has
+			s.process.Kill()
+			s.knownList = known
+			time.Sleep(listSoakRestartPause)
+			s.start()
+		}
+	}
+	time.Sleep(noticeTerm + agentGrace + socketSlack)
+	s.cutOff = false
+}
+
 // restart kills the forwarder, replaces an endpoint and starts it with the list that it had. Where lists are pushed, that list
 // may be an older one.
 func (s *listSoak) restart(silent bool) {
@@ -261,7 +286,7 @@
 	for began := time.Now(); time.Since(began) < listSoakDuration; {
 		time.Sleep(listSoakMaxPause/2 + time.Duration(s.random.Int64N(int64(listSoakMaxPause/2))))
 		s.lists = append(s.lists, s.discovery.Known())
-		switch s.random.IntN(8) {
+		switch s.random.IntN(10) {
 		case 0:
 			s.outage()
 		case 1:
@@ -270,6 +295,8 @@
 			s.restart(s.pushed)
 		case 3:
 			s.detach()
+		case 4, 5:
+			s.cut()
 		default:
 			s.replace(listSoakDestinations[s.random.IntN(len(listSoakDestinations))])
 		}
