forwarder: lame duck mode is kept over upgrades and restarts until the second call

Cause: the mode was kept in memory alone. Change: it lies in the folder (lame-duck) before the yes, and a start reads it before it serves. Calls at the new process of an upgrade go into the command spool, in order with those for endpoints; a call at the old process comes after what lies there. Frontends that a reload opens meanwhile are drained as well. /_vars and the metrics have lame_duck, ready has lameduck.

--- a/forwarder/command_spool.go
+++ b/forwarder/command_spool.go
@@ -22,7 +22,7 @@
 	for _, name := range names {
 		command, err := spool.Read(name)
 		if err == nil {
-			if a := loop.drainOrRestore(requestOf(command), true); !a.OK {
+			if a := loop.runSpooledCommand(command); !a.OK {
 				loop.telemetry.log.Error().Str("endpoint", command.Endpoint).Str("reason", a.Text).
 					Msg("spooled command not carried out")
 				return true
@@ -37,9 +37,22 @@
 	return len(names) > 0
 }
 
+// runSpooledCommand carries out one command.
+func (loop *eventLoop) runSpooledCommand(command statefile.Command) admin.Response {
+	if command.LameDuck != statefile.LameDuckUnchanged {
+		return loop.switchLameDuck(requestOf(command).Operation)
+	}
+	return loop.drainOrRestore(requestOf(command), true)
+}
+
 // requestOf converts a spooled command to the operator's request.
 func requestOf(c statefile.Command) admin.Request {
-	if c.Undrain {
+	switch {
+	case c.LameDuck == statefile.LameDuckOn:
+		return admin.Request{Operation: admin.LameDuckOn}
+	case c.LameDuck == statefile.LameDuckOff:
+		return admin.Request{Operation: admin.LameDuckOff}
+	case c.Undrain:
 		return admin.Request{Operation: admin.Attach, Name: c.Endpoint}
 	}
 	return admin.Request{Operation: admin.Detach, Name: c.Endpoint}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	defer loop.telemetry.recorder.Stop()
-	lameDuck := loop.operators.requests.takeOver()
+	loop.operators.requests.takeOver()
 	loop.recoverState(loop.epoch)
 	if ctx.Err() != nil { // cancelled before any client was served
 		return unlessStopped(ctx, log, nil)
@@ -121,9 +121,7 @@
 		return err
 	}
 	defer loop.closeFrontends()
-	if lameDuck {
-		loop.setLameDuck(true)
-	}
+	loop.restoreLameDuck()
 	loop.operators.requests.ready.Store(true)
 	loop.logReady()
 	if ready != nil {
@@ -202,6 +200,9 @@
 	if loop.scheduler.AwaitsList() {
 		e = e.Bool("awaits_agents_list", true)
 	}
+	if loop.operators.lameDuck {
+		e = e.Bool("lameduck", true)
+	}
 	e.Int("recovered", loop.telemetry.counts.recovered).Int("dropped_records", loop.wal.DroppedRecords).
 		Int("targets", len(loop.endpoints.byNumber)).Msg("ready")
 }
--- a/forwarder/operators.go
+++ b/forwarder/operators.go
@@ -31,12 +31,11 @@
 	return a
 }
 
-// takeOver routes all later requests to the event loop. It reports whether lame duck mode was already switched on.
-func (a *adminRequests) takeOver() (lameDuck bool) {
+// takeOver routes all later requests to the event loop.
+func (a *adminRequests) takeOver() {
 	if s := a.standby.Load(); s != nil {
-		return s.takeOver()
+		s.takeOver()
 	}
-	return false
 }
 
 // Ready reports whether clients may be sent to this process.
@@ -59,19 +58,38 @@
 	case admin.Vars:
 		r.reply(admin.Response{OK: true, Text: loop.operatorFigures()})
 	case admin.LameDuckOn, admin.LameDuckOff:
-		// A process that is shutting down keeps draining: its clients must go elsewhere even if operators switch lame
-		// duck mode off.
-		on := r.Operation == admin.LameDuckOn
-		if on != loop.operators.lameDuck && (on || !loop.shutdown.begun) {
-			loop.setLameDuck(on)
+		if loop.config.upgradesInPlace() && !loop.shutdown.handingOver {
+			loop.runSpooledCommands() // those that came before
 		}
-		r.reply(admin.Response{OK: true, Text: r.Operation.String()})
+		r.reply(loop.switchLameDuck(r.Operation))
 	case admin.Detach, admin.Attach:
 		t := loop.endpoints.byUID[r.Name]
 		r.reply(loop.drainOrRestore(r.Request, t != nil && t.isListed()))
 	}
 }
 
+// switchLameDuck carries out an operator's request to switch lame duck mode. It is recorded in the folder before the yes, as
+// the next process of this forwarder keeps to it. A process that is shutting down keeps draining: its clients must go
+// elsewhere even if operators switch lame duck mode off.
+func (loop *eventLoop) switchLameDuck(operation admin.Operation) admin.Response {
+	on := operation == admin.LameDuckOn
+	if err := statefile.WriteLameDuck(loop.config.Folder, on); err != nil {
+		return notSaved(err)
+	}
+	if on != loop.operators.lameDuck && (on || !loop.shutdown.begun) {
+		loop.setLameDuck(on)
+	}
+	return admin.Response{OK: true, Text: operation.String()}
+}
+
+// restoreLameDuck switches lame duck mode on, before the first client is served, if an earlier process of this forwarder had
+// it on or a spooled command has switched it on.
+func (loop *eventLoop) restoreLameDuck() {
+	if loop.operators.lameDuck || statefile.ReadLameDuck(loop.config.Folder) {
+		loop.setLameDuck(true)
+	}
+}
+
 // setLameDuck switches lame duck mode, in which clients are sent elsewhere, on or off.
 func (loop *eventLoop) setLameDuck(on bool) {
 	loop.operators.lameDuck = on
@@ -84,6 +102,7 @@
 			l.Undrain()
 		}
 	}
+	loop.telemetry.lameDuck.Store(on)
 	loop.telemetry.log.Info().Bool("lameduck", on).Int("clients", clients).Int("held", len(loop.messages.byNumber)).
 		Msg("lame duck mode switched")
 }
--- a/forwarder/reload.go
+++ b/forwarder/reload.go
@@ -307,6 +307,11 @@
 		f.StopAccepting()
 		f.Drain()
 	}
+	if loop.operators.lameDuck {
+		for _, f := range opened {
+			f.Drain()
+		}
+	}
 	loop.frontends.open, loop.frontends.draining = append(kept, opened...), append(loop.frontends.draining, removed...)
 	return nil
 }
--- a/forwarder/standby.go
+++ b/forwarder/standby.go
@@ -16,8 +16,7 @@
 	folder    string
 	types     []string
 	active    map[string]bool // whether each endpoint of the last known list may get calls, by uid
-	lameDuck  bool
-	takenOver bool // the event loop answers instead
+	takenOver bool            // the event loop answers instead
 }
 
 func newStandby(c *Config) *standby {
@@ -30,13 +29,11 @@
 	return s
 }
 
-// takeOver ends the standby, so that later requests are passed to the event loop. It reports whether lame duck mode is
-// on.
-func (s *standby) takeOver() (lameDuck bool) {
+// takeOver ends the standby, so that later requests are passed to the event loop.
+func (s *standby) takeOver() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.takenOver = true
-	return s.lameDuck
 }
 
 // answer answers a request. It returns false if the event loop is to answer.
@@ -47,9 +44,10 @@
 		return admin.Response{}, false
 	}
 	switch c.Operation {
-	case admin.LameDuckOn, admin.LameDuckOff:
-		s.lameDuck = c.Operation == admin.LameDuckOn
-		return admin.Response{OK: true, Text: c.Operation.String()}, true
+	case admin.LameDuckOn:
+		return s.put(c, statefile.Command{LameDuck: statefile.LameDuckOn}), true
+	case admin.LameDuckOff:
+		return s.put(c, statefile.Command{LameDuck: statefile.LameDuckOff}), true
 	case admin.Vars:
 		return admin.Response{OK: true, Text: s.figures()}, true
 	}
@@ -63,7 +61,26 @@
 			outOfRotation++
 		}
 	}
-	return (&figures{}).write(s.types, gaugeFigures{listed: len(s.active), outOfRotation: outOfRotation})
+	return (&figures{}).write(s.types, gaugeFigures{listed: len(s.active), outOfRotation: outOfRotation, lameDuck: s.lameDuck()})
+}
+
+// put puts the command of a request into the command spool.
+func (s *standby) put(c admin.Request, command statefile.Command) admin.Response {
+	if err := statefile.NewSpool(s.folder).Put(command); err != nil {
+		return notSaved(err)
+	}
+	return admin.Response{OK: true, Text: c.Operation.String()}
+}
+
+// lameDuck reports whether lame duck mode will be on once the commands in the spool are carried out.
+func (s *standby) lameDuck() bool {
+	on, spool := statefile.ReadLameDuck(s.folder), statefile.NewSpool(s.folder)
+	for _, name := range spool.Names() {
+		if command, err := spool.Read(name); err == nil && command.LameDuck != statefile.LameDuckUnchanged {
+			on = command.LameDuck == statefile.LameDuckOn
+		}
+	}
+	return on
 }
 
 // drain puts a command to drain or restore an endpoint into the command spool.
@@ -72,8 +89,8 @@
 	verdict, change := applyDrainRequest(s.drains(), c, listed)
 	if change != drains.Unchanged {
 		command := statefile.Command{Endpoint: c.Name, Undrain: c.Operation == admin.Attach}
-		if err := statefile.NewSpool(s.folder).Put(command); err != nil {
-			return notSaved(err)
+		if response := s.put(c, command); !response.OK {
+			return response
 		}
 	}
 	return drainResponse(c, verdict)
@@ -84,7 +101,7 @@
 	set := drains.New(statefile.ReadDrains(s.folder))
 	spool := statefile.NewSpool(s.folder)
 	for _, name := range spool.Names() {
-		if command, err := spool.Read(name); err == nil {
+		if command, err := spool.Read(name); err == nil && command.LameDuck == statefile.LameDuckUnchanged {
 			applyDrainRequest(set, requestOf(command), true)
 		}
 	}
--- a/forwarder/telemetry.go
+++ b/forwarder/telemetry.go
@@ -26,6 +26,7 @@
 	heldMessages atomic.Int64
 	walBytes     atomic.Int64
 	listOverdue  atomic.Bool
+	lameDuck     atomic.Bool
 }
 
 const (
@@ -80,6 +81,7 @@
 		{Name: "held_documents", Read: func() float64 { return float64(t.heldMessages.Load()) }},
 		{Name: "ledger_bytes", Read: func() float64 { return float64(t.walBytes.Load()) }},
 		{Name: "endpoint_list_overdue", Read: func() float64 { return boolGauge(t.listOverdue.Load()) }},
+		{Name: "lame_duck", Read: func() float64 { return boolGauge(t.lameDuck.Load()) }},
 		{Name: "outgoing_connections", Read: func() float64 { return float64(dialer.Open()) }},
 	}
 	for _, account := range loop.memory.Accounts() {
--- a/internal/statefile/spool.go
+++ b/internal/statefile/spool.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	spoolDir    = "by-hand"
-	drainWord   = "out"
-	undrainWord = "back"
+	spoolDir     = "by-hand"
+	drainWord    = "out"
+	undrainWord  = "back"
+	lameDuckWord = "lameduck"
+	onWord       = "on"
+	offWord      = "off"
 
 	// maxSpooledCommands limits the spool, so that a caller cannot fill the folder while the process that holds it hangs.
 	// Commands beyond the limit are rejected until that process reads the spool again.
@@ -20,10 +23,50 @@
 	spooledNameTemplate = "%08d"
 )
 
-// Command is an operator's command to drain or restore an endpoint.
+// Command is an operator's command to drain or restore an endpoint, or to switch lame duck mode.
 type Command struct {
-	Endpoint string // id
+	Endpoint string // id; empty for lame duck mode
 	Undrain  bool   // true ends the drain; false drains the endpoint
+	LameDuck LameDuckSwitch
+}
+
+// LameDuckSwitch says how a command switches lame duck mode.
+type LameDuckSwitch uint8
+
+// The ways to switch lame duck mode.
+const (
+	LameDuckUnchanged LameDuckSwitch = iota // the command concerns an endpoint
+	LameDuckOn
+	LameDuckOff
+)
+
+// line returns the command as it is written.
+func (c Command) line() string {
+	switch {
+	case c.LameDuck == LameDuckOn:
+		return lameDuckWord + " " + onWord + "\n"
+	case c.LameDuck == LameDuckOff:
+		return lameDuckWord + " " + offWord + "\n"
+	case c.Undrain:
+		return undrainWord + " " + c.Endpoint + "\n"
+	}
+	return drainWord + " " + c.Endpoint + "\n"
+}
+
+// parseCommand returns the command of a line, and reports whether it is one.
+func parseCommand(line string) (command Command, ok bool) {
+	word, argument, _ := strings.Cut(line, " ")
+	switch {
+	case argument == "":
+		return Command{}, false
+	case word == drainWord || word == undrainWord:
+		return Command{Endpoint: argument, Undrain: word == undrainWord}, true
+	case word == lameDuckWord && argument == onWord:
+		return Command{LameDuck: LameDuckOn}, true
+	case word == lameDuckWord && argument == offWord:
+		return Command{LameDuck: LameDuckOff}, true
+	}
+	return Command{}, false
 }
 
 // Spool is the queue of operators' commands in a forwarder's folder, with one file per command. The successor of an
@@ -62,11 +105,7 @@
 	if err := os.MkdirAll(s.dir, dirPerm); err != nil {
 		return err
 	}
-	word := drainWord
-	if command.Undrain {
-		word = undrainWord
-	}
-	return Write(s.dir, fmt.Sprintf(spooledNameTemplate, number), word+" "+command.Endpoint+"\n")
+	return Write(s.dir, fmt.Sprintf(spooledNameTemplate, number), command.line())
 }
 
 // Read reads the command with the given name. It returns a MalformedCommandError if the file does not contain a
@@ -81,11 +120,11 @@
 	if err := f.Close(); err != nil {
 		return Command{}, err
 	}
-	word, endpoint, _ := strings.Cut(strings.TrimSuffix(string(text[:n]), "\n"), " ")
-	if endpoint == "" || (word != drainWord && word != undrainWord) {
+	command, ok := parseCommand(strings.TrimSuffix(string(text[:n]), "\n"))
+	if !ok {
 		return Command{}, &MalformedCommandError{Name: name}
 	}
-	return Command{Endpoint: endpoint, Undrain: word == undrainWord}, nil
+	return command, nil
 }
 
 // Remove removes the command with the given name.
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -162,3 +162,33 @@
 	}
 	return names
 }
+
+func TestLameDuckIsKeptUntilItEnds(t *testing.T) {
+	dir := t.TempDir()
+	for _, on := range []bool{false, true, true, false, false} {
+		require.NoError(t, WriteLameDuck(dir, on))
+		require.Equal(t, on, ReadLameDuck(dir))
+	}
+	require.Error(t, WriteLameDuck(filepath.Join(dir, "missing"), true))
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "file"), nil, filePerm))
+	require.True(t, ReadLameDuck(filepath.Join(dir, "file")), "the folder cannot be examined")
+}
+
+func TestSpoolKeepsCommandsOfEachKind(t *testing.T) {
+	spool := NewSpool(t.TempDir())
+	want := []Command{{Endpoint: "a"}, {LameDuck: LameDuckOn}, {Endpoint: "a", Undrain: true}, {LameDuck: LameDuckOff}, {Endpoint: "on"}}
+	for _, command := range want {
+		require.NoError(t, spool.Put(command))
+	}
+	var read []Command
+	for _, name := range spool.Names() {
+		command, err := spool.Read(name)
+		require.NoError(t, err)
+		read = append(read, command)
+	}
+	require.Equal(t, want, read)
+	for _, line := range []string{"", "out", "lameduck", "lameduck perhaps", "other a"} {
+		_, ok := parseCommand(line)
+		require.False(t, ok, line)
+	}
+}
