forwarder: an endpoint that operators drain before it is listed gets no calls

The id is kept for LateListTerm (60 s), in the folder before the answer; if the list names it meanwhile, it is drained before the entry is applied, until the call back.

--- a/forwarder/command_spool.go
+++ b/forwarder/command_spool.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net/http"
 	"time"
 
 	"spanflow/internal/admin"
@@ -42,7 +43,14 @@
 	if command.LameDuck != statefile.LameDuckUnchanged {
 		return loop.switchLameDuck(requestOf(command).Operation)
 	}
-	return loop.drainOrRestore(requestOf(command), true)
+	request := requestOf(command)
+	if !command.Unlisted {
+		return loop.drainOrRestore(request, true)
+	}
+	t := loop.endpoints.byUID[command.Endpoint]
+	response := loop.drainOrRestore(request, t != nil && t.isListed())
+	response.OK = response.OK || response.Status == http.StatusNotFound // it is pending
+	return response
 }
 
 // requestOf converts a spooled command to the operator's request.
--- a/forwarder/endpoints.go
+++ b/forwarder/endpoints.go
@@ -82,6 +82,7 @@
 // updateEndpoints passes an endpoint list to the scheduler. The list is either complete or contains only changes.
 func (loop *eventLoop) updateEndpoints(list *transport.EndpointList, complete bool) {
 	loop.discovery.revision = list.Revision
+	loop.drainPending(list)
 	updates := make([]scheduler.EndpointUpdate, 0, len(list.Endpoints))
 	room := loop.roomForEndpoints(complete)
 	for i := range list.Endpoints {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -90,7 +90,11 @@
 	config.Scheduler.MaxStoredBytes = loop.memory.MessageBytes(walLog.Capacity())
 	config.Scheduler.MaxCallBytes = transport.MaxBodyBytes - upstream.BatchFramingBytes
 	loop.configuredScheduler, loop.wal, loop.telemetry.output = configured, walLog, logTo
-	loop.operators = operatorState{requests: requests, drains: drains.New(statefile.ReadDrains(config.Folder))}
+	loop.operators = operatorState{
+		requests:      requests,
+		drains:        drains.New(statefile.ReadDrains(config.Folder)),
+		pendingDrains: drains.NewPending(statefile.ReadPendingDrains(config.Folder), uptime()),
+	}
 	return loop.serve(ctx, stop, reload, dialer, ready)
 }
 
--- a/forwarder/operators.go
+++ b/forwarder/operators.go
@@ -13,7 +13,9 @@
 type operatorState struct {
 	requests *adminRequests
 	drains   *drains.Set // endpoints that operators have drained
-	lameDuck bool        // clients are sent elsewhere
+	// endpoints that operators wanted to drain and that the list does not have yet
+	pendingDrains drains.Pending
+	lameDuck      bool // clients are sent elsewhere
 }
 
 // adminRequests turns requests to the admin address into events. It is the handler of the admin server.
@@ -110,6 +112,9 @@
 // drainOrRestore drains an endpoint, or restores it. listed is true if the endpoint is known to exist.
 func (loop *eventLoop) drainOrRestore(r admin.Request, listed bool) admin.Response {
 	result, change := applyDrainRequest(loop.operators.drains, r, listed)
+	if err := loop.updatePendingDrains(r, result); err != nil {
+		return notSaved(err)
+	}
 	if change == drains.Unchanged {
 		return drainResponse(r, result)
 	}
--- a/forwarder/standby.go
+++ b/forwarder/standby.go
@@ -87,8 +87,9 @@
 func (s *standby) drain(c admin.Request) admin.Response {
 	_, listed := s.active[c.Name]
 	verdict, change := applyDrainRequest(s.drains(), c, listed)
-	if change != drains.Unchanged {
-		command := statefile.Command{Endpoint: c.Name, Undrain: c.Operation == admin.Attach}
+	unlisted := verdict == drains.Unknown // perhaps not by the list of the process that holds the folder
+	if change != drains.Unchanged || unlisted {
+		command := statefile.Command{Endpoint: c.Name, Undrain: c.Operation == admin.Attach, Unlisted: unlisted}
 		if response := s.put(c, command); !response.OK {
 			return response
 		}
@@ -101,7 +102,7 @@
 	set := drains.New(statefile.ReadDrains(s.folder))
 	spool := statefile.NewSpool(s.folder)
 	for _, name := range spool.Names() {
-		if command, err := spool.Read(name); err == nil && command.LameDuck == statefile.LameDuckUnchanged {
+		if command, err := spool.Read(name); err == nil && command.LameDuck == statefile.LameDuckUnchanged && !command.Unlisted {
 			applyDrainRequest(set, requestOf(command), true)
 		}
 	}
--- a/internal/statefile/list_lease.go
+++ b/internal/statefile/list_lease.go
@@ -17,9 +17,12 @@
 
 const listLeaseHeader = "spanflow list-lease 1"
 
-// uptime returns the time since the machine was started. All processes have the same, and steps of the wall clock do not
+// maxUptime is an implausible uptime in seconds. Larger ones in files are ignored.
+const maxUptime = 1e9
+
+// Uptime returns the time since the machine was started. All processes have the same, and steps of the wall clock do not
 // change it.
-func uptime() (time.Duration, error) {
+func Uptime() (time.Duration, error) {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
 		return 0, err
@@ -29,7 +32,7 @@
 
 // WriteListLease replaces the file of the lease, which expires after the given time.
 func WriteListLease(dir string, expiresIn time.Duration) error {
-	now, err := uptime()
+	now, err := Uptime()
 	if err != nil {
 		return err
 	}
@@ -58,7 +61,7 @@
 		return 0, false
 	}
 	seconds, err := strconv.ParseFloat(lines[1], 64)
-	now, clockErr := uptime()
+	now, clockErr := Uptime()
 	if err != nil || clockErr != nil || math.IsNaN(seconds) {
 		return 0, false
 	}
--- a/internal/statefile/spool.go
+++ b/internal/statefile/spool.go
@@ -11,6 +11,7 @@
 const (
 	spoolDir     = "by-hand"
 	drainWord    = "out"
+	unlistedWord = "out-if-listed"
 	undrainWord  = "back"
 	lameDuckWord = "lameduck"
 	onWord       = "on"
@@ -27,6 +28,7 @@
 type Command struct {
 	Endpoint string // id; empty for lame duck mode
 	Undrain  bool   // true ends the drain; false drains the endpoint
+	Unlisted bool   // the process that took the command did not know the endpoint
 	LameDuck LameDuckSwitch
 }
 
@@ -49,6 +51,8 @@
 		return lameDuckWord + " " + offWord + "\n"
 	case c.Undrain:
 		return undrainWord + " " + c.Endpoint + "\n"
+	case c.Unlisted:
+		return unlistedWord + " " + c.Endpoint + "\n"
 	}
 	return drainWord + " " + c.Endpoint + "\n"
 }
@@ -61,6 +65,8 @@
 		return Command{}, false
 	case word == drainWord || word == undrainWord:
 		return Command{Endpoint: argument, Undrain: word == undrainWord}, true
+	case word == unlistedWord:
+		return Command{Endpoint: argument, Unlisted: true}, true
 	case word == lameDuckWord && argument == onWord:
 		return Command{LameDuck: LameDuckOn}, true
 	case word == lameDuckWord && argument == offWord:
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -192,3 +192,13 @@
 		require.False(t, ok, line)
 	}
 }
+
+func TestPendingDrainsAreKept(t *testing.T) {
+	dir := t.TempDir()
+	want := map[string]time.Duration{"a": 1500 * time.Millisecond, "an id with spaces": 2 * time.Second}
+	require.NoError(t, WritePendingDrains(dir, want))
+	require.Equal(t, want, ReadPendingDrains(dir))
+	require.NoError(t, Write(dir, PendingDrainsFile, "1.0 a\nx b\n2.0\n\nNaN c\n1e300 d\n-1 e\n"))
+	require.Equal(t, map[string]time.Duration{"a": time.Second}, ReadPendingDrains(dir))
+	require.Empty(t, ReadPendingDrains(t.TempDir()))
+}
--- a/scheduler/discovery.go
+++ b/scheduler/discovery.go
@@ -17,6 +17,10 @@
 	successorPollSpread     = 2   // longest delay in seconds of the first poll after an upgrade
 )
 
+// LateListTerm is the time in seconds within which an endpoint that operators know may still be missing from the list. An
+// endpoint that was to be drained and is listed within it is drained.
+const LateListTerm = 60.0
+
 // PollTimedOut reports that a poll for the endpoint list was not answered in time. Each consecutive failure doubles the
 // wait, until the next poll might come more than pollPeriod after this one; in a large fleet, the first failure may do
 // that. From then on polls keep a distance of pollPeriod, after one random wait, so that the polls of a fleet remain
