scheduler: a joined call has the time of its longest message

Cause: each message had its own time-out, and the host took the least of a call. Change: the scheduler gives the call one time-out, bounded by the latest deadline of its messages; each still gets its final answer at its own. A repeat that must end before its idempotency key is forgotten would cut the others' time, so it has a call of its own.

Considered: not joining messages with far apart deadlines. A destination that is far behind gets most messages near their deadlines, and would get them in emptier calls.

--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -38,7 +38,7 @@
 	destination.attempts += float64(len(messages))
 	s.callsInFlight++
 	s.delayProbes(endpoint)
-	timeout := s.timeout(endpoint)
+	timeout := s.callTimeout(s.timeout(endpoint), messages)
 	for _, message := range messages {
 		s.startAttempt(message, call, timeout)
 	}
@@ -61,11 +61,7 @@
 	s.trackInFlight(message)
 	message.call, message.action, message.endpoint = call, actionSend, call.endpoint
 	message.attempts++
-	message.timeout = math.Min(timeout, message.deadline-s.now)
-	if message.hasUsedKey() { // a repeat times out before its idempotency key is forgotten
-		forgottenAt := message.firstRanAt + message.messageType.DeduplicationWindow
-		message.timeout = math.Min(message.timeout, forgottenAt-s.now)
-	}
+	message.timeout = timeout
 	s.changed = append(s.changed, message)
 }
 
--- a/scheduler/callsize_test.go
+++ b/scheduler/callsize_test.go
@@ -158,3 +158,52 @@
 		}
 	}
 }
+
+// Guards against a message that must not run twice and fails with most of its time left, because its call had the timeout of
+// another message with little time (found by the second review).
+func TestJoinedCallTakesNoTimeFromItsMessages(t *testing.T) {
+	h := newHarness(testSettings)
+	d := h.addDestination(1, 0)
+	short, long := &Message{Dest: d, Tenant: 9}, &Message{Dest: d, Tenant: 9}
+	alone := newHarness(testSettings)
+	e := alone.addDestination(1, 0)
+	alone.Accept(&Message{Dest: e, Tenant: 9}, payment, 20)
+	alone.reconcile()
+	h.Accept(short, status, 0.7)
+	h.Accept(long, payment, 20)
+	h.reconcile()
+	require.Len(t, h.calls(), 1, "they are joined")
+	for _, s := range h.sent {
+		require.InDelta(t, alone.sent[0].timeout, s.timeout, 1e-9, "as long as that of a call with the long one alone")
+	}
+	h.advance(0.75)
+	require.Equal(t, "rejected", h.answers[short], "at its own deadline")
+	require.Empty(t, h.answers[long])
+	h.endAttempts(d, Delivered)
+	h.advance(0.1)
+	require.Empty(t, h.answers[long])
+}
+
+// A repeat whose key is soon forgotten has to end early, so it has a call of its own.
+func TestRepeatThatEndsWithItsKeyIsNotJoined(t *testing.T) {
+	settings := testSettings
+	settings.Types = append([]MessageType{}, settings.Types...)
+	settings.Types[ticket].DeduplicationWindow = 1.5
+	h := newHarness(settings)
+	d := h.addDestination(1, 0)
+	repeat := &Message{Dest: d, Tenant: 9, Key: 5}
+	h.Recover(repeat, ticket, 20, RecoveredState{Attempts: 1, FirstRanAt: h.now - 0.2})
+	once := h.accept(d, payment, 0)
+	for range 5 {
+		h.advance(0.02)
+	}
+	require.Len(t, h.calls(), 2)
+	for _, s := range h.sent {
+		if s.message == repeat {
+			require.LessOrEqual(t, s.at+s.timeout, repeat.firstRanAt+1.5)
+		} else {
+			require.Equal(t, once, s.message)
+			require.Greater(t, s.timeout, 1.5)
+		}
+	}
+}
--- a/scheduler/scheduling.go
+++ b/scheduler/scheduling.go
@@ -90,7 +90,8 @@
 	messages   []*Message
 	size       int  // maximum number of messages
 	bytes      int  // sum of Message.CallBytes
-	filled     bool // the next message would exceed Settings.MaxCallBytes
+	filled     bool // the next message does not fit
+	timeout    float64
 	allRetries bool // retries that are not urgent may be sent too
 }
 
@@ -101,7 +102,7 @@
 // Any other endpoint first gets only the urgent retries, which soon can no longer be sent. Trade-off: messages that may
 // have run are not lost, but fresh messages are delayed.
 func (s *Scheduler) selectMessages(destination *Destination, endpoint *Endpoint, retries bool) []*Message {
-	batch := selection{scheduler: s, endpoint: endpoint, size: destination.maxCallSize(),
+	batch := selection{scheduler: s, endpoint: endpoint, size: destination.maxCallSize(), timeout: s.timeout(endpoint),
 		allRetries: retries || endpoint.health != healthy}
 	if batch.allRetries || destination.retries.anyUrgent(s.now) {
 		batch.addRetries(&destination.retries)
@@ -125,8 +126,7 @@
 // add adds a message to the call, and reports whether it fits. One that does not fit stays in its place and is first in a
 // later call. A single message always fits.
 func (b *selection) add(message *Message) bool {
-	limit := b.scheduler.settings.MaxCallBytes
-	if limit > 0 && len(b.messages) > 0 && b.bytes+message.CallBytes > limit {
+	if len(b.messages) > 0 && !b.fits(message) {
 		b.filled = true
 		return false
 	}
@@ -151,6 +151,21 @@
 	return (b.allRetries || s.now > message.urgentAt()) && b.accepts(message)
 }
 
+// fits reports whether a message can be joined with those of the call: their bodies are not too large together, and no
+// repeat has to end before its idempotency key is forgotten, which would cut the time of the others.
+func (b *selection) fits(message *Message) bool {
+	limit := b.scheduler.settings.MaxCallBytes
+	if limit > 0 && b.bytes+message.CallBytes > limit {
+		return false
+	}
+	return !b.endsWithKey(message) && !b.endsWithKey(b.messages[0])
+}
+
+// endsWithKey reports whether the key of a message is forgotten before a call would time out.
+func (b *selection) endsWithKey(message *Message) bool {
+	return b.scheduler.keyTimeLeft(message) < b.timeout
+}
+
 func (b *selection) addRetries(retries *retryLane) {
 	accepts := b.acceptsRetry
 	for message := retries.first(accepts); message != nil && !b.full(); message = retries.first(accepts) {
