--- a/cmd/spanflow/lame_duck_test.go
+++ b/cmd/spanflow/lame_duck_test.go
@@ -64,6 +64,13 @@
 	require.Equal(l.t, yes, len(l.pongs) > 0, "%s; log:\n%s", what, l.harness.process.Log)
 }
 
+// operate drains or restores the endpoint.
+func (l *lameDuckTest) operate(operation string) {
+	l.t.Helper()
+	status, text := callAdmin(l.t, l.process.admin, "POST", "/_targets/"+operation+"?name=s1")
+	require.Equal(l.t, http.StatusOK, status, text)
+}
+
 func (l *lameDuckTest) upgradeOnce() {
 	l.process = l.upgrade(l.process, l.listenSocket, func() {})
 }
@@ -81,7 +88,8 @@
 	require.NoError(l.t, l.process.Wait())
 }
 
-// Guards against review case 9: an upgrade ended the emptying of a forwarder, and PING was answered +PONG.
+// Guards against review case 9: an upgrade ended the emptying of a forwarder, and PING was answered +PONG. An endpoint is
+// drained as well, and stays so.
 func TestLameDuckModeIsKeptUntilSecondCall(t *testing.T) {
 	for name, event := range map[string]func(l *lameDuckTest){
 		"upgrade":                  (*lameDuckTest).upgradeOnce,
@@ -101,17 +109,21 @@
 			t.Parallel()
 			l := newLameDuckTest(t)
 			l.lameDuck(l.process, "on")
+			l.operate("detach")
 			end := make(chan struct{})
 			var pinging sync.WaitGroup
 			pinging.Go(func() { l.pingUntil(end) })
 			event(l)
 			l.requirePings(false, "lame duck mode is on")
 			require.Equal(t, "1|g", adminVars(t, l.process.admin)["proxy.lame_duck"])
+			require.Equal(t, "1|g", adminVars(t, l.process.admin)["proxy.out_of_rotation"], "the endpoint is drained")
 			l.lameDuck(l.process, "off")
+			l.operate("attach")
 			l.requirePings(true, "lame duck mode is off")
 			require.Equal(t, "0|g", adminVars(t, l.process.admin)["proxy.lame_duck"])
 			event(l)
 			l.requirePings(true, "lame duck mode stays off")
+			require.Equal(t, "0|g", adminVars(t, l.process.admin)["proxy.out_of_rotation"], "the endpoint stays restored")
 			close(end)
 			pinging.Wait()
 		})
