--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -18,7 +18,7 @@
 // handleRequest answers a caller's request.
 func (loop *eventLoop) handleRequest(r *request) {
 	switch {
-	case r.Ping && loop.operators.lameDuck: // a health check by PING fails, so that clients go elsewhere
+	case r.Ping && loop.operators.drainsClients: // a health check by PING fails, so that clients go elsewhere
 		r.From.Answer(invalid("lameduck: this forwarder is being emptied"))
 	case r.Ping:
 		r.From.Answer(transport.Reply{Status: transport.StatusAlive})
--- a/forwarder/command_spool.go
+++ b/forwarder/command_spool.go
@@ -40,8 +40,8 @@
 
 // runSpooledCommand carries out one command.
 func (loop *eventLoop) runSpooledCommand(command statefile.Command) admin.Response {
-	if command.LameDuck != statefile.LameDuckUnchanged {
-		return loop.switchLameDuck(requestOf(command).Operation)
+	if command.ClientDrain != statefile.ClientDrainUnchanged {
+		return loop.switchClientDrain(requestOf(command).Operation)
 	}
 	request := requestOf(command)
 	if !command.Unlisted {
@@ -56,10 +56,10 @@
 // requestOf converts a spooled command to the operator's request.
 func requestOf(c statefile.Command) admin.Request {
 	switch {
-	case c.LameDuck == statefile.LameDuckOn:
-		return admin.Request{Operation: admin.LameDuckOn}
-	case c.LameDuck == statefile.LameDuckOff:
-		return admin.Request{Operation: admin.LameDuckOff}
+	case c.ClientDrain == statefile.ClientDrainOn:
+		return admin.Request{Operation: admin.ClientDrainOn}
+	case c.ClientDrain == statefile.ClientDrainOff:
+		return admin.Request{Operation: admin.ClientDrainOff}
 	case c.Undrain:
 		return admin.Request{Operation: admin.Attach, Name: c.Endpoint}
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	defer loop.closeFrontends()
-	loop.restoreLameDuck()
+	loop.restoreClientDrain()
 	loop.operators.requests.ready.Store(true)
 	loop.logReady()
 	if ready != nil {
@@ -204,7 +204,7 @@
 	if loop.scheduler.AwaitsList() {
 		e = e.Bool("awaits_agents_list", true)
 	}
-	if loop.operators.lameDuck {
+	if loop.operators.drainsClients {
 		e = e.Bool("lameduck", true)
 	}
 	e.Int("recovered", loop.telemetry.counts.recovered).Int("dropped_records", loop.wal.DroppedRecords).
--- a/forwarder/operator_figures.go
+++ b/forwarder/operator_figures.go
@@ -31,7 +31,7 @@
 	unfinished    int // messages without a final answer
 	listed        int // endpoints
 	outOfRotation int // listed endpoints that are drained by operators or ejected
-	lameDuck      bool
+	drainsClients bool
 }
 
 // countFinalAnswer counts a message's final answer for both the operators' figures and the metrics. It is called once
@@ -51,7 +51,7 @@
 
 // operatorFigures returns the figures in the format of /_vars.
 func (loop *eventLoop) operatorFigures() string {
-	gauges := gaugeFigures{unfinished: loop.messages.unfinished(), lameDuck: loop.operators.lameDuck}
+	gauges := gaugeFigures{unfinished: loop.messages.unfinished(), drainsClients: loop.operators.drainsClients}
 	for _, t := range loop.endpoints.byNumber {
 		if !t.isListed() {
 			continue
@@ -93,6 +93,6 @@
 	gauge("open_requests", gauges.unfinished)
 	gauge("registry_entries", gauges.listed)
 	gauge("out_of_rotation", gauges.outOfRotation)
-	gauge("lame_duck", int(boolGauge(gauges.lameDuck)))
+	gauge("lame_duck", int(boolGauge(gauges.drainsClients)))
 	return b.String()
 }
--- a/forwarder/operators.go
+++ b/forwarder/operators.go
@@ -15,7 +15,7 @@
 	drains   *drains.Set // endpoints that operators have drained
 	// endpoints that operators wanted to drain and that the list does not have yet
 	pendingDrains drains.Pending
-	lameDuck      bool // clients are sent elsewhere
+	drainsClients bool // clients are sent elsewhere
 }
 
 // adminRequests turns requests to the admin address into events. It is the handler of the admin server.
@@ -59,42 +59,42 @@
 	switch r.Operation {
 	case admin.Vars:
 		r.reply(admin.Response{OK: true, Text: loop.operatorFigures()})
-	case admin.LameDuckOn, admin.LameDuckOff:
+	case admin.ClientDrainOn, admin.ClientDrainOff:
 		if loop.config.upgradesInPlace() && !loop.shutdown.handingOver {
 			loop.runSpooledCommands() // those that came before
 		}
-		r.reply(loop.switchLameDuck(r.Operation))
+		r.reply(loop.switchClientDrain(r.Operation))
 	case admin.Detach, admin.Attach:
 		t := loop.endpoints.byUID[r.Name]
 		r.reply(loop.drainOrRestore(r.Request, t != nil && t.isListed()))
 	}
 }
 
-// switchLameDuck carries out an operator's request to switch lame duck mode. It is recorded in the folder before the yes, as
+// switchClientDrain carries out an operator's request to switch lame duck mode. It is recorded in the folder before the yes, as
 // the next process of this forwarder keeps to it. A process that is shutting down keeps draining: its clients must go
 // elsewhere even if operators switch lame duck mode off.
-func (loop *eventLoop) switchLameDuck(operation admin.Operation) admin.Response {
-	on := operation == admin.LameDuckOn
-	if err := statefile.WriteLameDuck(loop.config.Folder, on); err != nil {
+func (loop *eventLoop) switchClientDrain(operation admin.Operation) admin.Response {
+	on := operation == admin.ClientDrainOn
+	if err := statefile.WriteClientDrain(loop.config.Folder, on); err != nil {
 		return notSaved(err)
 	}
-	if on != loop.operators.lameDuck && (on || !loop.shutdown.begun) {
-		loop.setLameDuck(on)
+	if on != loop.operators.drainsClients && (on || !loop.shutdown.begun) {
+		loop.setClientDrain(on)
 	}
 	return admin.Response{OK: true, Text: operation.String()}
 }
 
-// restoreLameDuck switches lame duck mode on, before the first client is served, if an earlier process of this forwarder had
+// restoreClientDrain switches lame duck mode on, before the first client is served, if an earlier process of this forwarder had
 // it on or a spooled command has switched it on.
-func (loop *eventLoop) restoreLameDuck() {
-	if loop.operators.lameDuck || statefile.ReadLameDuck(loop.config.Folder) {
-		loop.setLameDuck(true)
+func (loop *eventLoop) restoreClientDrain() {
+	if loop.operators.drainsClients || statefile.ReadClientDrain(loop.config.Folder) {
+		loop.setClientDrain(true)
 	}
 }
 
-// setLameDuck switches lame duck mode, in which clients are sent elsewhere, on or off.
-func (loop *eventLoop) setLameDuck(on bool) {
-	loop.operators.lameDuck = on
+// setClientDrain switches lame duck mode, in which clients are sent elsewhere, on or off.
+func (loop *eventLoop) setClientDrain(on bool) {
+	loop.operators.drainsClients = on
 	clients := 0
 	for _, l := range loop.frontends.open {
 		clients += l.Clients()
@@ -104,7 +104,7 @@
 			l.Undrain()
 		}
 	}
-	loop.telemetry.lameDuck.Store(on)
+	loop.telemetry.drainsClients.Store(on)
 	loop.telemetry.log.Info().Bool("lameduck", on).Int("clients", clients).Int("held", len(loop.messages.byNumber)).
 		Msg("lame duck mode switched")
 }
--- a/forwarder/reload.go
+++ b/forwarder/reload.go
@@ -307,7 +307,7 @@
 		f.StopAccepting()
 		f.Drain()
 	}
-	if loop.operators.lameDuck {
+	if loop.operators.drainsClients {
 		for _, f := range opened {
 			f.Drain()
 		}
--- a/forwarder/standby.go
+++ b/forwarder/standby.go
@@ -44,10 +44,10 @@
 		return admin.Response{}, false
 	}
 	switch c.Operation {
-	case admin.LameDuckOn:
-		return s.put(c, statefile.Command{LameDuck: statefile.LameDuckOn}), true
-	case admin.LameDuckOff:
-		return s.put(c, statefile.Command{LameDuck: statefile.LameDuckOff}), true
+	case admin.ClientDrainOn:
+		return s.put(c, statefile.Command{ClientDrain: statefile.ClientDrainOn}), true
+	case admin.ClientDrainOff:
+		return s.put(c, statefile.Command{ClientDrain: statefile.ClientDrainOff}), true
 	case admin.Vars:
 		return admin.Response{OK: true, Text: s.figures()}, true
 	}
@@ -61,7 +61,7 @@
 			outOfRotation++
 		}
 	}
-	return (&figures{}).write(s.types, gaugeFigures{listed: len(s.active), outOfRotation: outOfRotation, lameDuck: s.lameDuck()})
+	return (&figures{}).write(s.types, gaugeFigures{listed: len(s.active), outOfRotation: outOfRotation, drainsClients: s.drainsClients()})
 }
 
 // put puts the command of a request into the command spool.
@@ -72,12 +72,12 @@
 	return admin.Response{OK: true, Text: c.Operation.String()}
 }
 
-// lameDuck reports whether lame duck mode will be on once the commands in the spool are carried out.
-func (s *standby) lameDuck() bool {
-	on, spool := statefile.ReadLameDuck(s.folder), statefile.NewSpool(s.folder)
+// drainsClients reports whether lame duck mode will be on once the commands in the spool are carried out.
+func (s *standby) drainsClients() bool {
+	on, spool := statefile.ReadClientDrain(s.folder), statefile.NewSpool(s.folder)
 	for _, name := range spool.Names() {
-		if command, err := spool.Read(name); err == nil && command.LameDuck != statefile.LameDuckUnchanged {
-			on = command.LameDuck == statefile.LameDuckOn
+		if command, err := spool.Read(name); err == nil && command.ClientDrain != statefile.ClientDrainUnchanged {
+			on = command.ClientDrain == statefile.ClientDrainOn
 		}
 	}
 	return on
@@ -102,7 +102,7 @@
 	set := drains.New(statefile.ReadDrains(s.folder))
 	spool := statefile.NewSpool(s.folder)
 	for _, name := range spool.Names() {
-		if command, err := spool.Read(name); err == nil && command.LameDuck == statefile.LameDuckUnchanged && !command.Unlisted {
+		if command, err := spool.Read(name); err == nil && command.ClientDrain == statefile.ClientDrainUnchanged && !command.Unlisted {
 			applyDrainRequest(set, requestOf(command), true)
 		}
 	}
--- a/forwarder/telemetry.go
+++ b/forwarder/telemetry.go
@@ -23,10 +23,10 @@
 	recording  bool // the recorder serves metrics
 
 	// Read by the metrics from other goroutines.
-	heldMessages atomic.Int64
-	walBytes     atomic.Int64
-	listOverdue  atomic.Bool
-	lameDuck     atomic.Bool
+	heldMessages  atomic.Int64
+	walBytes      atomic.Int64
+	listOverdue   atomic.Bool
+	drainsClients atomic.Bool
 }
 
 const (
@@ -81,7 +81,7 @@
 		{Name: "held_documents", Read: func() float64 { return float64(t.heldMessages.Load()) }},
 		{Name: "ledger_bytes", Read: func() float64 { return float64(t.walBytes.Load()) }},
 		{Name: "endpoint_list_overdue", Read: func() float64 { return boolGauge(t.listOverdue.Load()) }},
-		{Name: "lame_duck", Read: func() float64 { return boolGauge(t.lameDuck.Load()) }},
+		{Name: "lame_duck", Read: func() float64 { return boolGauge(t.drainsClients.Load()) }},
 		{Name: "outgoing_connections", Read: func() float64 { return float64(dialer.Open()) }},
 	}
 	for _, account := range loop.memory.Accounts() {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,8 +20,8 @@
 	Vars Operation = iota
 	Detach
 	Attach
-	LameDuckOn
-	LameDuckOff
+	ClientDrainOn
+	ClientDrainOff
 )
 
 var operationNames = [...]string{"vars", "detach", "attach", "lameduck on", "lameduck off"}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -33,8 +33,8 @@
 	{http.MethodGet, "/_vars", Vars, false},
 	{http.MethodPost, "/_targets/detach", Detach, true},
 	{http.MethodPost, "/_targets/attach", Attach, true},
-	{http.MethodPost, "/_lameduck/on", LameDuckOn, false},
-	{http.MethodPost, "/_lameduck/off", LameDuckOff, false},
+	{http.MethodPost, "/_lameduck/on", ClientDrainOn, false},
+	{http.MethodPost, "/_lameduck/off", ClientDrainOff, false},
 }
 
 const readyPath = "/_ready"
--- a/internal/statefile/spool.go
+++ b/internal/statefile/spool.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	spoolDir     = "by-hand"
-	drainWord    = "out"
-	unlistedWord = "out-if-listed"
-	undrainWord  = "back"
-	lameDuckWord = "lameduck"
-	onWord       = "on"
-	offWord      = "off"
+	spoolDir        = "by-hand"
+	drainWord       = "out"
+	unlistedWord    = "out-if-listed"
+	undrainWord     = "back"
+	clientDrainWord = "lameduck"
+	onWord          = "on"
+	offWord         = "off"
 
 	// maxSpooledCommands limits the spool, so that a caller cannot fill the folder while the process that holds it hangs.
 	// Commands beyond the limit are rejected until that process reads the spool again.
@@ -26,29 +26,29 @@
 
 // Command is an operator's command to drain or restore an endpoint, or to switch lame duck mode.
 type Command struct {
-	Endpoint string // id; empty for lame duck mode
-	Undrain  bool   // true ends the drain; false drains the endpoint
-	Unlisted bool   // the process that took the command did not know the endpoint
-	LameDuck LameDuckSwitch
+	Endpoint    string // id; empty for lame duck mode
+	Undrain     bool   // true ends the drain; false drains the endpoint
+	Unlisted    bool   // the process that took the command did not know the endpoint
+	ClientDrain ClientDrainSwitch
 }
 
-// LameDuckSwitch says how a command switches lame duck mode.
-type LameDuckSwitch uint8
+// ClientDrainSwitch says how a command switches lame duck mode.
+type ClientDrainSwitch uint8
 
 // The ways to switch lame duck mode.
 const (
-	LameDuckUnchanged LameDuckSwitch = iota // the command concerns an endpoint
-	LameDuckOn
-	LameDuckOff
+	ClientDrainUnchanged ClientDrainSwitch = iota // the command concerns an endpoint
+	ClientDrainOn
+	ClientDrainOff
 )
 
 // line returns the command as it is written.
 func (c Command) line() string {
 	switch {
-	case c.LameDuck == LameDuckOn:
-		return lameDuckWord + " " + onWord + "\n"
-	case c.LameDuck == LameDuckOff:
-		return lameDuckWord + " " + offWord + "\n"
+	case c.ClientDrain == ClientDrainOn:
+		return clientDrainWord + " " + onWord + "\n"
+	case c.ClientDrain == ClientDrainOff:
+		return clientDrainWord + " " + offWord + "\n"
 	case c.Undrain:
 		return undrainWord + " " + c.Endpoint + "\n"
 	case c.Unlisted:
@@ -67,10 +67,10 @@
 		return Command{Endpoint: argument, Undrain: word == undrainWord}, true
 	case word == unlistedWord:
 		return Command{Endpoint: argument, Unlisted: true}, true
-	case word == lameDuckWord && argument == onWord:
-		return Command{LameDuck: LameDuckOn}, true
-	case word == lameDuckWord && argument == offWord:
-		return Command{LameDuck: LameDuckOff}, true
+	case word == clientDrainWord && argument == onWord:
+		return Command{ClientDrain: ClientDrainOn}, true
+	case word == clientDrainWord && argument == offWord:
+		return Command{ClientDrain: ClientDrainOff}, true
 	}
 	return Command{}, false
 }
--- a/internal/statefile/statefile_test.go
+++ b/internal/statefile/statefile_test.go
@@ -163,20 +163,20 @@
 	return names
 }
 
-func TestLameDuckIsKeptUntilItEnds(t *testing.T) {
+func TestClientDrainIsKeptUntilItEnds(t *testing.T) {
 	dir := t.TempDir()
 	for _, on := range []bool{false, true, true, false, false} {
-		require.NoError(t, WriteLameDuck(dir, on))
-		require.Equal(t, on, ReadLameDuck(dir))
+		require.NoError(t, WriteClientDrain(dir, on))
+		require.Equal(t, on, ReadClientDrain(dir))
 	}
-	require.Error(t, WriteLameDuck(filepath.Join(dir, "missing"), true))
+	require.Error(t, WriteClientDrain(filepath.Join(dir, "missing"), true))
 	require.NoError(t, os.WriteFile(filepath.Join(dir, "file"), nil, filePerm))
-	require.True(t, ReadLameDuck(filepath.Join(dir, "file")), "the folder cannot be examined")
+	require.True(t, ReadClientDrain(filepath.Join(dir, "file")), "the folder cannot be examined")
 }
 
 func TestSpoolKeepsCommandsOfEachKind(t *testing.T) {
 	spool := NewSpool(t.TempDir())
-	want := []Command{{Endpoint: "a"}, {LameDuck: LameDuckOn}, {Endpoint: "a", Undrain: true}, {LameDuck: LameDuckOff}, {Endpoint: "on"}}
+	want := []Command{{Endpoint: "a"}, {ClientDrain: ClientDrainOn}, {Endpoint: "a", Undrain: true}, {ClientDrain: ClientDrainOff}, {Endpoint: "on"}}
 	for _, command := range want {
 		require.NoError(t, spool.Put(command))
 	}
