emulator: a cut ends although connections come at its begin

Trace: the log of the run ends with "http: Accept error: dial tcp ...: connect: connection timed out", two minutes later, from the stand-in itself. The forwarder's connection took the last room of the listener, so the connection that was to fill it could not come up, and Accept waited for it: the stand-in stayed unreachable beyond the cut. The forwarder held its calls, as it should.

The dial of the filling connection has a limit now.

--- a/internal/emulator/cut.go
+++ b/internal/emulator/cut.go
@@ -16,6 +16,9 @@
 	CutUnanswered                 // they are established, and nothing that is sent on them is answered
 )
 
+// fillTimeout is the time for the connection that takes the last room of a listener.
+const fillTimeout = 100 * time.Millisecond
+
 // String returns a name for the output of tests.
 func (k CutKind) String() string { return [...]string{"unreachable", "unanswered"}[k] }
 
@@ -75,12 +78,11 @@
 			return conn, nil
 		}
 		l.setBacklog(0)
-		filler, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			return nil, err
-		}
+		filler, err := net.DialTimeout("tcp", l.Addr().String(), fillTimeout)
 		time.Sleep(l.discovery.remainingCut(CutUnreachable))
-		_ = filler.Close()
+		if err == nil { // otherwise another connection has taken the room
+			_ = filler.Close()
+		}
 		_ = conn.Close()
 		l.setBacklog(syscall.SOMAXCONN)
 	}
