respserver, scheduler: less work for a message while nothing drains

Two steps were taken without need: a second lock and a look at the clock for each turn of a connection, and a time-out computed for each choice of messages, joined or not. Now only draining servers and repeats take them.

--- a/internal/respserver/drain.go
+++ b/internal/respserver/drain.go
@@ -57,16 +57,12 @@
 	return now.Sub(s.drainingSince)
 }
 
-// drainState reports whether the server drains, and for how long the connection has been drained.
-func (s *Server) drainState(c *Client) (draining bool, drainedFor time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining, s.drainedFor(c, time.Now())
-}
-
 // readCommand reads from the socket, but no byte behind the end of the command in progress. It returns 0 bytes without an
 // error if the connection is at a boundary at which it is to be closed. Client.reading is held.
-func (c *Client) readCommand(buffer []byte, drainedFor time.Duration) (n int, err error) {
+func (c *Client) readCommand(buffer []byte) (n int, err error) {
+	c.server.mu.Lock()
+	drainedFor := c.server.drainedFor(c, time.Now())
+	c.server.mu.Unlock()
 	atBoundary := c.hadCommandRead() && c.reader.Buffered() == 0
 	if atBoundary && drainedFor > drainServes {
 		return 0, nil
--- a/internal/respserver/read.go
+++ b/internal/respserver/read.go
@@ -75,7 +75,8 @@
 // takeTurn handles commands that were read before or, if there are none, reads from the socket. again reports that the
 // connection has to be given another turn, as there may be more data. Client.reading is held.
 func (s *Server) takeTurn(c *Client, buffer []byte) (again bool, err error) {
-	if _, stopped := s.readingState(); stopped || c.disconnected.Load() || c.mustWait() {
+	draining, stopped := s.readingState()
+	if stopped || c.disconnected.Load() || c.mustWait() {
 		return false, nil
 	}
 	if c.paused {
@@ -90,11 +91,10 @@
 		return false, nil
 	}
 	taken, limit := 0, c.turnBytes()
-	draining, drainedFor := s.drainState(c)
 	for err == nil && taken < limit && c.unanswered.Load() == 0 && !c.paused {
 		var n int
 		if draining && !c.refused.Load() {
-			n, err = c.readCommand(buffer, drainedFor)
+			n, err = c.readCommand(buffer)
 		} else {
 			n, err = readSocket(c.conn, buffer[:c.readSize(len(buffer))])
 		}
--- a/scheduler/scheduling.go
+++ b/scheduler/scheduling.go
@@ -91,7 +91,6 @@
 	size       int  // maximum number of messages
 	bytes      int  // sum of Message.CallBytes
 	filled     bool // the next message does not fit
-	timeout    float64
 	allRetries bool // retries that are not urgent may be sent too
 }
 
@@ -102,7 +101,7 @@
 // Any other endpoint first gets only the urgent retries, which soon can no longer be sent. Trade-off: messages that may
 // have run are not lost, but fresh messages are delayed.
 func (s *Scheduler) selectMessages(destination *Destination, endpoint *Endpoint, retries bool) []*Message {
-	batch := selection{scheduler: s, endpoint: endpoint, size: destination.maxCallSize(), timeout: s.timeout(endpoint),
+	batch := selection{scheduler: s, endpoint: endpoint, size: destination.maxCallSize(),
 		allRetries: retries || endpoint.health != healthy}
 	if batch.allRetries || destination.retries.anyUrgent(s.now) {
 		batch.addRetries(&destination.retries)
@@ -163,7 +162,7 @@
 
 // endsWithKey reports whether the key of a message is forgotten before a call would time out.
 func (b *selection) endsWithKey(message *Message) bool {
-	return b.scheduler.keyTimeLeft(message) < b.timeout
+	return message.hasUsedKey() && b.scheduler.keyTimeLeft(message) < b.scheduler.timeout(b.endpoint)
 }
 
 func (b *selection) addRetries(retries *retryLane) {
