emulator: the soaks take the end of a call from the kernel, not from a late observer

Traced: beside 16 busy loops the endpoint sees the end of a call up to 48 ms late. By the kernel's time of the close, 96 of 96 plays of "upgrade, predecessor killed" and "restart after SIGKILL" (race detector, 8 busy loops) had the next message 109 ms or more behind the close: the kernel closes the connections before it releases the folder.

Change: Reply.Ended gets the time at which the kernel received the close (TCP_INFO, to a tick of 4 to 10 ms), and the checker of the soaks judges by it. Bounds and slack are as before; a program that sends too early is seen as before, and also where the observer was late the other way. The exact tests of the cooldown (TestKeyCooldownIsKept*) keep the endpoint's own time, as a tick is too coarse for them.

--- a/cmd/spanflow/key_order_test.go
+++ b/cmd/spanflow/key_order_test.go
@@ -34,7 +34,7 @@
 // observeKey makes the endpoint give a reply to the calls with the earlier message, and 200 to all others.
 func (h *harness) observeKey(earlier, later string, reply emulator.Reply) *keyObserver {
 	k := &keyObserver{ended: make(chan time.Time, 16), later: make(chan time.Time, 16)}
-	reply.Ended = func() { k.ended <- time.Now() }
+	reply.Ended = func(time.Time) { k.ended <- time.Now() }
 	h.endpoint.Do(func(c emulator.Call) emulator.Reply {
 		switch c.ID {
 		case earlier:
--- a/cmd/spanflow/repeated_kills_test.go
+++ b/cmd/spanflow/repeated_kills_test.go
@@ -68,7 +68,7 @@
 		return emulator.Reply{Status: 500, Late: r.lateBytes()}
 	case 2:
 		r.recordRun(c, false)
-		r.recordUnanswered(c)
+		r.recordUnanswered(c, time.Now())
 		return emulator.Reply{Break: true}
 	case 3:
 		if r.leavesUnanswered {
@@ -119,24 +119,26 @@
 	for _, id := range c.IDs {
 		r.inProgress[id]++
 	}
-	return emulator.Reply{Hold: make(chan struct{}), Ended: func() {
+	return emulator.Reply{Hold: make(chan struct{}), Ended: func(at time.Time) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		for _, id := range c.IDs {
 			r.inProgress[id]--
-			if at, sentAgain := r.sentAgain[id]; sentAgain && time.Since(at) > observationSlack {
+			if again, sentAgain := r.sentAgain[id]; sentAgain && at.Sub(again) > observationSlack {
 				r.violations = append(r.violations, id+" was sent while another call with it was in progress")
 			}
 			delete(r.sentAgain, id)
 		}
-		r.recordUnanswered(c)
+		r.recordUnanswered(c, at)
 	}}
 }
 
-// recordUnanswered records that the connection of a call ended without an answer. The caller holds the lock.
-func (r *ruleChecker) recordUnanswered(c emulator.Call) {
+// recordUnanswered records when the connection of a call ended without an answer. The caller holds the lock.
+func (r *ruleChecker) recordUnanswered(c emulator.Call, at time.Time) {
 	for _, id := range c.IDs {
-		r.unanswered[id] = time.Now()
+		if at.After(r.unanswered[id]) { // ends may be reported in another order
+			r.unanswered[id] = at
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/emulator/closed.go
@@ -0,0 +1,36 @@
+package emulator
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// closeWait is the kernel's TCP_CLOSE_WAIT: the peer has closed its side of the connection and this side is open.
+const closeWait = 8
+
+// closedByPeer returns when the kernel received the peer's close of a connection, to a tick of the kernel (at most 10 ms).
+// A process that gets no processor notices the close later. The current time is returned where the kernel does not know,
+// as of a connection that was reset.
+func closedByPeer(conn net.Conn) time.Time {
+	now := time.Now()
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return now
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return now
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || infoErr != nil || info.State != closeWait {
+		return now
+	}
+	// The close is the last segment of the peer, and each segment carries an acknowledgement.
+	return now.Add(-time.Duration(info.Last_ack_recv) * time.Millisecond)
+}
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 const (
@@ -28,12 +29,12 @@
 type Reply struct {
 	Status int // HTTP status; 0 means 200
 	Fields map[string]string
-	Body   string        // if empty, the answer to a call with several messages has "ok" for each
-	Break  bool          // close the connection without an answer
-	Hold   chan struct{} // answer once this is closed, or not at all if the connection ends first
-	Ended  func()        // if not nil, called if the connection ends during Hold or after Raw was sent
-	Raw    string        // if not empty, sent instead of an answer; the connection stays open
-	Late   LateBytes     // sent on the same connection after the answer
+	Body   string             // if empty, the answer to a call with several messages has "ok" for each
+	Break  bool               // close the connection without an answer
+	Hold   chan struct{}      // answer once this is closed, or not at all if the connection ends first
+	Ended  func(at time.Time) // if not nil, called if the connection ends during Hold or after Raw was sent
+	Raw    string             // if not empty, sent instead of an answer; the connection stays open
+	Late   LateBytes          // sent on the same connection after the answer
 }
 
 // Endpoint serves calls. It is safe for concurrent use.
@@ -85,16 +86,14 @@
 	reply := e.decide(call)
 	e.Calls <- call
 	if reply.Raw != "" {
-		reply.writeRaw(w)
+		reply.writeRaw(w, r)
 		return
 	}
 	if reply.Hold != nil {
 		select {
 		case <-reply.Hold:
 		case <-r.Context().Done():
-			if reply.Ended != nil {
-				reply.Ended()
-			}
+			reply.reportEnd(r)
 			return
 		}
 	}
@@ -145,7 +144,7 @@
 }
 
 // writeRaw sends the bytes of Raw and waits until the forwarder closes the connection.
-func (r Reply) writeRaw(w http.ResponseWriter) {
+func (r Reply) writeRaw(w http.ResponseWriter, request *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
@@ -153,8 +152,13 @@
 	defer func() { _ = conn.Close() }()
 	_, _ = io.WriteString(conn, r.Raw) // the forwarder may have closed the connection
 	_, _ = io.Copy(io.Discard, conn)
+	r.reportEnd(request)
+}
+
+// reportEnd reports that the forwarder has ended the connection of a request.
+func (r Reply) reportEnd(request *http.Request) {
 	if r.Ended != nil {
-		r.Ended()
+		r.Ended(closedByPeer(connectionOf(request).Conn))
 	}
 }
 
--- a/internal/emulator/late.go
+++ b/internal/emulator/late.go
@@ -67,9 +67,14 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
+// connectionOf returns the connection of a request.
+func connectionOf(r *http.Request) *lateConn {
+	return r.Context().Value(connectionKey{}).(*lateConn)
+}
+
 // sendAfterAnswer sends late bytes after the answer to a request. It must be called before the answer is written.
 func sendAfterAnswer(r *http.Request, late LateBytes) {
-	conn := r.Context().Value(connectionKey{}).(*lateConn)
+	conn := connectionOf(r)
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	conn.late = late
