forwarder: operators' calls at both processes of an upgrade take effect in order

Cause: a call to drain or restore an endpoint that reaches the new process of an upgrade lies in the command spool until the old process looks there, every 0.25 s. A later call at the old process was carried out before it, and the spooled one undid it: detach at the new process and then attach at the old one left the endpoint drained, whether the list has it or not. Lame duck mode carried out the spool first, but not while the old process hands over; there on at the new process and then off at the old one left it on.

Change: every operators' call that changes something has the spool carried out first, as long as the process holds the folder.

--- a/cmd/spanflow/unlisted_drain_test.go
+++ b/cmd/spanflow/unlisted_drain_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -40,21 +42,42 @@
 // list makes discovery list the endpoint in place of the other one, and submits messages for the destination.
 func (u *unlistedTest) list() {
 	u.discovery.Remove("s1")
-	entry := u.activeEntry("late", 7)
-	entry.Endpoint = u.late.Addr
-	u.discovery.Set(entry)
+	u.add(7)
 	c := u.client()
 	defer c.Close()
 	u.awaitList(c)
 	u.put(c, noKey, "m", "c=status,d=20000,dest=7", "+OK")
 }
 
+// add makes discovery list the endpoint for a destination.
+func (u *unlistedTest) add(destination int) {
+	entry := u.activeEntry("late", destination)
+	entry.Endpoint = u.late.Addr
+	u.discovery.Set(entry)
+}
+
+// awaitEntries waits until the process that has the folder has a list with a number of entries.
+func (u *unlistedTest) awaitEntries(entries int) {
+	u.t.Helper()
+	want := fmt.Sprintf("%d|g", entries)
+	listed := func() bool { return adminVars(u.t, u.process.admin)["proxy.registry_entries"] == want }
+	require.Eventually(u.t, listed, arrivalTimeout, 10*time.Millisecond)
+}
+
 // Guards against an endpoint that operators drain before its entry has come: it got calls once it was listed (found by the
 // second review).
 func TestEndpointDrainedBeforeItIsListedGetsNoCall(t *testing.T) {
 	for name, event := range map[string]func(u *unlistedTest){
 		"listed at once": func(*unlistedTest) {},
+		"reload":         func(u *unlistedTest) { u.reload(logReloaded) },
 		"upgrade":        (*unlistedTest).upgradeOnce,
+		"two upgrades":   func(u *unlistedTest) { u.upgradeOnce(); u.upgradeOnce() },
+		"SIGKILL in place of the upgrade's SIGTERM": func(u *unlistedTest) {
+			successor := u.startSuccessor(u.listenSocket)
+			u.process.Kill()
+			u.process = successor
+			successor.AwaitReady(u.t)
+		},
 		"SIGKILL": func(u *unlistedTest) {
 			u.process.Kill()
 			u.process = u.startWithAdmin(u.listenSocket)
@@ -92,11 +115,8 @@
 		u := newUnlistedTest(t)
 		successor := u.startSuccessor(u.listenSocket)
 		if listedBefore {
-			entry := u.activeEntry("late", 8)
-			entry.Endpoint = u.late.Addr
-			u.discovery.Set(entry)
-			listed := func() bool { return adminVars(t, u.process.admin)["proxy.registry_entries"] == "3|g" }
-			require.Eventually(t, listed, arrivalTimeout, 10*time.Millisecond)
+			u.add(8)
+			u.awaitEntries(3)
 		}
 		u.operate(successor, "detach", http.StatusNotFound)
 		time.Sleep(noCallPeriod)
@@ -105,6 +125,69 @@
 	}
 }
 
+// Guards against calls that took effect in another order: the process that holds the folder took up what its successor had
+// been told only after a later call of its own.
+func TestDrainCallsAtEitherProcessOfUpgradeCountInOrder(t *testing.T) {
+	for calls, drained := range map[string]bool{
+		"new detach":                         true,
+		"old detach":                         true,
+		"new detach, old attach":             false,
+		"old detach, new attach":             false,
+		"new detach, new attach":             false,
+		"old detach, new attach, old detach": true,
+		"new detach, old attach, new detach": true,
+	} {
+		for listed, status := range map[bool]int{true: http.StatusOK, false: http.StatusNotFound} {
+			t.Run(fmt.Sprintf("%s, listed %v", calls, listed), func(t *testing.T) {
+				t.Parallel()
+				u := newUnlistedTest(t)
+				if listed {
+					u.add(7)
+					u.awaitEntries(3)
+				}
+				successor := u.startSuccessor(u.listenSocket)
+				processes := map[string]*adminProcess{"old": u.process, "new": successor}
+				for call := range strings.SplitSeq(calls, ", ") {
+					process, operation, _ := strings.Cut(call, " ")
+					u.operate(processes[process], operation, status)
+				}
+				require.NoError(t, u.process.Signal(syscall.SIGTERM))
+				require.NoError(t, u.process.Wait())
+				successor.AwaitReady(t)
+				u.list()
+				if drained {
+					require.Never(t, func() bool { return len(u.late.Calls) > 0 }, noCallPeriod, 10*time.Millisecond)
+					return
+				}
+				require.Equal(t, "m", awaitNext(u.harness, u.late.Calls, "call").ID)
+			})
+		}
+	}
+}
+
+// The order also holds while the old process hands over: it still has the folder.
+func TestOperatorsCallsWhileHandingOverCountInOrder(t *testing.T) {
+	u := newUnlistedTest(t)
+	hold := make(chan struct{})
+	u.endpoint.Do(func(emulator.Call) emulator.Reply { return emulator.Reply{Hold: hold} })
+	u.put(u.client(), noKey, "held", "c=status,d=20000,dest=7", "+OK")
+	u.nextCall()
+	successor := u.startSuccessor(u.listenSocket)
+	require.NoError(t, u.process.Signal(syscall.SIGTERM))
+	u.process.Log.Await(t, logHandingOver)
+	u.operate(successor, "detach", http.StatusNotFound)
+	u.operate(u.process, "attach", http.StatusNotFound)
+	u.lameDuck(successor, "on")
+	u.lameDuck(u.process, "off")
+	close(hold)
+	require.NoError(t, u.process.Wait())
+	successor.AwaitReady(t)
+	u.requireReply(u.client(), emulator.Command("PING"), pongReply)
+	u.endpoint.Do(nil)
+	u.list()
+	require.Equal(t, "m", awaitNext(u.harness, u.late.Calls, "call").ID)
+}
+
 // A drain that is called back before the endpoint is listed has no effect, and neither has one of an id that is never listed.
 func TestPendingDrainEndsWithCallBack(t *testing.T) {
 	u := newUnlistedTest(t)
--- a/forwarder/command_spool.go
+++ b/forwarder/command_spool.go
@@ -38,6 +38,14 @@
 	return len(names) > 0
 }
 
+// runEarlierCommands carries out the commands that operators gave the other process of an upgrade before the request that
+// is handled next. This process holds the folder, also while it hands over.
+func (loop *eventLoop) runEarlierCommands() {
+	if loop.config.upgradesInPlace() {
+		loop.runSpooledCommands()
+	}
+}
+
 // runSpooledCommand carries out one command.
 func (loop *eventLoop) runSpooledCommand(command statefile.Command) admin.Response {
 	if command.ClientDrain != statefile.ClientDrainUnchanged {
--- a/forwarder/operators.go
+++ b/forwarder/operators.go
@@ -60,11 +60,10 @@
 	case admin.Vars:
 		r.reply(admin.Response{OK: true, Text: loop.operatorFigures()})
 	case admin.ClientDrainOn, admin.ClientDrainOff:
-		if loop.config.upgradesInPlace() && !loop.shutdown.handingOver {
-			loop.runSpooledCommands() // those that came before
-		}
+		loop.runEarlierCommands()
 		r.reply(loop.switchClientDrain(r.Operation))
 	case admin.Detach, admin.Attach:
+		loop.runEarlierCommands()
 		t := loop.endpoints.byUID[r.Name]
 		r.reply(loop.drainOrRestore(r.Request, t != nil && t.isListed()))
 	}
