scheduler: a fuzz target holds every call against both limits

Change: FuzzCallLimits draws message types, keys, two kinds, the number of messages of a call and its limit in bytes. No call exceeds either, no message is forgotten, and where calls may carry several messages one begins at an endpoint in a turn at most: hosts put together what a turn sends to an endpoint. The tests group attempts by the scheduler's own call now. A 413 and a 400 whose heads cannot be read count as unreadable answers: two rows in TestMessageWithMalformedAnswerMayHaveRun.

--- a/internal/upstream/connection_test.go
+++ b/internal/upstream/connection_test.go
@@ -105,6 +105,8 @@
 		"HTTP/1.1 429 Full\r\nRetry-After: 9\r\nContent-Length: -1\r\n\r\n":                transport.ResultMalformed,
 		"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9): transport.ResultMalformed,
 		"HTTP/1.1 504 Spent\r\nA: " + strings.Repeat("x", 9000):                            transport.ResultMalformed,
+		"HTTP/1.1 413 Large\r\nno colon\r\n":                                               transport.ResultMalformed,
+		"HTTP/1.1 400 Unread\r\nContent-Length: -1\r\n\r\n":                                transport.ResultMalformed,
 		"\x00\xff noise": transport.ResultMalformed, // nothing follows
 		headOK + "Content-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9): transport.ResultOK,
 		headOK + "Content-Length: 90\r\n\r\nshort":                             transport.ResultOK,
--- a/scheduler/callsize_test.go
+++ b/scheduler/callsize_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// calls groups the attempts of the host by call: those to one endpoint in one turn.
+// calls groups the attempts of the host by call.
 func (h *harness) calls() (calls [][]*Message) {
 	for i, s := range h.sent {
-		if i > 0 && h.sent[i-1].at == s.at && h.sent[i-1].endpoint == s.endpoint {
+		if i > 0 && h.sent[i-1].call == s.call {
 			calls[len(calls)-1] = append(calls[len(calls)-1], s.message)
 		} else {
 			calls = append(calls, []*Message{s.message})
@@ -56,6 +56,62 @@
 	}
 }
 
+// The messages, the kind's number of messages in a call and the limit in bytes are drawn; no call exceeds either, and no
+// message is forgotten.
+func FuzzCallLimits(f *testing.F) {
+	for seed := range uint64(30) {
+		f.Add(seed, uint8(9), uint16(1000))
+	}
+	f.Add(uint64(30), uint8(0), uint16(1000))
+	f.Add(uint64(31), uint8(1), uint16(1))
+	f.Add(uint64(32), uint8(255), uint16(50000))
+	f.Fuzz(func(t *testing.T, seed uint64, batchBelow uint8, limitBelow uint16) {
+		const messages, turns = 60, 1250 // more than their life
+		batchSize, limit := int(batchBelow)+1, int(limitBelow)+1
+		random := rand.New(rand.NewPCG(seed, 1))
+		settings := testSettings
+		settings.KindBatchSize = []int{1, batchSize}
+		settings.MaxCallBytes, settings.QueueCapacity = limit, 100
+		h := newSeededHarness(settings, seed)
+		destinations := []*Destination{h.addDestination(0, 0), h.addDestination(1, 0)}
+		accepted := map[*Message]bool{}
+		for range messages {
+			bytes := 1 + random.IntN(1+random.IntN(limit+limit/5+1)) // some are too large to be joined
+			message := &Message{Dest: destinations[random.IntN(2)], Tenant: 9, Key: random.Uint64N(5), CallBytes: bytes}
+			h.Accept(message, random.IntN(len(settings.Types)), 20)
+			accepted[message] = true
+		}
+		for range turns {
+			h.advance(0.02)
+			for _, d := range destinations {
+				outcome := Delivered
+				if random.IntN(6) == 0 {
+					outcome = ServerError
+				}
+				h.endAttempts(d, outcome)
+			}
+		}
+		for _, call := range h.calls() {
+			bytes := 0
+			for _, message := range call {
+				bytes += message.CallBytes
+				delete(accepted, message)
+			}
+			require.LessOrEqual(t, len(call), settings.KindBatchSize[call[0].Dest.kind])
+			require.True(t, len(call) == 1 || bytes <= limit, "a call of %d messages and %d bytes", len(call), bytes)
+		}
+		for message := range h.answers {
+			delete(accepted, message)
+		}
+		require.Empty(t, accepted, "each message is called or has its final answer")
+		for i := 1; i < len(h.sent); i++ { // hosts put messages for an endpoint in one turn into one call, up to the batch size
+			sent, before := h.sent[i], h.sent[i-1]
+			oneTurn := sent.at == before.at && sent.endpoint == before.endpoint
+			require.False(t, oneTurn && sent.call != before.call && settings.KindBatchSize[sent.message.Dest.kind] > 1)
+		}
+	})
+}
+
 func TestSmallMessagesFillCalls(t *testing.T) {
 	settings := testSettings
 	settings.MaxCallBytes = 1000
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -22,6 +22,7 @@
 	endpoint *Endpoint
 	at       float64
 	timeout  float64
+	call     *call
 }
 
 var testSettings = Settings{
@@ -135,7 +136,7 @@
 }
 
 func (h *harness) Send(message *Message, endpoint *Endpoint, timeout float64) {
-	h.sent = append(h.sent, sentCall{message, endpoint, h.now, timeout})
+	h.sent = append(h.sent, sentCall{message, endpoint, h.now, timeout, message.call})
 }
 func (h *harness) Reject(message *Message, retryAfter float64) {
 	h.answers[message] += "rejected"
