cmd/spanflow: clumps of large messages also for a kind of two messages in a call

Change: two rows more, with sizes of 1 to 62 KB and with a receiver of 20 KB that answers 413. The rows name their fields; none of the earlier ones has changed.

--- a/cmd/spanflow/call_size_test.go
+++ b/cmd/spanflow/call_size_test.go
@@ -46,6 +46,12 @@
 	return emulator.Reply{}
 }
 
+// evenly returns the size of bodies that all have the same.
+func evenly(bytes int) func(n int) int { return func(int) int { return bytes } }
+
+// upTo62KB returns the sizes of a clump's bodies from 1 to 62 KB.
+func upTo62KB(n int) int { return 1000 + n*n*61000/1521 }
+
 // Guards against review case 7: a clump of messages for a healthy destination was joined in calls of over 64 KiB, which it
 // turned away until no attempt was left.
 func TestClumpOfLargeMessagesIsDelivered(t *testing.T) {
@@ -53,20 +59,31 @@
 		limit, status int
 		bodyBytes     func(n int) int
 		mayRefuse     int // calls that may be turned away, as the limit is lower than the protocol's
+		kindOfTwo     bool
 	}{
-		"8 KiB each":                 {protocolBodyBytes, http.StatusBadRequest, func(int) int { return clumpBodyBytes }, 0},
-		"1 to 62 KB":                 {protocolBodyBytes, http.StatusRequestEntityTooLarge, func(n int) int { return 1000 + n*n*61000/1521 }, 0},
-		"at the limit":               {protocolBodyBytes, http.StatusBadRequest, func(int) int { return protocolBodyBytes }, 0},
-		"300 bytes":                  {protocolBodyBytes, http.StatusBadRequest, func(int) int { return 300 }, 0},
-		"a receiver of 20 KB, 413":   {20000, http.StatusRequestEntityTooLarge, func(int) int { return clumpBodyBytes }, 8},
-		"a receiver of 20 KB, 400":   {20000, http.StatusBadRequest, func(int) int { return clumpBodyBytes }, 8},
-		"a receiver of one, 413":     {clumpBodyBytes, http.StatusRequestEntityTooLarge, func(int) int { return clumpBodyBytes }, 8},
-		"a receiver of 1 KB, joined": {1000, http.StatusRequestEntityTooLarge, func(int) int { return 300 }, 8},
+		"8 KiB each":      {limit: protocolBodyBytes, status: http.StatusBadRequest, bodyBytes: evenly(clumpBodyBytes)},
+		"1 to 62 KB":      {limit: protocolBodyBytes, status: http.StatusRequestEntityTooLarge, bodyBytes: upTo62KB},
+		"at the limit":    {limit: protocolBodyBytes, status: http.StatusBadRequest, bodyBytes: evenly(protocolBodyBytes)},
+		"300 bytes":       {limit: protocolBodyBytes, status: http.StatusBadRequest, bodyBytes: evenly(300)},
+		"two, 1 to 62 KB": {limit: protocolBodyBytes, status: http.StatusBadRequest, bodyBytes: upTo62KB, kindOfTwo: true},
+		"two, 8 KiB, a receiver of 20 KB, 413": {limit: 20000, status: http.StatusRequestEntityTooLarge,
+			bodyBytes: evenly(clumpBodyBytes), mayRefuse: 8, kindOfTwo: true},
+		"a receiver of 20 KB, 413": {limit: 20000, status: http.StatusRequestEntityTooLarge,
+			bodyBytes: evenly(clumpBodyBytes), mayRefuse: 8},
+		"a receiver of 20 KB, 400": {limit: 20000, status: http.StatusBadRequest,
+			bodyBytes: evenly(clumpBodyBytes), mayRefuse: 8},
+		"a receiver of one, 413": {limit: clumpBodyBytes, status: http.StatusRequestEntityTooLarge,
+			bodyBytes: evenly(clumpBodyBytes), mayRefuse: 8},
+		"a receiver of 1 KB, joined": {limit: 1000, status: http.StatusRequestEntityTooLarge,
+			bodyBytes: evenly(300), mayRefuse: 8},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			h := newHarness(t, "several")
 			h.diskMB = 20
+			if test.kindOfTwo {
+				h.replacements = []string{`"KindBatch":[1,10]`, `"KindBatch":[1,2]`}
+			}
 			r := &receiver{limit: test.limit, status: test.status, delivered: map[string]int{}}
 			h.endpoint.Do(r.reply)
 			c := h.start()
