wal: attempts that a refused joined call cost are not counted behind a restart

Cause: a joined call that the destination turns away with 400 or 413 costs its messages no attempt, but the write-ahead log had the attempt, and the next process counted it. A message in a clump that was turned away several times had fewer attempts left behind an upgrade or a kill, or none.

Change: the record of an attempt's end has a third value, for an attempt that has not run and does not count. The scheduler decides; the event loop compares its count before and after.

The golden files of the log are as they were.

--- a/forwarder/attempts.go
+++ b/forwarder/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"spanflow/internal/wal"
 	"spanflow/scheduler"
 	"spanflow/transport"
 )
@@ -77,6 +78,7 @@
 		loop.telemetry.figures.relayed++
 	}
 	outcome, final := code.Outcome()
+	attempts := m.scheduled.Attempts()
 	loop.scheduler.AttemptEnded(m.scheduled, scheduler.AttemptResult{
 		Outcome:       outcome,
 		Final:         final,
@@ -90,7 +92,8 @@
 	case final:
 		loop.completeMessage(m, outcome)
 	default:
-		if err := loop.wal.RecordAttemptEnd(number, code.MayHaveRun()); err != nil {
+		counted := m.scheduled.Attempts() == attempts
+		if err := loop.wal.RecordAttemptEnd(number, attemptEnd(code, counted)); err != nil {
 			loop.logWALError(err)
 		}
 	}
@@ -98,6 +101,17 @@
 	loop.removeIfFinished(m)
 }
 
+// attemptEnd returns how an attempt has ended. counted is false if the scheduler does not count it.
+func attemptEnd(code transport.ResultCode, counted bool) wal.AttemptEnd {
+	switch {
+	case code.MayHaveRun():
+		return wal.AttemptMayHaveRun
+	case !counted:
+		return wal.AttemptUncounted
+	}
+	return wal.AttemptNotRun
+}
+
 // completeMessage records the final answer given by a message's last attempt, and sends it to a waiting caller.
 func (loop *eventLoop) completeMessage(m *trackedMessage, outcome scheduler.Outcome) {
 	loop.recordDone(m)
--- a/forwarder/recovery.go
+++ b/forwarder/recovery.go
@@ -94,7 +94,7 @@
 // counts as ended at that time, and may have run.
 func (loop *eventLoop) recoveredAttempts(e *wal.Entry) scheduler.RecoveredState {
 	if e.AttemptStartedAt > 0 {
-		if err := loop.wal.RecordAttemptEnd(e.Seq, true); err != nil {
+		if err := loop.wal.RecordAttemptEnd(e.Seq, wal.AttemptMayHaveRun); err != nil {
 			loop.logWALError(err)
 		}
 	}
--- a/forwarder/shutdown_test.go
+++ b/forwarder/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -111,3 +112,37 @@
 		require.Zero(t, pending[0].FirstRanAt, "what was in flight is counted by the next process")
 	}
 }
+
+// Guards against messages that have fewer attempts left behind a restart because calls with their neighbours were turned
+// away as a whole.
+func TestCallsTurnedAwayForTheirSizeCostNoAttemptsBehindRestart(t *testing.T) {
+	const messages, turnedAway = 20, 2
+	f := newFixture(t)
+	f.config.Scheduler.KindBatchSize = []int{10}
+	f.start()
+	for n := range messages {
+		f.submit(transport.Submission{ID: fmt.Sprint("m", n), Type: "status", Destination: 7, Body: []byte("b")})
+	}
+	for joined := 0; joined < turnedAway; {
+		call, code := <-f.upstream.calls, transport.ResultOK
+		if len(call.Messages) > 1 {
+			code = transport.ResultTooLarge
+			joined++
+		}
+		f.upstream.finish(call, code)
+	}
+	<-f.upstream.calls // the results before it are recorded
+	f.stop()
+	walLog, err := wal.Open(f.config.Folder, 3_000_000)
+	require.NoError(t, err)
+	pending := walLog.Pending()
+	require.NoError(t, walLog.Close())
+	require.NotEmpty(t, pending)
+	for _, e := range pending {
+		if e.AttemptStartedAt == 0 {
+			require.Zero(t, e.Attempts, e.ID)
+		} else {
+			require.Equal(t, 1, e.Attempts, e.ID)
+		}
+	}
+}
--- a/internal/wal/append.go
+++ b/internal/wal/append.go
@@ -63,19 +63,16 @@
 	return nil
 }
 
-// RecordAttemptEnd records that an attempt has ended without finishing the message, and whether it may have run. It
-// does nothing for a message that is not pending.
-func (l *Log) RecordAttemptEnd(seq uint64, ran bool) error {
+// RecordAttemptEnd records how an attempt has ended without finishing the message. It does nothing for a message that is
+// not pending.
+func (l *Log) RecordAttemptEnd(seq uint64, end AttemptEnd) error {
 	e := l.entries[seq]
 	if e == nil {
 		return nil
 	}
-	e.attemptEnded(ran)
+	e.attemptEnded(end)
 	b := binary.LittleEndian.AppendUint64(l.beginRecord(kindAttemptEnd), seq)
-	if ran {
-		return l.append(append(b, 1))
-	}
-	return l.append(append(b, 0))
+	return l.append(append(b, byte(end)))
 }
 
 // RecordAnswer records the final answer before it is sent. The time retryAfter is in milliseconds. RecordAnswer does
--- a/internal/wal/entry.go
+++ b/internal/wal/entry.go
@@ -57,9 +57,23 @@
 	e.AttemptStartedAt, e.AttemptZone = at, zone
 }
 
-func (e *Entry) attemptEnded(ran bool) {
-	if ran && e.FirstRanAt == 0 {
+// AttemptEnd is how an attempt has ended that did not finish its message. The values are those of the records; a version
+// that does not know AttemptUncounted takes it for AttemptNotRun.
+type AttemptEnd uint8
+
+// The ends of an attempt.
+const (
+	AttemptNotRun     AttemptEnd = iota // the message has not run
+	AttemptMayHaveRun                   // the message may have run or may still run
+	AttemptUncounted                    // the message has not run, and has as many attempts left as before
+)
+
+func (e *Entry) attemptEnded(end AttemptEnd) {
+	switch {
+	case end == AttemptMayHaveRun && e.FirstRanAt == 0:
 		e.FirstRanAt, e.FirstRanZone = e.AttemptStartedAt, e.AttemptZone
+	case end == AttemptUncounted:
+		e.Attempts = max(0, e.Attempts-1)
 	}
 	e.AttemptStartedAt, e.AttemptZone = 0, 0
 }
--- a/internal/wal/golden_test.go
+++ b/internal/wal/golden_test.go
@@ -35,11 +35,11 @@
 	messageTypes := [][2]string{{"idempotent", ""}, {"idempotent-with-key", "key-1"}, {"at-most-once", ""}}
 	states := []func(seq uint64) error{
 		func(uint64) error { return nil }, // untried
-		func(seq uint64) error { return attempt(l, seq, 1_000, 1, false) },
-		func(seq uint64) error { return attempt(l, seq, 2_000, 2, true) },
+		func(seq uint64) error { return attempt(l, seq, 1_000, 1, AttemptNotRun) },
+		func(seq uint64) error { return attempt(l, seq, 2_000, 2, AttemptMayHaveRun) },
 		func(seq uint64) error { return l.RecordAttempt(seq, 3_000, 3) },
 		func(seq uint64) error { // an attempt in flight after one that may have run
-			if err := attempt(l, seq, 4_000, 1, true); err != nil {
+			if err := attempt(l, seq, 4_000, 1, AttemptMayHaveRun); err != nil {
 				return err
 			}
 			return l.RecordAttempt(seq, 5_000, 70_000)
@@ -58,11 +58,11 @@
 	writeGoldenFrontends(t, l)
 }
 
-func attempt(l *Log, seq uint64, at int64, zone int, ran bool) error {
+func attempt(l *Log, seq uint64, at int64, zone int, end AttemptEnd) error {
 	if err := l.RecordAttempt(seq, at, zone); err != nil {
 		return err
 	}
-	return l.RecordAttemptEnd(seq, ran)
+	return l.RecordAttemptEnd(seq, end)
 }
 
 // writeGoldenFrontends writes messages with a frontend, an empty message, and one restored from the backlog store with
@@ -169,7 +169,11 @@
 			e.Frontend, e.CallerWaits = "web", i%4 == 1
 		}
 		require.NoError(t, l.Append(e))
-		require.NoError(t, attempt(l, e.Seq, int64(100+i), i%3, i%5 == 0))
+		end := AttemptNotRun
+		if i%5 == 0 {
+			end = AttemptMayHaveRun
+		}
+		require.NoError(t, attempt(l, e.Seq, int64(100+i), i%3, end))
 		if i%compactedPending == 0 {
 			pending = append(pending, e.Seq)
 			continue
--- a/internal/wal/log_test.go
+++ b/internal/wal/log_test.go
@@ -17,10 +17,10 @@
 	a, b := appendMessage(t, l, "a", 3), appendMessage(t, l, "b", 3)
 	c, d := appendMessage(t, l, "c", 3), appendMessage(t, l, "d", 3)
 	require.NoError(t, l.RecordAttempt(a.Seq, 10, 1))
-	require.NoError(t, l.RecordAttemptEnd(a.Seq, true))
+	require.NoError(t, l.RecordAttemptEnd(a.Seq, AttemptMayHaveRun))
 	require.NoError(t, l.RecordAttempt(a.Seq, 20, 2))
 	require.NoError(t, l.RecordAttempt(b.Seq, 30, 1))
-	require.NoError(t, l.RecordAttemptEnd(b.Seq, false))
+	require.NoError(t, l.RecordAttemptEnd(b.Seq, AttemptNotRun))
 	require.NoError(t, l.RecordDone(c.Seq))
 	require.NoError(t, l.RecordAnswer(d.Seq, Rejected, 700))
 	require.NoError(t, l.Close())
@@ -35,6 +35,21 @@
 	require.Equal(t, uint64(5), appendMessage(t, l, "e", 3).Seq, "sequence numbers are not reused")
 }
 
+// An attempt that ended without cost leaves the message as many attempts as before, also behind a restart.
+func TestUncountedAttemptIsNotCountedAfterReopen(t *testing.T) {
+	dir := t.TempDir()
+	l := openLog(t, dir)
+	a := appendMessage(t, l, "a", 3)
+	for at, end := range map[int64]AttemptEnd{10: AttemptNotRun, 20: AttemptUncounted, 30: AttemptUncounted} {
+		require.NoError(t, l.RecordAttempt(a.Seq, at, 1))
+		require.NoError(t, l.RecordAttemptEnd(a.Seq, end))
+	}
+	require.Equal(t, 1, l.Pending()[0].Attempts)
+	require.NoError(t, l.Close())
+	got := openLog(t, dir).Pending()
+	require.Equal(t, []any{1, int64(0), int64(0)}, []any{got[0].Attempts, got[0].FirstRanAt, got[0].AttemptStartedAt})
+}
+
 func TestFullLogStillRecordsAttempts(t *testing.T) {
 	dir := t.TempDir()
 	l := openLog(t, dir)
@@ -51,7 +66,7 @@
 	for _, e := range entries {
 		for at := range 20 {
 			require.NoError(t, l.RecordAttempt(e.Seq, int64(at+1), 0))
-			require.NoError(t, l.RecordAttemptEnd(e.Seq, false))
+			require.NoError(t, l.RecordAttemptEnd(e.Seq, AttemptNotRun))
 		}
 	}
 	for _, e := range entries[1:] {
--- a/internal/wal/recover.go
+++ b/internal/wal/recover.go
@@ -91,7 +91,7 @@
 	case kind == kindAttempt && size == attemptSize:
 		e.attemptStarted(int64(binary.LittleEndian.Uint64(change)), int(binary.LittleEndian.Uint32(change[8:])))
 	case kind == kindAttemptEnd && size == attemptEndSize:
-		e.attemptEnded(change[0] == 1)
+		e.attemptEnded(AttemptEnd(change[0]))
 	case kind == kindAnswer && size == answerSize:
 		e.Answer, e.RetryAfter = Answer(change[0]), int(binary.LittleEndian.Uint32(change[1:]))
 	case kind == kindDone && size == seqSize:
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -62,6 +62,9 @@
 // Finished reports whether nothing more can happen to the message.
 func (m *Message) Finished() bool { return m.answered && m.call == nil && !m.awaitingAcknowledgement }
 
+// Attempts returns the number of attempts that count towards Settings.MaxAttempts.
+func (m *Message) Attempts() int { return m.attempts }
+
 // Queued reports whether the message is queued for a call. As it is not in a call then, Withdraw removes it completely.
 func (m *Message) Queued() bool { return m.queued }
 
