respserver: no close over unread bytes while the client has not received its replies

A connection that is closed while bytes of its client are unread is reset by the kernel, which discards what it has not sent or what is not acknowledged. A drained connection was closed right behind the write of its last reply if the reader was between two turns, an evicted one always: commands were read, answered, and their replies lost.

Change: closeIfIdle, the end of a drained connection at a boundary and that of an evicted one ask the socket for both (SIOCINQ, SIOCOUTQ). Not mended: what is still connected when the process ends.

--- a/internal/respserver/client.go
+++ b/internal/respserver/client.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	defer c.reading.Unlock()
-	if !c.idle() || c.queued.Load() { // something has arrived that is not read yet
+	if !c.idle() || c.queued.Load() || c.closeDiscardsReplies() { // something has arrived that is not read yet
 		return false
 	}
 	c.conn.Close()
--- a/internal/respserver/close_test.go
+++ b/internal/respserver/close_test.go
@@ -58,6 +58,26 @@
 	return c, from
 }
 
+// connectWithPartialPing is connect with the beginning of a second PING, which the server has read. It returns the rest.
+func (f *fixture) connectWithPartialPing() (c *emulator.Client, from *Client, rest string) {
+	const beginning = 5 // bytes
+	c, from = f.connect()
+	ping := emulator.Command("PING")
+	_, err := io.WriteString(c, ping[:beginning])
+	require.NoError(f.t, err)
+	require.Eventually(f.t, from.partial.Load, 5*time.Second, time.Millisecond)
+	return c, from, ping[beginning:]
+}
+
+// stopReading calls StopReading and returns once it is in effect. The channel is closed when the call returns.
+func (f *fixture) stopReading() (stopped <-chan struct{}) {
+	returned := make(chan struct{})
+	go func() { f.server.StopReading(); close(returned) }()
+	for _, stopping := f.server.readingState(); !stopping; _, stopping = f.server.readingState() {
+	}
+	return returned
+}
+
 // answerPing answers the next request, which must be a PING, and checks that the client receives the answer.
 func (f *fixture) answerPing(c *emulator.Client) {
 	f.t.Helper()
@@ -100,13 +120,9 @@
 
 func TestCommandBeingCompletedIsNotRefusedAsIncomplete(t *testing.T) {
 	f := newFixture(t, 9, 1800)
-	c, from := f.connect()
-	ping := emulator.Command("PING")
-	_, err := io.WriteString(c, ping[:5])
-	require.NoError(t, err)
-	require.Eventually(t, from.partial.Load, 5*time.Second, time.Millisecond)
+	c, from, rest := f.connectWithPartialPing()
 	from.reading.Lock() // blocks the reader before it completes the command
-	_, err = io.WriteString(c, ping[5:])
+	_, err := io.WriteString(c, rest)
 	require.NoError(t, err)
 	f.server.sweep(time.Now().Add(time.Hour))
 	require.Empty(t, f.requests)
@@ -146,10 +162,7 @@
 	f := newFixture(t, 9, 1800)
 	c, from := f.connect()
 	from.reading.Lock()
-	stopped := make(chan struct{})
-	go func() { f.server.StopReading(); close(stopped) }()
-	for _, stopping := f.server.readingState(); !stopping; _, stopping = f.server.readingState() {
-	}
+	stopped := f.stopReading()
 	select {
 	case <-stopped:
 		t.Fatal("StopReading returned during a read whose commands were not counted yet")
@@ -163,13 +176,9 @@
 
 func TestPartialCommandKeepsConnectionDuringDrain(t *testing.T) {
 	f := newFixture(t, 9, 1800)
-	c, from := f.connect()
-	ping := emulator.Command("PING")
-	_, err := io.WriteString(c, ping[:5])
-	require.NoError(t, err)
-	require.Eventually(t, from.partial.Load, 5*time.Second, time.Millisecond)
+	c, _, rest := f.connectWithPartialPing()
 	f.server.Drain()
-	_, err = io.WriteString(c, ping[5:])
+	_, err := io.WriteString(c, rest)
 	require.NoError(t, err)
 	f.answerPing(c)
 }
--- a/internal/respserver/drain.go
+++ b/internal/respserver/drain.go
@@ -99,13 +99,17 @@
 	}
 }
 
-// closeFinished closes the connection unless a command was read that is not answered yet, or is being read.
-func (c *Client) closeFinished() {
+// closeFinished closes the connection unless a command was read that is not answered yet, or is being read. Replies that the
+// client has not received are waited for until the connection has been drained for drainLimit.
+func (c *Client) closeFinished(now time.Time) {
 	if !c.reading.TryLock() {
 		return
 	}
 	defer c.reading.Unlock()
-	if c.idle() {
+	c.server.mu.Lock()
+	waits := !c.evicted.Load() && c.server.draining && c.server.drainedFor(c, now) <= drainLimit
+	c.server.mu.Unlock()
+	if c.idle() && !(waits && c.closeDiscardsReplies()) {
 		c.conn.Close()
 	}
 }
--- a/internal/respserver/drain_test.go
+++ b/internal/respserver/drain_test.go
@@ -20,6 +20,8 @@
 const (
 	drainBound    = 4 * time.Second       // within which a drained connection has to be closed
 	drainInterval = 50 * time.Millisecond // between two writes of a client
+
+	delayedAcknowledgement = 50 * time.Millisecond // longer than the kernel delays the acknowledgement of what was received
 )
 
 // countingAnswerer is a transport.Submitter that answers all requests after a while, and counts them.
@@ -144,15 +146,12 @@
 // The end of draining keeps the connections that have not been closed.
 func TestUndrainKeepsConnectionsThatAreStillOpen(t *testing.T) {
 	f := newFixture(t, 9, 1800)
-	c, from := f.connect()
+	c, _, rest := f.connectWithPartialPing()
 	ping := emulator.Command("PING")
-	_, err := io.WriteString(c, ping[:5])
-	require.NoError(t, err)
-	require.Eventually(t, from.partial.Load, 5*time.Second, time.Millisecond)
 	f.server.Drain()
 	f.server.Undrain()
-	for _, rest := range []string{ping[5:] + ping[:3], ping[3:]} {
-		_, err = io.WriteString(c, rest)
+	for _, piece := range []string{rest + ping[:3], ping[3:]} {
+		_, err := io.WriteString(c, piece)
 		require.NoError(t, err)
 		f.answerPing(c)
 	}
@@ -164,19 +163,13 @@
 // before.
 func TestStopReadingCompletesCommandInProgress(t *testing.T) {
 	f := newFixture(t, 9, 1800)
-	c, from := f.connect()
+	c, from, rest := f.connectWithPartialPing()
 	ping := emulator.Command("PING")
-	_, err := io.WriteString(c, ping[:5])
-	require.NoError(t, err)
-	require.Eventually(t, from.partial.Load, 5*time.Second, time.Millisecond)
 	from.reading.Lock() // blocks the reader
-	_, err = io.WriteString(c, ping[5:]+ping+ping[:5])
+	_, err := io.WriteString(c, rest+ping+ping[:5])
 	require.NoError(t, err)
 	emulator.AwaitBlockedOnLock(t, "respserver.(*Server).read(")
-	stopped := make(chan struct{})
-	go func() { f.server.StopReading(); close(stopped) }()
-	for _, stopping := f.server.readingState(); !stopping; _, stopping = f.server.readingState() {
-	}
+	stopped := f.stopReading()
 	from.reading.Unlock()
 	<-stopped
 	f.answerPing(c)
@@ -197,3 +190,57 @@
 	_, err := c.ReadReply()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// writeUnacknowledged writes to a client that does not read until some of it is not acknowledged, while a command of the
+// client is unread. It returns the number of bytes.
+func (f *fixture) writeUnacknowledged(c *emulator.Client, from *Client) (bytes int) {
+	reply := []byte(strings.Repeat("x", 128<<10))
+	f.server.StopReading()
+	_, err := io.WriteString(c, emulator.Command("PING"))
+	require.NoError(f.t, err)
+	for !from.closeDiscardsReplies() {
+		require.NoError(f.t, from.write(reply))
+		bytes += len(reply)
+		time.Sleep(delayedAcknowledgement)
+	}
+	require.Zero(f.t, from.unsent.Load(), "the socket has accepted all")
+	return bytes
+}
+
+// Guards against replies that the kernel discards with a close over unread bytes: they were written, and the client had not
+// received them.
+func TestConnectionIsNotClosedBeforeRepliesAreReceived(t *testing.T) {
+	for name, end := range map[string]func(f *fixture, from *Client){
+		"drained": func(f *fixture, _ *Client) { f.server.Drain() },
+		"drained, at a boundary": func(f *fixture, from *Client) {
+			f.server.Drain()
+			from.finish()
+		},
+		"idle":    func(_ *fixture, from *Client) { from.closeIfIdle() },
+		"evicted": func(_ *fixture, from *Client) { from.evicted.Store(true); from.closeEvicted() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 9, 1800)
+			c, from := f.connect()
+			written := f.writeUnacknowledged(c, from)
+			end(f, from)
+			time.Sleep(closeDelay / 2)
+			received, err := io.Copy(io.Discard, io.LimitReader(c, int64(written)))
+			require.NoError(t, err)
+			require.EqualValues(t, written, received)
+			from.closeIfIdle()
+			require.Eventually(t, func() bool { return f.server.Clients() == 0 }, 5*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// A client that does not read its replies is closed on all the same, at the end of the drain.
+func TestClientThatDoesNotReadItsRepliesIsClosedAtTheEndOfTheDrain(t *testing.T) {
+	f := newFixture(t, 9, 1800)
+	c, from := f.connect()
+	f.writeUnacknowledged(c, from)
+	began := time.Now()
+	f.server.Drain()
+	require.Eventually(t, func() bool { return f.server.Clients() == 0 }, drainBound, time.Millisecond)
+	require.GreaterOrEqual(t, time.Since(began), drainLimit)
+}
--- a/internal/respserver/eviction.go
+++ b/internal/respserver/eviction.go
@@ -113,6 +113,16 @@
 	return false
 }
 
+// closeEvicted closes an evicted connection whose commands are answered: at once, or after a while if the client has not
+// received all replies. Client.reading is held.
+func (c *Client) closeEvicted() {
+	if c.closeDiscardsReplies() {
+		c.finish()
+		return
+	}
+	c.conn.Close()
+}
+
 // closed handles the end of a connection and removes it from the server. The engine calls it in a goroutine of its own,
 // after the socket was closed.
 func (s *Server) closed(c *Client, cause error) {
--- a/internal/respserver/read.go
+++ b/internal/respserver/read.go
@@ -87,7 +87,7 @@
 		return false, nil
 	}
 	if c.evicted.Load() {
-		c.conn.Close()
+		c.closeEvicted()
 		return false, nil
 	}
 	taken, limit := 0, c.turnBytes()
@@ -195,7 +195,7 @@
 	}
 	now := time.Now()
 	s.submitCommands(c, b, now)
-	s.makeRoom(c, now)
+	s.enforcePartialLimit(c, now)
 }
 
 // submitCommands parses received bytes, after those that were kept, and submits the complete commands of one turn.
--- a/internal/respserver/sweep.go
+++ b/internal/respserver/sweep.go
@@ -25,7 +25,7 @@
 		case c.refused.Load() || c.ended.Load(): // its last answer has been sent, or there is nobody to read it
 			c.conn.Close()
 		case c.finished.Load():
-			c.closeFinished()
+			c.closeFinished(now)
 		case draining:
 			c.closeIfDrained()
 		default:
