--- a/forwarder/endpoint_limits.go
+++ b/forwarder/endpoint_limits.go
@@ -11,8 +11,8 @@
 // unlimitedEndpoints is the room for endpoints if there is no limit.
 const unlimitedEndpoints = int(^uint(0) >> 1)
 
-// roomForEndpoints returns how many endpoints a list may add. A complete list replaces the endpoints listed so far.
-func (loop *eventLoop) roomForEndpoints(complete bool) int {
+// endpointsWithinLimit returns how many endpoints a list may add. A complete list replaces the endpoints listed so far.
+func (loop *eventLoop) endpointsWithinLimit(complete bool) int {
 	limit := loop.memory.MaxEndpoints()
 	if limit == 0 {
 		return unlimitedEndpoints
--- a/forwarder/endpoints.go
+++ b/forwarder/endpoints.go
@@ -84,7 +84,7 @@
 	loop.discovery.revision = list.Revision
 	loop.drainPending(list)
 	updates := make([]scheduler.EndpointUpdate, 0, len(list.Endpoints))
-	room := loop.roomForEndpoints(complete)
+	room := loop.endpointsWithinLimit(complete)
 	for i := range list.Endpoints {
 		entry := &list.Endpoints[i]
 		if !loop.mayTrack(entry, &room) {
