--- a/forwarder/shutdown_test.go
+++ b/forwarder/shutdown_test.go
@@ -120,9 +120,12 @@
 	f := newFixture(t)
 	f.config.Scheduler.KindBatchSize = []int{10}
 	f.start()
-	for n := range messages {
+	f.submit(transport.Submission{ID: "first", Type: "status", Destination: 7, Body: []byte("b")})
+	first := <-f.upstream.calls
+	for n := range messages { // handled before the end of the first call, so that the next ones are joined
 		f.submit(transport.Submission{ID: fmt.Sprint("m", n), Type: "status", Destination: 7, Body: []byte("b")})
 	}
+	f.upstream.finish(first, transport.ResultOK)
 	for joined := 0; joined < turnedAway; {
 		call, code := <-f.upstream.calls, transport.ResultOK
 		if len(call.Messages) > 1 {
