scheduler: an answer behind the end of one message is not believed for the others of its call

Cause: an answer was believed for each message of its call while the call went on; since it goes on until the latest of their times.

Change: once another message of the call may be over for its client (answered, within 0.1 s of its deadline, or left by its client), an answer that ends a message is in doubt, and the message gets its notice instead: returned where submitting it again is harmless, otherwise failed. A notice for a message that is over does no harm. No order of messages and no bound of the call is relied on.

--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -2,11 +2,6 @@
 
 import "math"
 
-// A message that is delivered less than noticeMargin before its deadline may be late by its client's clock, and the
-// client would then have no answer. Therefore the client gets a notice as well. Trade-off: the notice is unnecessary if
-// the clocks agree.
-const noticeMargin = 0.1 // seconds
-
 const (
 	retryAfterMargin = 0.002 // seconds added to a Retry-After before the next call
 	retryAfterSpread = 0.05  // maximum of a random delay in seconds, which is added as well
@@ -18,16 +13,17 @@
 type call struct {
 	endpoint   *Endpoint
 	began      float64
-	size       int  // number of messages
-	pending    int  // number of messages whose attempt has not ended
-	recorded   bool // recordResult has been called for the call
-	reusesIdle bool // the call probably uses a connection that had been idle
+	messages   []*Message // without those taken out before the first byte
+	pending    int        // number of messages whose attempt has not ended
+	recorded   bool       // recordResult has been called for the call
+	ended      int        // number of messages that had ended for their clients when the call ended
+	reusesIdle bool       // the call probably uses a connection that had been idle
 }
 
 // startCall begins a call with messages to an endpoint. Scheduler.apply passes the messages to the host.
 func (s *Scheduler) startCall(endpoint *Endpoint, messages []*Message) {
 	destination := endpoint.destination
-	call := &call{endpoint: endpoint, began: s.now, size: len(messages), pending: len(messages), reusesIdle: s.reusesIdle(endpoint)}
+	call := &call{endpoint: endpoint, began: s.now, messages: messages, pending: len(messages), reusesIdle: s.reusesIdle(endpoint)}
 	endpoint.calls = append(endpoint.calls, call)
 	endpoint.calledOften = s.now-endpoint.lastUsed < s.settings.IdleTimeout
 	endpoint.lastUsed = s.now
@@ -68,7 +64,11 @@
 // AttemptEnded records the result of a message's attempt. A final result is recorded even if no attempt is in flight.
 func (s *Scheduler) AttemptEnded(message *Message, result AttemptResult) {
 	call := message.call
-	if result.Final {
+	if call != nil && !call.recorded && result.Outcome != NotBegun {
+		call.countEnded(s.now)
+	}
+	doubtful := result.Final && s.isDoubtful(message)
+	if result.Final && !doubtful {
 		s.confirmLateDelivery(message, result.Outcome)
 		s.finish(message)
 	}
@@ -81,6 +81,9 @@
 	} else {
 		s.recordAttempt(message, result)
 	}
+	if doubtful {
+		s.endInDoubt(message, call, result.Outcome)
+	}
 	s.leaveKeyQueue(message)
 	if !message.answered {
 		s.retry(message)
@@ -108,17 +111,6 @@
 	}
 }
 
-// confirmLateDelivery requests a notice for a message that was delivered close to its deadline; see noticeMargin.
-func (s *Scheduler) confirmLateDelivery(message *Message, outcome Outcome) {
-	if outcome != Delivered || !message.AnsweredByNotice || message.answered {
-		return
-	}
-	if s.now > message.deadline-noticeMargin {
-		message.action, message.reason, message.awaitingAcknowledgement = actionFail, DeliveredLate, true
-		s.changed = append(s.changed, message)
-	}
-}
-
 // endCall records that the attempt of one of a call's messages has ended. The call ends with the last of them.
 func (s *Scheduler) endCall(call *call) {
 	call.pending--
@@ -140,7 +132,14 @@
 	if outcome.mayStillRun() && message.keyQueue != nil {
 		s.pauseKey(message.keyQueue)
 	}
-	if (outcome.mayStillRun() || outcome.isError()) && message.firstRanAt == 0 {
-		message.firstRanAt, message.firstRanZone = call.began, call.endpoint.zone
+	if outcome.mayStillRun() || outcome.isError() {
+		message.recordRun(call)
+	}
+}
+
+// recordRun records that a message may have run in a call. The first such call counts.
+func (m *Message) recordRun(call *call) {
+	if m.firstRanAt == 0 {
+		m.firstRanAt, m.firstRanZone = call.began, call.endpoint.zone
 	}
 }
--- a/scheduler/callsize.go
+++ b/scheduler/callsize.go
@@ -30,13 +30,13 @@
 func (d *Destination) recordCallSize(call *call, outcome Outcome) {
 	limit := &d.sizeLimit
 	switch {
-	case outcome.refusesCall() && call.size > 1:
-		half := call.size / 2
+	case outcome.refusesCall() && call.size() > 1:
+		half := call.size() / 2
 		if limit.messages > 0 {
 			half = min(half, limit.messages) // several calls may have been in flight
 		}
 		*limit = sizeLimit{messages: half}
-	case outcome == Delivered && limit.messages > 0 && call.size >= limit.messages:
+	case outcome == Delivered && limit.messages > 0 && call.size() >= limit.messages:
 		if limit.taken++; limit.taken >= callsToGrow {
 			*limit = sizeLimit{messages: limit.messages + 1}
 		}
@@ -50,7 +50,7 @@
 // A message that is too large by itself gets its final answer at once.
 func (m *Message) recordCallSize(call *call, outcome Outcome) {
 	switch {
-	case outcome.refusesCall() && call.size > 1:
+	case outcome.refusesCall() && call.size() > 1:
 		m.attempts--
 	case outcome == CallTooLarge:
 		m.tooLarge = true
--- a/scheduler/client_reset.go
+++ b/scheduler/client_reset.go
@@ -17,6 +17,7 @@
 	if message.answered || message.recoveredUntried || sinceReply > clientPatience+socketSlack {
 		return
 	}
+	message.clientLeftAt = s.now
 	switch {
 	case message.attempts == 0:
 		s.rejectOrFail(message, ReplyUnread)
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -27,6 +27,7 @@
 	attempts      int     // number of attempts made
 	firstRanAt    float64 // start of the first attempt that may have run; 0 means that no attempt ran
 	firstRanZone  int     // zone of the endpoint of that attempt
+	clientLeftAt  float64 // when its client left, perhaps without having read the reply; 0 if it did not
 	answered      bool    // the message has its final answer
 	queued        bool    // the message is queued for a call
 	overQuota     bool    // the message exceeds its tenant's quota
@@ -110,6 +111,7 @@
 	ReplyUnread                      // the client may not have received the reply, see Scheduler.ClientReset
 	TooLarge                         // the destination takes no message of this size
 	DeliveredLate                    // delivered so close to the deadline that it may be late by the client's clock
+	AnswerInDoubt                    // the answer to its call came after another message of the call had ended
 )
 
 var answerReasonNames = [...]string{
@@ -122,6 +124,7 @@
 	ReplyUnread:         "the client has reset its connection",
 	TooLarge:            "too large for the destination",
 	DeliveredLate:       "delivered close to its deadline",
+	AnswerInDoubt:       "answered after another message of its call had ended",
 }
 
 // String returns the text of the reason in logs.
--- a/scheduler/unsent.go
+++ b/scheduler/unsent.go
@@ -31,7 +31,7 @@
 	call := message.call
 	message.call = nil
 	message.attempts--
-	call.size--
+	call.messages = removeFirst(call.messages, message)
 	s.endCall(call)
 }
 
