forwarder: the host takes calls as the scheduler has joined them

By reading (joined-answers): callBatch.add joined the messages of a turn again, by endpoint and room, with the lesser of two timeouts, so that a call kept small for its bytes, or kept apart for a key that is soon forgotten, could get the next call's messages.

Change: the message's call decides (Message.InCallWith). The host's own batch size is gone. TestCallsThatSchedulerKeepsApartStayApart: before [[0 1 2]], now [[0 1] [2]].

--- a/forwarder/calls.go
+++ b/forwarder/calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"spanflow/internal/dial"
+	"spanflow/scheduler"
 	"spanflow/transport"
 )
 
@@ -19,6 +20,7 @@
 // pendingCall is a call that has not been sent yet, so messages can still be added to it.
 type pendingCall struct {
 	upstream transport.Upstream
+	first    *scheduler.Message // its first message
 	call     *transport.Call
 }
 
@@ -27,18 +29,18 @@
 	defaultUpstream   = "http" // both its name and its protocol
 )
 
-// add adds a message to a pending call to the endpoint whose batch is not full, or else to a new call.
+// add adds a message to the pending call in which the scheduler has put it, or begins that call. The timeout is that of the
+// call.
 func (b *callBatch) add(m *trackedMessage, to *trackedEndpoint, timeout time.Duration) {
 	for i := range b.pending {
-		if call := b.pending[i].call; call.EndpointID == to.scheduled.ID && len(call.Messages) < to.batchSize {
-			call.Messages = append(call.Messages, m.Message)
-			call.Timeout = min(call.Timeout, timeout)
+		if pending := &b.pending[i]; m.scheduled.InCallWith(pending.first) {
+			pending.call.Messages = append(pending.call.Messages, m.Message)
 			return
 		}
 	}
 	call := newCall(m, to)
 	call.Timeout = timeout
-	b.pending = append(b.pending, pendingCall{to.upstream, call})
+	b.pending = append(b.pending, pendingCall{to.upstream, m.scheduled, call})
 }
 
 // newCall returns a call to an endpoint with one message.
--- a/forwarder/endpoints.go
+++ b/forwarder/endpoints.go
@@ -34,15 +34,15 @@
 
 // trackedEndpoint is an endpoint of the list with the data needed for calls to it.
 type trackedEndpoint struct {
-	uid, address    string
-	destination     uint64
-	zone, batchSize int
-	upstream        transport.Upstream
-	scheduled       *scheduler.Endpoint
-	update          scheduler.EndpointUpdate // latest from the list, without operators' drains
-	startedMs       int64                    // Unix time in milliseconds when its process was started; 0 means long ago
-	fromSource      bool                     // the source has sent it since the start
-	superseded      bool                     // a process that was started later has its address
+	uid, address string
+	destination  uint64
+	zone         int
+	upstream     transport.Upstream
+	scheduled    *scheduler.Endpoint
+	update       scheduler.EndpointUpdate // latest from the list, without operators' drains
+	startedMs    int64                    // Unix time in milliseconds when its process was started; 0 means long ago
+	fromSource   bool                     // the source has sent it since the start
+	superseded   bool                     // a process that was started later has its address
 }
 
 // Endpoint states in the list.
@@ -142,7 +142,7 @@
 // left and was not known before.
 func (loop *eventLoop) endpointUpdate(e *transport.Endpoint) (update scheduler.EndpointUpdate, known bool) {
 	kind := index(loop.config.Names.Kinds, e.Kind)
-	t, readdressed := loop.trackEndpoint(e, kind)
+	t, readdressed := loop.trackEndpoint(e)
 	if t == nil {
 		loop.endpoints.recordRemoval(e.UID)
 		return scheduler.EndpointUpdate{}, false
@@ -168,8 +168,8 @@
 }
 
 // trackEndpoint updates or adds the endpoint of an entry of the list, and reports whether its address changed. It
-// returns nil for an endpoint that has left and was not known before. kind is the number of the entry's kind.
-func (loop *eventLoop) trackEndpoint(e *transport.Endpoint, kind int) (t *trackedEndpoint, readdressed bool) {
+// returns nil for an endpoint that has left and was not known before.
+func (loop *eventLoop) trackEndpoint(e *transport.Endpoint) (t *trackedEndpoint, readdressed bool) {
 	t = loop.endpoints.byUID[e.UID]
 	if t == nil {
 		if e.State == stateLeft {
@@ -177,14 +177,11 @@
 		}
 		t = loop.endpoints.add(e, loop.upstreamOf(e.Kind))
 	}
-	t.zone, t.batchSize = index(loop.config.Names.Zones, e.Zone), 1
+	t.zone = index(loop.config.Names.Zones, e.Zone)
 	if e.Address != "" {
 		readdressed = t.address != "" && t.address != e.Address
 		t.address = e.Address
 	}
-	if kind < len(loop.config.Scheduler.KindBatchSize) {
-		t.batchSize = max(1, loop.config.Scheduler.KindBatchSize[kind])
-	}
 	return t, readdressed
 }
 
--- a/forwarder/host.go
+++ b/forwarder/host.go
@@ -11,7 +11,7 @@
 // The methods in this file implement scheduler.Host: they carry out the scheduler's decisions.
 var _ scheduler.Host = (*eventLoop)(nil)
 
-// Send adds a message to the pending call to an endpoint, or to a new call if that one is full. Pending calls are sent
+// Send adds a message to the pending call in which the scheduler has put it, or begins that call. Pending calls are sent
 // at the end of the turn at the latest. timeout is in seconds.
 func (loop *eventLoop) Send(message *scheduler.Message, to *scheduler.Endpoint, timeout float64) {
 	m, endpoint := loop.messages.byNumber[message.ID], loop.endpoints.byNumber[to.ID]
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -66,6 +66,9 @@
 // InCall reports whether the message is in a call that has not ended.
 func (m *Message) InCall() bool { return m.call != nil }
 
+// InCallWith reports whether both messages are in one call that has not ended.
+func (m *Message) InCallWith(other *Message) bool { return m.call != nil && m.call == other.call }
+
 // Attempts returns the number of attempts that count towards Settings.MaxAttempts.
 func (m *Message) Attempts() int { return m.attempts }
 
