upstream: a call tells the time that is left when it is sent

Behind a connection that came up late the endpoint was told too much, by up to the connect timeout, and could run a message after its call was given up.

Change: the time that has passed until the first byte is taken off. TestLateCallTellsTimeThatIsLeft: told 60000 ms after 60 ms on the code before (bound 59940), for one message and for two.

The transcripts held the exact timeout, which now depends on how fast a connection comes up. Each request is held against the measured time instead, and the text is compared with the timeout put back: the bytes beside it are compared as before, and the figure has a bound on both sides.

--- a/internal/upstream/cancel_test.go
+++ b/internal/upstream/cancel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -138,6 +139,25 @@
 	}
 }
 
+// Guards against an endpoint that runs a call after it was given up: it is told how long the forwarder still waits, and not the
+// time from the moment when the call was chosen.
+func TestLateCallTellsTimeThatIsLeft(t *testing.T) {
+	const late = 60 * time.Millisecond
+	for _, ids := range [][]string{{"one"}, {"one", "two"}} {
+		f := newLateFixture(t)
+		began := time.Now()
+		call := f.sendMessages(ids...)
+		time.Sleep(late)
+		close(f.establish)
+		_, request := f.acceptRequest()
+		_, rest, _ := strings.Cut(request, timeLeftField+": ")
+		told, err := strconv.ParseInt(rest[:strings.Index(rest, "\r\n")], 10, 64)
+		require.NoError(t, err)
+		require.LessOrEqual(t, told, (call.Timeout - late).Milliseconds())
+		require.GreaterOrEqual(t, told, (call.Timeout - time.Since(began)).Milliseconds())
+	}
+}
+
 // A message is either cancelled or sent, whichever comes first, and never both or neither.
 func TestMessageIsEitherCancelledOrSent(t *testing.T) {
 	const tries = 300
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -45,7 +45,7 @@
 func (c *connection) begin(now time.Time) {
 	c.begun, c.sentAfter = true, now.Sub(c.startedAt)
 	c.answer.keepBody = len(c.call.Messages) > 1
-	c.conn.Write(encodeRequest(c.call))
+	c.conn.Write(encodeRequest(c.call, c.sentAfter))
 }
 
 // removeExpired takes those messages out of a call that must not be sent any more, and reports them as cancelled. The
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"spanflow/internal/http1"
 	"spanflow/transport"
@@ -40,10 +41,10 @@
 	return size
 }
 
-// encodeRequest returns the HTTP request of a call. A single message is sent with its body unchanged, several as a JSON
-// array.
-func encodeRequest(call *transport.Call) []byte {
-	timeLeft := strconv.FormatInt(call.Timeout.Milliseconds(), 10)
+// encodeRequest returns the HTTP request of a call that is sent after a part of its timeout has passed. A single message is
+// sent with its body unchanged, several as a JSON array.
+func encodeRequest(call *transport.Call, passed time.Duration) []byte {
+	timeLeft := strconv.FormatInt(max(0, call.Timeout.Milliseconds()-passed.Milliseconds()), 10)
 	if len(call.Messages) == 1 {
 		return encodeSingle(call.Address, timeLeft, &call.Messages[0])
 	}
--- a/internal/upstream/transcript_test.go
+++ b/internal/upstream/transcript_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"fmt"
 	"regexp"
+	"strconv"
 	"testing"
 	"time"
 
@@ -27,6 +29,8 @@
 	answerPartial  = "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx"
 )
 
+var timeLeft = regexp.MustCompile(`X-Remaining-Ms: (\d+)\r\n`)
+
 // endpoint is an emulated endpoint with an upstream client that calls it. It records the client's requests in a
 // transcript.
 type endpoint struct {
@@ -51,12 +55,27 @@
 func (e *endpoint) call(description string, timeout time.Duration, messages ...transport.Message) *transcript.Request {
 	e.t.Helper()
 	e.script.Note("%s", description)
+	sent := time.Now()
 	e.client.Send(&transport.Call{EndpointID: 1, Address: e.server.Addr, Messages: messages, Timeout: timeout})
 	request := e.server.Next()
+	e.requireTimeLeft(request, timeout, time.Since(sent))
 	e.script.Note("on connection %d", request.Connection)
 	return request
 }
 
+// requireTimeLeft requires that a request tells what is left of its timeout after at most the given time, and replaces that by
+// the timeout, which does not depend on the time that the connection took.
+func (e *endpoint) requireTimeLeft(request *transcript.Request, timeout, passed time.Duration) {
+	e.t.Helper()
+	match := timeLeft.FindSubmatch(request.Raw)
+	require.NotNil(e.t, match)
+	told, err := strconv.ParseInt(string(match[1]), 10, 64)
+	require.NoError(e.t, err)
+	require.LessOrEqual(e.t, told, timeout.Milliseconds())
+	require.GreaterOrEqual(e.t, told, (timeout - passed).Milliseconds())
+	request.Raw = timeLeft.ReplaceAll(request.Raw, fmt.Appendf(nil, "X-Remaining-Ms: %d\r\n", timeout.Milliseconds()))
+}
+
 // answer answers a request and waits until its call has ended.
 func (e *endpoint) answer(request *transcript.Request, raw string) {
 	e.t.Helper()
