cmd/spanflow: the soaks' judge counts no answer behind the end of one message; late answers

An answer to a call now counts for none of its messages if one of them has its notice, or if its time is up by the forwarder's clock, when the answer is written; each of them then has to end otherwise.

--- a/cmd/spanflow/late_connection_soak_test.go
+++ b/cmd/spanflow/late_connection_soak_test.go
@@ -16,7 +16,7 @@
 
 // The soak of late connections is that of hostile clients with endpoints to which connections come up late, or whose bytes
 // are read late, with joined calls, and with messages of little time (report 32b2ab). Endpoints leave calls unanswered, break
-// them and tell waits; the list marks one as leaving; clients leave at once; a process is suspended for a moment, or gets a
+// them, answer them late and tell waits; an answer counts for no message of its call if one of them is over (report 8af0d7); the list marks one as leaving; clients leave at once; a process is suspended for a moment, or gets a
 // series of signals, SIGKILL at the earliest time. In a third of the runs there is a crowd. The test checks that nothing is
 // sent on behind its notice, against a told wait, to an endpoint that drains, twice, or out of the order of its key, that
 // nothing is handed back that may have run, and that each accepted message ends.
@@ -34,6 +34,7 @@
 	lateSoakBurst       = 12  // messages that are submitted at once
 	lateSoakBurstPause  = 400 * time.Millisecond
 	lateSoakCrowdSeeds  = 3 // one run in so many has a crowd
+	lateSoakLateAnswers = 8 // of twelve calls, in the soak of late answers
 )
 
 func TestSoakOfLateConnections(t *testing.T) {
@@ -43,11 +44,26 @@
 	})
 }
 
+// The soak of late answers is that of late connections with endpoints to which connections come up at once, and which answer
+// most calls late, often once one of their messages is over (report 8af0d7).
+//
+//	TEST_SOAK_SEEDS=50 go test ./cmd/spanflow -run SoakOfLateAnswers -timeout 60m
+func TestSoakOfLateAnswers(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		t.Parallel()
+		s := newLateConnectionSoak(t, seed)
+		s.checker.lateAnswers = lateSoakLateAnswers
+		s.connectsAtOnce = true
+		s.run()
+	})
+}
+
 // lateConnectionSoak is one run of the soak with one seed.
 type lateConnectionSoak struct {
 	*hostileSoak
-	seed   uint64
-	bursts int // so far; guarded by mu
+	seed           uint64
+	connectsAtOnce bool
+	bursts         int // so far; guarded by mu
 }
 
 func newLateConnectionSoak(t *testing.T, seed uint64) *lateConnectionSoak {
@@ -55,6 +71,7 @@
 	s.random = rand.New(rand.NewPCG(seed, 6))
 	s.checker.random = rand.New(rand.NewPCG(seed, 7))
 	s.checker.tellsLongWaits = true
+	s.checker.lateAnswers = 2
 	s.queueCapacity = lateSoakCapacity
 	return s
 }
@@ -71,6 +88,9 @@
 	}
 	background.Go(func() { s.departAll(end) })
 	for n, endpoint := range []*emulator.Endpoint{s.endpoint, s.drained} {
+		if s.connectsAtOnce {
+			continue
+		}
 		random := rand.New(rand.NewPCG(s.seed, uint64(20+n)))
 		background.Go(func() { holdConnections(endpoint, random, end) })
 	}
@@ -112,7 +132,8 @@
 	require.Eventually(s.t, ended, soakAnswerTimeout, 10*time.Millisecond)
 	s.checker.mu.Lock()
 	defer s.checker.mu.Unlock()
-	s.t.Logf("upgrades %v: %d messages, %d notices", s.upgrades, len(s.accepted), len(s.checker.notices))
+	s.t.Logf("upgrades %v: %d messages, %d notices, %d answers that did not count", s.upgrades, len(s.accepted),
+		len(s.checker.notices), s.checker.void)
 	require.Empty(s.t, s.checker.violations)
 	require.Empty(s.t, s.unanswered, "submissions without an answer")
 }
@@ -156,6 +177,7 @@
 	burst := s.bursts
 	s.mu.Unlock()
 	var ids []string
+	lives := map[string]time.Duration{}
 	var commands strings.Builder
 	for n := range 1 + random.IntN(lateSoakBurst) {
 		life := lateSoakShortLife + time.Duration(random.Int64N(int64(lateSoakLongLife)))
@@ -163,6 +185,7 @@
 		id := fmt.Sprintf("%c-burst%d-%d", "psk"[kind], burst, n)
 		options := fmt.Sprintf("c=%s,d=%d,dest=7", []string{"payment", "status", "ticket,k=" + id}[kind], life.Milliseconds())
 		ids = append(ids, id)
+		lives[id] = life
 		commands.WriteString(emulator.Command("MSG.PUT", noKey, id, options, "body"))
 	}
 	if _, err := c.Write([]byte(commands.String())); err != nil {
@@ -174,6 +197,7 @@
 			return err
 		}
 		if answer == "+OK" {
+			s.checker.setTimeUp(id, lives[id])
 			s.mu.Lock()
 			s.accepted = append(s.accepted, id)
 			s.mu.Unlock()
--- a/cmd/spanflow/rule_checker_test.go
+++ b/cmd/spanflow/rule_checker_test.go
@@ -24,6 +24,8 @@
 	longestWait    = 700 * time.Millisecond // added to that where endpoints tell long ones
 	waitLetThrough = 100 * time.Millisecond // calls that come so soon after a wait was told are let through
 	heldUp         = 150 * time.Millisecond // for which a forwarder may be held up between its decision and the first byte
+
+	longestAnswer = 1500 * time.Millisecond // after which a call is answered at the latest that is not answered at once
 )
 
 // ruleChecker provides the replies of endpoints that answer at random, and records calls that a forwarder must not
@@ -33,6 +35,7 @@
 	leavesUnanswered bool // some calls are left without an answer
 	sendsLateBytes   bool // some answers are followed by late bytes
 	tellsLongWaits   bool // some calls are turned away with a time to wait of up to longestWait
+	lateAnswers      int  // of twelve calls, how many are answered after a time of up to longestAnswer
 
 	mu         sync.Mutex
 	random     *rand.Rand
@@ -43,8 +46,10 @@
 	hangs      map[string][]hang      // unanswered calls with a message that the forwarder has abandoned
 	drained    map[string]time.Time   // when the list marked an endpoint as leaving, by address
 	notices    map[string]receivedNotice
-	restarting bool     // the process is being replaced or suspended, and a restart ends told waits
-	toldWait   toldWait // the latest one; the route of the endpoints is the same
+	timeUp     map[string]time.Time // when the time of a message is up, at the latest by its forwarder's clock
+	void       int                  // answers that did not count
+	restarting bool                 // the process is being replaced or suspended, and a restart ends told waits
+	toldWait   toldWait             // the latest one; the route of the endpoints is the same
 	violations []string
 }
 
@@ -60,7 +65,7 @@
 func newRuleChecker() *ruleChecker {
 	return &ruleChecker{random: rand.New(rand.NewPCG(3, 4)), ended: map[string]bool{}, mayHaveRun: map[string]bool{},
 		unanswered: map[string]time.Time{}, arrivals: map[string][]time.Time{}, hangs: map[string][]hang{},
-		drained: map[string]time.Time{}, notices: map[string]receivedNotice{}}
+		drained: map[string]time.Time{}, notices: map[string]receivedNotice{}, timeUp: map[string]time.Time{}}
 }
 
 // reply checks a call and answers it.
@@ -77,20 +82,20 @@
 		r.violations = append(r.violations,
 			fmt.Sprintf("%s was sent to an endpoint that has been draining for %v", c.ID, time.Since(since)))
 	}
-	switch r.random.IntN(12) {
-	case 0:
+	switch n := r.random.IntN(12); {
+	case n == 0:
 		return r.overload(c)
-	case 1:
+	case n == 1:
 		r.recordRun(c, false)
 		return emulator.Reply{Status: 500, Late: r.lateBytes()}
-	case 2:
+	case n == 2:
 		r.recordRun(c, false)
 		r.recordUnanswered(c, time.Now())
 		return emulator.Reply{Break: true}
-	case 3:
-		if r.leavesUnanswered {
-			return r.hang(c)
-		}
+	case n == 3 && r.leavesUnanswered:
+		return r.hang(c)
+	case n >= 12-r.lateAnswers:
+		return r.answerLate(c)
 	}
 	r.recordRun(c, true)
 	return emulator.Reply{Late: r.lateBytes()}
@@ -200,6 +205,36 @@
 	}}
 }
 
+// answerLate answers a call after a while, unless the forwarder abandons it before. The caller holds the lock.
+func (r *ruleChecker) answerLate(c emulator.Call) emulator.Reply {
+	reply := r.hang(c)
+	reply.Answer = func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.recordRun(c, true)
+	}
+	hold := reply.Hold
+	time.AfterFunc(time.Duration(r.random.Int64N(int64(longestAnswer))), func() { close(hold) })
+	return reply
+}
+
+// countsForNone reports whether an answer to a call that is written now counts for none of its messages, because one of them is
+// over: its time is up, or it has a notice. An endpoint may take the whole call to be over then. The caller holds the lock.
+func (r *ruleChecker) countsForNone(c emulator.Call) bool {
+	return slices.ContainsFunc(c.IDs, func(id string) bool {
+		until, known := r.timeUp[id]
+		_, noticed := r.notices[id]
+		return noticed || known && time.Now().After(until)
+	})
+}
+
+// setTimeUp records that the time of a message is up after a while from now, at the latest.
+func (r *ruleChecker) setTimeUp(id string, life time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timeUp[id] = time.Now().Add(life)
+}
+
 // checkOverlap records the arrival of a call with a message, and a violation if it came while an earlier call with the message
 // was in progress. The caller holds the lock.
 func (r *ruleChecker) checkOverlap(id string, arrival time.Time) {
@@ -244,8 +279,12 @@
 	}
 }
 
-// recordRun records that the messages of a call run. The caller holds the lock.
-func (r *ruleChecker) recordRun(c emulator.Call, delivered bool) {
+// recordRun records that the messages of a call run, and whether that is answered now. The caller holds the lock.
+func (r *ruleChecker) recordRun(c emulator.Call, answered bool) {
+	delivered := answered && !r.countsForNone(c)
+	if answered && !delivered {
+		r.void++
+	}
 	for _, id := range c.IDs {
 		r.mayHaveRun[id] = true
 		r.checkReturned(id)
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -33,6 +33,7 @@
 	Body   string             // if empty, the answer to a call with several messages has "ok" for each
 	Break  bool               // close the connection without an answer
 	Hold   chan struct{}      // answer once this is closed, or not at all if the connection ends first
+	Answer func()             // if not nil, called just before the answer is written
 	Ended  func(at time.Time) // if not nil, called if the connection ends during Hold or after Raw was sent
 	Raw    string             // if not empty, sent instead of an answer; the connection stays open
 	Late   LateBytes          // sent on the same connection after the answer
@@ -115,6 +116,9 @@
 		}
 	}
 	sendAfterAnswer(r, reply.Late)
+	if reply.Answer != nil {
+		reply.Answer()
+	}
 	reply.write(w, call)
 }
 
