lab: with real processes, an answer behind the end of one message counts for none

A message is now over for its client with its final answer, or 50 ms behind its time (a stalled or restarted forwarder: behind that), and an answer to a call with such a message counts for none of its messages.

--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -118,6 +118,16 @@
 // Answered reports whether the client of a message has received a final answer.
 func (l *Log) Answered(id uint64) bool { return len(l.messages[id].FinalAnswers) > 0 }
 
+// Ended reports whether a message is over for its client: it has a final answer, or its time is up. An endpoint may take a call
+// to be over with any of its messages, so that a later answer counts for none of them.
+func (l *Log) Ended(id uint64) bool {
+	m := l.messages[id]
+	if m == nil {
+		return false
+	}
+	return l.Answered(id) || l.Clock.Now() > math.Max(m.Expiry, l.unavailableUntil[m.Forwarder])+l.Slack.Expiry
+}
+
 // ForwarderStalled records that a stall or a restart keeps a forwarder from answering until the given time.
 func (l *Log) ForwarderStalled(forwarder int, until float64) {
 	l.unavailableUntil[forwarder] = math.Max(l.unavailableUntil[forwarder], until)
--- a/lab/audit/rules.go
+++ b/lab/audit/rules.go
@@ -26,12 +26,13 @@
 // Slack contains the tolerances of the audit, in seconds.
 type Slack struct {
 	Answer float64 // allowed delay of a final answer after the message's expiry
+	Expiry float64 // time after a message's expiry in which an answer to its call still counts
 	Wait   float64 // time after a Retry-After in which calls are allowed, as they may have been sent before it arrived
 	Drain  float64 // time in which calls are allowed after the endpoint list reported that an endpoint drains
 }
 
 // DefaultSlack allows for the delays of the network and of a forwarder.
-var DefaultSlack = Slack{Answer: 0.3, Wait: 0.1, Drain: 0.1}
+var DefaultSlack = Slack{Answer: 0.3, Expiry: 0.05, Wait: 0.1, Drain: 0.1}
 
 // Violation is one breach of a rule, with the history of the message concerned.
 type Violation struct {
--- a/lab/sim/real_calls.go
+++ b/lab/sim/real_calls.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -105,8 +106,11 @@
 		s.model.ForwarderSawFailure(call.Forwarder)
 		return
 	}
+	if slices.ContainsFunc(call.Messages, func(m receiver.Message) bool { return run.log.Ended(m.ID) }) {
+		return
+	}
 	for _, m := range call.Messages {
-		if run.effects[m.ID] != nil && !run.log.Answered(m.ID) { // a notice may have arrived first, which does no harm
+		if run.effects[m.ID] != nil {
 			run.log.FinalAnswer(m.ID, answerDelivered)
 			run.deliveredToForwarder[m.ID] = true
 		}
--- a/scheduler/confirmation_test.go
+++ b/scheduler/confirmation_test.go
@@ -96,6 +96,25 @@
 	require.Empty(t, p.answers[p.short], "its own answer is not in doubt")
 }
 
+func TestAnswerBehindWithdrawalOfAnotherMessageIsInDoubt(t *testing.T) {
+	p := newJoinedPair(t, payment)
+	p.Withdraw(p.short)
+	p.advance(0.1)
+	p.answer(Delivered)
+	require.Equal(t, "abandoned", p.answers[p.long])
+}
+
+// A message whose idempotency key may be forgotten must not be submitted again.
+func TestMessageInDoubtFailsBehindItsDeduplicationWindow(t *testing.T) {
+	p := newJoinedPair(t, ticket)
+	messageType := *p.long.messageType
+	messageType.DeduplicationWindow = shortTime / 2
+	p.long.messageType = &messageType
+	p.advance(shortTime + 2*deadlineGrace)
+	p.answer(Delivered)
+	require.Equal(t, "abandoned", p.answers[p.long])
+}
+
 // A message that was taken out of its call before the first byte is unknown to the endpoint.
 func TestMessageTakenOutOfItsCallCastsNoDoubt(t *testing.T) {
 	p := newJoinedPair(t, payment)
