--- a/internal/peertest/peertest.go
+++ b/internal/peertest/peertest.go
@@ -13,6 +13,8 @@
 // Timeout limits waits that would otherwise block forever. Tests do not use it to check how fast something is.
 const Timeout = 15 * time.Second
 
+const maxReports = 9 // maximum number of reports that the test has not received yet
+
 // Next waits for the next value from a channel. It fails the test after Timeout.
 func Next[T any](t *testing.T, from <-chan T) T {
 	t.Helper()
@@ -25,6 +27,32 @@
 	}
 }
 
+// Reports are the reports of a client, as text.
+type Reports chan string
+
+// NewReports returns reports without any that the test has not received yet.
+func NewReports() Reports { return make(Reports, maxReports) }
+
+// Expect waits for the given reports, in this order.
+func (r Reports) Expect(t *testing.T, want ...string) {
+	t.Helper()
+	for _, w := range want {
+		require.Equal(t, w, Next(t, r))
+	}
+}
+
+// longestTimer is the longest wait of the timers that StartOnlyShortTimers lets fire.
+const longestTimer = 60 * time.Millisecond
+
+// StartOnlyShortTimers replaces time.AfterFunc. Long timers never fire, so that no answer times out on a slow machine.
+func StartOnlyShortTimers(wait time.Duration, fire func()) *time.Timer {
+	timer := time.AfterFunc(wait, fire)
+	if wait > longestTimer {
+		timer.Stop()
+	}
+	return timer
+}
+
 // Timer is a timer that fires only when the test calls Fire.
 type Timer struct {
 	Wait time.Duration
