forwarder: the test of refused calls behind a restart waits until its messages are accepted

Traced: the messages were submitted without waiting for their replies. Where the forwarder is slower than the test, each is delivered in a call of its own (a trial that prints the sizes: 20 calls of one), and the two joined calls that the test turns away never come.

Now each message is accepted before the first call ends, so that the next ones are joined.

--- a/forwarder/shutdown_test.go
+++ b/forwarder/shutdown_test.go
@@ -123,8 +123,9 @@
 	f.start()
 	f.submit(transport.Submission{ID: "first", Type: "status", Destination: 7, Body: []byte("b")})
 	first := <-f.upstream.calls
-	for n := range messages { // handled before the end of the first call, so that the next ones are joined
-		f.submit(transport.Submission{ID: fmt.Sprint("m", n), Type: "status", Destination: 7, Body: []byte("b")})
+	for n := range messages { // accepted before the end of the first call, so that the next ones are joined
+		caller := f.submit(transport.Submission{ID: fmt.Sprint("m", n), Type: "status", Destination: 7, Body: []byte("b")})
+		<-caller.reply
 	}
 	f.upstream.finish(first, transport.ResultOK)
 	for joined := 0; joined < turnedAway; {
